--- /dev/null
+++ b/router/doc.go
@@ -0,0 +1,2 @@
+// Package main is under construction.
+package main
--- /dev/null
+++ b/stage/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
