Share a cell's servers by weighted fair queueing under learnt limits

Cause: entry routers need one place per cell that decides whose request runs next and where. Before: no scheduler. After: grants by start-time fair queueing over teams, limits learnt per server, lapse of unused grants, foreign load, orphans.

--- /dev/null
+++ b/core/sched/router.go
@@ -0,0 +1,236 @@
+package sched
+
+import (
+	"sort"
+	"time"
+
+	"mangolug.org/core/fleet"
+)
+
+// lapse is how far a router's own clock must pass a grant's basis before the grant counts as unused.
+const lapse = int64((fleet.GrantLifetime + fleet.ClockDrift) / time.Millisecond)
+
+// router is an entry router that told this scheduler its demand.
+type router struct {
+	name       string
+	dataCentre string
+	told       bool // sent some demand
+	full       bool // sent all its demand
+	seq        uint64
+	basis      int64 // its latest stamp, in milliseconds
+	basisAt    time.Duration
+	entries    map[string]*entry
+	grants     map[uint64]*grant
+	unseen     []*grant // grants that it has not acknowledged, oldest first
+	parked     []*entry // entries left out of the queues until the router is heard again
+}
+
+// entry is what one team has waiting at one router.
+type entry struct {
+	node
+	router *router
+	team   *team
+	told   int // requests waiting, as the router told
+	unseen int // grants for them that the router had not seen when it told
+	hint   int64
+	since  time.Duration // when the oldest began to wait
+	parked bool
+}
+
+// waiting gives the requests that no grant is on its way to.
+func (e *entry) waiting() int { return max(0, e.told-e.unseen) }
+
+func (r *router) fresh(now time.Duration) bool { return now-r.basisAt < staleBasis }
+
+func (s *Scheduler) router(name string) *router {
+	r := s.routers[name]
+	if r == nil {
+		r = &router{name: name, entries: map[string]*entry{}, grants: map[uint64]*grant{}}
+		s.routers[name] = r
+		s.byName = append(s.byName, r)
+	}
+	return r
+}
+
+// Take takes in a router's demand; basis is the router's own stamp, in milliseconds.
+func (s *Scheduler) Take(now time.Duration, from, dataCentre string, basis int64, d fleet.Demand) {
+	s.prepare()
+	r := s.router(from)
+	if r.told && d.Seq <= r.seq {
+		s.Dropped++
+		return
+	}
+	r.told = true
+	r.seq, r.dataCentre = d.Seq, dataCentre
+	if d.SeenTerm == s.Term {
+		s.acknowledge(r, d.Seen)
+	}
+	for _, g := range d.Running {
+		s.progress(now, r, g)
+	}
+	for _, o := range d.Done {
+		s.done(now, r, o)
+	}
+	if d.Full {
+		s.dropMissing(now, r, d)
+		r.full = true
+		s.countLent()
+	}
+	for _, w := range d.Waiting {
+		s.wait(now, r, w)
+	}
+	s.heard(now, r, basis)
+}
+
+// Heard takes in a router's newer stamp, in milliseconds, that came without demand.
+func (s *Scheduler) Heard(now time.Duration, from string, basis int64) {
+	s.prepare()
+	if r := s.routers[from]; r != nil {
+		s.heard(now, r, basis)
+	}
+}
+
+func (s *Scheduler) heard(now time.Duration, r *router, basis int64) {
+	r.basis, r.basisAt = basis, now
+	s.lapseUnseen(now, r)
+	parked := r.parked
+	r.parked = nil
+	for _, e := range parked {
+		e.parked = false
+		s.queueEntry(e)
+	}
+}
+
+// acknowledge marks the grants up to an ID as received by their router.
+func (s *Scheduler) acknowledge(r *router, seen uint64) {
+	n := 0
+	for n < len(r.unseen) && r.unseen[n].id <= seen {
+		g := r.unseen[n]
+		g.seen = true
+		g.entry.unseen--
+		s.queueEntry(g.entry)
+		n++
+	}
+	r.unseen = r.unseen[n:]
+}
+
+// lapseUnseen frees grants that the router, by its own clock, would not use any more.
+func (s *Scheduler) lapseUnseen(now time.Duration, r *router) {
+	n := 0
+	for n < len(r.unseen) && r.basis > r.unseen[n].basis+lapse && now > r.unseen[n].basisAt+fleet.GrantLifetime+fleet.ClockDrift {
+		g := r.unseen[n]
+		n++
+		s.Lapsed++
+		g.seen = true
+		g.entry.unseen--
+		s.queueEntry(g.entry)
+		g.server.limiter.Lost()
+		s.release(now, g, 0)
+	}
+	r.unseen = r.unseen[n:]
+}
+
+// dropMissing frees the grants that a full demand shows to be over, and the teams that it leaves out.
+func (s *Scheduler) dropMissing(now time.Duration, r *router, d fleet.Demand) {
+	running := make(map[uint64]bool, len(d.Running))
+	for _, g := range d.Running {
+		running[g.Grant] = true
+	}
+	for _, g := range r.inOrder() {
+		if g.seen && !running[g.id] {
+			g.server.limiter.Lost()
+			s.release(now, g, g.charged)
+		}
+	}
+	waiting := make(map[string]bool, len(d.Waiting))
+	for _, w := range d.Waiting {
+		waiting[w.Team] = true
+	}
+	for _, name := range r.teams() {
+		if !waiting[name] {
+			s.wait(now, r, fleet.TeamDemand{Team: name})
+		}
+	}
+}
+
+func (r *router) inOrder() []*grant {
+	grants := make([]*grant, 0, len(r.grants))
+	for _, g := range r.grants {
+		grants = append(grants, g)
+	}
+	sort.Slice(grants, func(i, j int) bool { return grants[i].id < grants[j].id })
+	return grants
+}
+
+func (r *router) teams() []string {
+	names := make([]string, 0, len(r.entries))
+	for name := range r.entries {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// wait records what one team has waiting at a router.
+func (s *Scheduler) wait(now time.Duration, r *router, w fleet.TeamDemand) {
+	e := r.entries[w.Team]
+	if e == nil {
+		if w.Waiting <= 0 {
+			return
+		}
+		e = s.newEntry(r, w.Team)
+	}
+	e.told = max(0, w.Waiting)
+	e.hint = w.Estimate
+	e.since = now - time.Duration(w.OldestWait)*time.Millisecond
+	s.queueEntry(e)
+}
+
+func (s *Scheduler) newEntry(r *router, name string) *entry {
+	t := s.team(name)
+	s.order++
+	e := &entry{router: r, team: t}
+	e.order, e.entry = s.order, e
+	r.entries[name] = e
+	t.entries++
+	return e
+}
+
+// Forget drops a router that is no longer live, or came back in a new incarnation; what it
+// ran counts as load until the servers' reports show it to be gone.
+func (s *Scheduler) Forget(now time.Duration, name string) {
+	s.prepare()
+	r := s.routers[name]
+	if r == nil {
+		return
+	}
+	for _, team := range r.teams() {
+		e := r.entries[team]
+		e.told, e.unseen, e.parked = 0, 0, false
+		s.queueEntry(e)
+	}
+	for _, g := range r.inOrder() {
+		s.orphan(now, g)
+	}
+	delete(s.routers, name)
+	for i, o := range s.byName {
+		if o == r {
+			s.byName = append(s.byName[:i], s.byName[i+1:]...)
+			break
+		}
+	}
+	s.countLent()
+}
+
+// orphan turns a lost router's grant into load that only the server's reports can free.
+func (s *Scheduler) orphan(now time.Duration, g *grant) {
+	v := g.server
+	v.limiter.Lost()
+	s.release(now, g, g.charged)
+	v.orphans++
+	v.orphanedAt, v.spares = now, 0
+	if v.lost == nil {
+		v.lost = map[uint64]bool{}
+	}
+	v.lost[g.id] = true
+}
--- /dev/null
+++ b/core/sched/scheduler_test.go
@@ -0,0 +1,116 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mangolug.org/core/fleet"
+	"mangolug.org/core/rule"
+)
+
+const term = 1000
+
+func twoServers() []rule.Server {
+	return []rule.Server{
+		{Name: "killary-1", DataCentre: "killary", Address: "127.0.0.1:1", Limit: 2, Fencing: true},
+		{Name: "clew-1", DataCentre: "clew", Address: "127.0.0.1:2", Limit: 2},
+	}
+}
+
+func newScheduler(servers []rule.Server, lenders ...string) *Scheduler {
+	s := &Scheduler{Term: term}
+	s.Configure(0, servers, nil, nil)
+	s.Lend(0, lenders, len(lenders))
+	return s
+}
+
+func full(seq uint64, waiting ...fleet.TeamDemand) fleet.Demand {
+	return fleet.Demand{Seq: seq, Full: true, Waiting: waiting}
+}
+
+func count(batches []Batch) int {
+	n := 0
+	for _, b := range batches {
+		n += len(b.Grants.Grants)
+	}
+	return n
+}
+
+func TestFirstGrant(t *testing.T) {
+	s := newScheduler(twoServers(), "r1")
+	s.Take(0, "r1", "clew", 7, full(1, fleet.TeamDemand{Team: "skippers", Waiting: 1}))
+	want := []Batch{{To: "r1", Grants: fleet.Grants{Term: term, Basis: 7, Grants: []fleet.Grant{
+		{ID: term<<counterBits + 1, Team: "skippers", Server: "clew-1", Address: "127.0.0.1:2"},
+	}}}}
+	if diff := cmp.Diff(want, s.Next(0)); diff != "" {
+		t.Errorf("grants differ (-want +got):\n%s", diff)
+	}
+	if again := s.Next(0); len(again) != 0 {
+		t.Errorf("granted the same request again: %v", again)
+	}
+}
+
+func TestServersThatTakeNothing(t *testing.T) {
+	cases := map[string]struct {
+		out, leaving map[string]bool
+		want         int
+	}{
+		"all in service":         {want: 2},
+		"a data centre out":      {out: map[string]bool{"clew": true}, want: 1},
+		"a server leaving":       {leaving: map[string]bool{"clew-1": true}, want: 1},
+		"both":                   {out: map[string]bool{"killary": true}, leaving: map[string]bool{"clew-1": true}, want: 0},
+		"another leaving server": {leaving: map[string]bool{"other": true}, want: 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newScheduler(twoServers(), "r1")
+			s.Configure(0, twoServers(), c.out, c.leaving)
+			s.Take(0, "r1", "clew", 0, full(1, fleet.TeamDemand{Team: "skippers", Waiting: 5}))
+			if got := count(s.Next(0)); got != c.want {
+				t.Errorf("granted %d, want %d at the floor of each server", got, c.want)
+			}
+		})
+	}
+}
+
+func TestPartOfLimits(t *testing.T) {
+	for limit := range 40 {
+		for listed := 1; listed < 12; listed++ {
+			for lent := range listed + 1 {
+				a := &Scheduler{fleet: listed, lent: lent}
+				b := &Scheduler{fleet: listed, lent: listed - lent}
+				if sum := a.part(limit) + b.part(limit); sum > limit {
+					t.Fatalf("parts of %d with %d of %d: %d", limit, lent, listed, sum)
+				}
+			}
+		}
+	}
+}
+
+func TestUnusedGrantLapses(t *testing.T) {
+	s := newScheduler(twoServers()[:1], "r1", "r2")
+	s.Take(0, "r2", "killary", 0, full(1))
+	s.Take(0, "r1", "killary", 0, full(1, fleet.TeamDemand{Team: "skippers", Waiting: 1}))
+	if got := count(s.Next(0)); got != 1 {
+		t.Fatalf("granted %d, want 1", got)
+	}
+	s.Heard(800*time.Millisecond, "r1", 800)
+	if got := s.Next(800 * time.Millisecond); len(got) != 0 {
+		t.Fatalf("granted %v while the first grant may still be used", got)
+	}
+	s.Heard(900*time.Millisecond, "r1", 900)
+	if got := count(s.Next(900 * time.Millisecond)); got != 1 {
+		t.Errorf("granted %d after the first lapsed, want 1", got)
+	}
+}
+
+func TestOldDemandIsDropped(t *testing.T) {
+	s := newScheduler(twoServers(), "r1")
+	s.Take(0, "r1", "clew", 0, full(5))
+	s.Take(0, "r1", "clew", 0, full(4, fleet.TeamDemand{Team: "skippers", Waiting: 1}))
+	if got := s.Next(0); len(got) != 0 || s.Dropped != 1 {
+		t.Errorf("granted %v and dropped %d, want none and 1", got, s.Dropped)
+	}
+}
--- /dev/null
+++ b/core/sched/server.go
@@ -0,0 +1,218 @@
+package sched
+
+import (
+	"time"
+
+	"mangolug.org/core/fleet"
+	"mangolug.org/core/limit"
+	"mangolug.org/core/rule"
+)
+
+// orphanReports is the number of load reports that must agree before orphans are freed.
+const orphanReports = 3
+
+// server is one backend server and what runs on it.
+type server struct {
+	rule        rule.Server
+	limiter     limit.Limiter
+	present     bool // in the configuration
+	dropped     bool // neither configured nor in use
+	stopped     fleet.Reason
+	since       time.Duration // when it was first configured
+	heard       bool          // a load report came, or enough of them failed
+	outstanding int           // grants in the hands of live routers
+	orphans     int           // grants of routers that were lost
+	orphanedAt  time.Duration
+	lost        map[uint64]bool // IDs of the orphans
+	foreign     int             // reported load that no grant explains
+	spare       [orphanReports]int
+	spares      int // reports since the last orphan
+	recent      peak
+	progress    time.Duration // last sign that requests move on
+
+	touched  bool
+	room     int     // requests that it still takes
+	fraction float64 // of its usable limit that is in use
+	held     fleet.Reason
+	heldTill time.Duration
+}
+
+// peak keeps the highest count over the last one to two periods.
+type peak struct {
+	began           time.Duration
+	before, current int
+}
+
+func (p *peak) note(now, period time.Duration, count int) {
+	switch {
+	case now >= p.began+2*period:
+		p.began, p.before, p.current = now, count, count
+	case now >= p.began+period:
+		p.began, p.before, p.current = now, p.current, count
+	}
+	p.current = max(p.current, count)
+}
+
+func (p *peak) highest() int { return max(p.before, p.current) }
+
+func (v *server) configure(now time.Duration, r rule.Server, out, leaving map[string]bool) {
+	if v.rule.Name == "" || v.rule.Address != r.Address {
+		v.since, v.progress = now, now
+	}
+	v.rule, v.present = r, true
+	v.limiter.Ceiling = r.Limit
+	v.stopped = fleet.ReasonNone
+	switch {
+	case out[r.DataCentre]:
+		v.stopped = fleet.ReasonDataCentreOut
+	case leaving[r.Name]:
+		v.stopped = fleet.ReasonServerLeaving
+	}
+}
+
+func (s *Scheduler) server(name string) *server {
+	v := s.servers[name]
+	if v == nil {
+		v = &server{}
+		s.servers[name] = v
+	}
+	return v
+}
+
+// touch marks a server whose room is to be worked out again.
+func (s *Scheduler) touch(v *server) {
+	if !v.touched && !v.dropped {
+		v.touched = true
+		s.dirty = append(s.dirty, v)
+	}
+}
+
+// use counts a change of the grants outstanding on a server.
+func (s *Scheduler) use(now time.Duration, v *server, change int) {
+	v.recent.note(now, s.Settings.ReportLag, v.outstanding)
+	if v.outstanding == 0 {
+		v.progress = now
+	}
+	v.outstanding += change
+	v.recent.note(now, s.Settings.ReportLag, v.outstanding)
+	s.touch(v)
+}
+
+// Load takes in a server's own report.
+func (s *Scheduler) Load(now time.Duration, l fleet.Load) {
+	s.prepare()
+	v := s.servers[l.Server]
+	if v == nil {
+		return
+	}
+	v.heard = true
+	v.limiter.Load(now, l)
+	v.recent.note(now, s.Settings.ReportLag, v.outstanding)
+	v.foreign = max(0, l.Running+l.Waiting-v.recent.highest())
+	v.freeOrphans(now, l)
+	s.touch(v)
+}
+
+// freeOrphans drops orphans that several reports in a row, measured since, leave no room for.
+func (v *server) freeOrphans(now time.Duration, l fleet.Load) {
+	measured := now - time.Duration(l.Age)*time.Millisecond
+	if v.orphans == 0 || measured <= v.orphanedAt {
+		return
+	}
+	v.spare[v.spares%orphanReports] = v.foreign
+	v.spares++
+	if v.spares < orphanReports {
+		return
+	}
+	most := 0
+	for _, n := range v.spare {
+		most = max(most, n)
+	}
+	v.orphans = min(v.orphans, most)
+	if v.orphans == 0 {
+		v.lost = nil
+	}
+}
+
+// found takes a grant back from the orphans.
+func (v *server) found(id uint64) {
+	if v.lost[id] {
+		delete(v.lost, id)
+		v.orphans = max(0, v.orphans-1)
+	}
+}
+
+// LoadFailed notes that a server's report could not be read.
+func (s *Scheduler) LoadFailed(_ time.Duration, name string) {
+	s.prepare()
+	v := s.servers[name]
+	if v == nil {
+		return
+	}
+	v.limiter.LoadFailed()
+	s.touch(v)
+}
+
+// reviewServers looks at what changes without an event.
+func (s *Scheduler) reviewServers(now time.Duration) {
+	if now >= s.review {
+		s.review = now + reviewPeriod
+		for _, v := range s.listed {
+			if v.outstanding > 0 && now >= v.progress+s.Settings.StallLimit {
+				v.limiter.Stall(now)
+				v.progress = now
+			}
+			s.touch(v)
+		}
+	}
+	for _, v := range s.dirty {
+		v.touched = false
+		if !v.dropped {
+			s.workOut(now, v)
+		}
+	}
+	s.dirty = s.dirty[:0]
+}
+
+// workOut works out how many more requests a server takes now.
+func (s *Scheduler) workOut(now time.Duration, v *server) {
+	s.room -= v.room
+	v.room, v.fraction = 0, 1
+	v.held, v.heldTill = s.whyHeld(now, v)
+	if v.heldTill > now {
+		s.review = min(s.review, v.heldTill)
+	}
+	if v.held != fleet.ReasonNone {
+		return
+	}
+	usable := s.usable(v)
+	free := usable - v.outstanding - v.orphans
+	if v.limiter.Probing() {
+		free = min(free, 1)
+	}
+	if free <= 0 {
+		return
+	}
+	v.room = free
+	v.fraction = float64(v.outstanding+v.orphans) / float64(usable)
+	s.room += v.room
+}
+
+// usable gives how many grants may be outstanding on a server, orphans included.
+func (s *Scheduler) usable(v *server) int {
+	beside := max(0, v.foreign-v.orphans)
+	return min(s.part(v.limiter.Bound()), v.limiter.Limit()-beside)
+}
+
+func (s *Scheduler) whyHeld(now time.Duration, v *server) (fleet.Reason, time.Duration) {
+	if !v.present {
+		return fleet.ReasonNoServer, 0
+	}
+	if v.stopped != fleet.ReasonNone {
+		return v.stopped, 0
+	}
+	if !v.heard && s.lent < s.fleet && now < v.since+s.Settings.FirstLoad {
+		return fleet.ReasonNotReady, v.since + s.Settings.FirstLoad
+	}
+	return v.limiter.Held(now)
+}
--- /dev/null
+++ b/core/sched/status.go
@@ -0,0 +1,49 @@
+package sched
+
+import (
+	"sort"
+	"time"
+
+	"mangolug.org/core/fleet"
+	"mangolug.org/core/report"
+)
+
+// Status gives the scheduler's account of its cell.
+func (s *Scheduler) Status(now time.Duration) report.Cell {
+	s.prepare()
+	s.reviewServers(now)
+	c := report.Cell{Cell: s.Cell.String(), Term: s.Term, Lenders: s.lent, Listed: s.fleet}
+	for _, v := range s.listed {
+		c.Servers = append(c.Servers, s.serverStatus(v))
+	}
+	for _, t := range s.teams {
+		c.Teams = append(c.Teams, s.teamStatus(t))
+	}
+	sort.Slice(c.Teams, func(i, j int) bool { return c.Teams[i].Name < c.Teams[j].Name })
+	return c
+}
+
+func (s *Scheduler) serverStatus(v *server) report.Server {
+	held := v.held
+	if held == fleet.ReasonNone && v.room == 0 {
+		held = fleet.ReasonHeld
+	}
+	return report.Server{
+		Name: v.rule.Name, DataCentre: v.rule.DataCentre, Ceiling: v.rule.Limit,
+		Learnt: v.limiter.Limit(), Usable: max(0, s.usable(v)),
+		Running: v.outstanding + v.orphans, Foreign: max(0, v.foreign-v.orphans), Held: held,
+	}
+}
+
+func (s *Scheduler) teamStatus(t *team) report.Team {
+	waiting := 0
+	for _, r := range s.byName {
+		if e := r.entries[t.name]; e != nil {
+			waiting += e.waiting()
+		}
+	}
+	return report.Team{
+		Name: t.name, Share: int(t.share), Waiting: waiting, Running: t.running,
+		Service: t.service, Level: t.level - s.floorLevel(),
+	}
+}
