Add the control loop, the links between routers and the admin interface

Cause: the decision core needs one goroutine that feeds it and processes that carry its messages. Ruled out: certificates as files (VMs have no disks, and a certificate authority derived from the shared secret gives mutual TLS without any); one stream each cell (leases need one ordered stream for each pair). Before: an empty frame.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -27,6 +27,7 @@
 	ViewAge       int64    // milliseconds since the sender's view last changed
 	ConfigVersion uint64   // version in force at the sender; 0 for none
 	Draining      bool     // the sender is stopping and takes no duty
+	ViewSeq       uint64   // counts the changes of the view in the sender's incarnation
 }
 
 // TeamDemand is what one team has waiting at one router for one cell's product.
@@ -139,3 +140,14 @@
 	Outcome KeyVerdict // KeyAnswered, KeyUnknown, or KeyRefused when no byte left
 	Answer  Answer
 }
+
+// ConfigAsk asks a peer for its configuration when newer than After.
+type ConfigAsk struct {
+	After uint64
+}
+
+// ConfigText carries a version of the rule file from peer to peer.
+type ConfigText struct {
+	Version uint64
+	Text    []byte
+}
--- /dev/null
+++ b/router/admin/doc.go
@@ -0,0 +1,3 @@
+// Package admin serves health, readiness, metrics and explanations to
+// operators and scrapers.
+package admin
--- /dev/null
+++ b/router/admin/server.go
@@ -0,0 +1,99 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/go-kit/kit/endpoint"
+	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"mangolug.org/core/fleet"
+	"mangolug.org/core/report"
+)
+
+// Server answers on the admin address; its function fields say where the answers come from.
+type Server struct {
+	Ready    func() fleet.Reason // ReasonNone when callers are served
+	Status   func(ctx context.Context) (*report.Status, error)
+	Team     func(ctx context.Context, team string) (*report.TeamExplanation, error)
+	Stories  *Stories
+	Registry metrics.Registry
+}
+
+// NotFoundError says what is not known here.
+type NotFoundError struct {
+	What, Name string
+}
+
+// Error says what is not known and what to try next.
+func (e *NotFoundError) Error() string {
+	return e.What + " " + e.Name + " is not known at this router; ask the router that took the request"
+}
+
+// Handler gives the admin interface.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", s.readyz)
+	mux.HandleFunc("GET /metrics", s.metrics)
+	mux.Handle("GET /status", serve(s.status))
+	mux.Handle("GET /explain/request/{name}", serve(s.explainRequest))
+	mux.Handle("GET /explain/team/{name}", serve(s.explainTeam))
+	return mux
+}
+
+func serve(e endpoint.Endpoint) http.Handler {
+	decode := func(_ context.Context, r *http.Request) (interface{}, error) { return r.PathValue("name"), nil }
+	return kithttp.NewServer(e, decode, kithttp.EncodeJSONResponse, kithttp.ServerErrorEncoder(encodeError))
+}
+
+func encodeError(_ context.Context, err error, w http.ResponseWriter) {
+	code := http.StatusServiceUnavailable
+	var missing *NotFoundError
+	if errors.As(err, &missing) {
+		code = http.StatusNotFound
+	}
+	http.Error(w, err.Error(), code)
+}
+
+func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
+	if why := s.Ready(); why != fleet.ReasonNone {
+		http.Error(w, why.String(), http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Server) metrics(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("format") == "json" || strings.Contains(r.Header.Get("Accept"), "application/json") {
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(s.Registry); err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+		}
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	writeText(w, s.Registry)
+}
+
+func (s *Server) status(ctx context.Context, _ interface{}) (interface{}, error) {
+	return s.Status(ctx)
+}
+
+func (s *Server) explainRequest(_ context.Context, request interface{}) (interface{}, error) {
+	name, _ := request.(string)
+	story, found := s.Stories.Find(name)
+	if !found {
+		return nil, &NotFoundError{What: "request", Name: name}
+	}
+	return story, nil
+}
+
+func (s *Server) explainTeam(ctx context.Context, request interface{}) (interface{}, error) {
+	name, _ := request.(string)
+	return s.Team(ctx, name)
+}
--- /dev/null
+++ b/router/boot/router.go
@@ -0,0 +1,187 @@
+package boot
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"mangolug.org/core/fleet"
+	"mangolug.org/core/report"
+	"mangolug.org/router/admin"
+	"mangolug.org/router/back"
+	"mangolug.org/router/front"
+	"mangolug.org/router/guard"
+	"mangolug.org/router/loop"
+	"mangolug.org/router/peers"
+	"mangolug.org/router/plat"
+	"mangolug.org/router/wire"
+)
+
+// incarnationStep is the unit of incarnation numbers; a process takes longer than this to start anew.
+const incarnationStep = 10 * time.Millisecond
+
+// Router is a router process with all its parts wired together.
+type Router struct {
+	settings *Settings
+	log      *log.Logger
+	registry metrics.Registry
+	sockets  sockets
+	trust    *peers.Trust
+	stories  *admin.Stories
+	loop     *loop.Loop
+	links    *peers.Links
+	client   *back.Client
+	front    *front.Front
+}
+
+// sockets are opened before anything runs, so that a taken address is told at once.
+type sockets struct {
+	callers, peers, admin net.Listener
+}
+
+// New wires a router; its error names the setting that can't be met.
+func New(s *Settings) (*Router, error) {
+	began := time.Now()
+	level, err := log.ParseLevel(s.LogLevel)
+	if err != nil {
+		return nil, &SettingError{"log-level", s.LogLevel, "debug, info, warn or error"}
+	}
+	r := &Router{
+		settings: s,
+		log: log.NewWithOptions(os.Stderr, log.Options{
+			Level: level, Formatter: log.LogfmtFormatter, ReportTimestamp: true, TimeFormat: time.RFC3339Nano,
+		}).With("router", s.Name),
+		registry: metrics.NewRegistry(),
+		stories:  &admin.Stories{},
+	}
+	if r.trust, err = peers.NewTrust(s.Name, s.Secrets, began); err != nil {
+		return nil, err
+	}
+	if err := r.open(); err != nil {
+		return nil, err
+	}
+	r.client = &back.Client{Source: net.ParseIP(s.Source)}
+	r.links = &peers.Links{Trust: r.trust, Source: net.ParseIP(s.Source), Log: r.log, Metrics: r.registry}
+	r.loop = &loop.Loop{
+		Self: s.Name, DataCentre: s.DataCentre, Began: began,
+		Incarnation: uint32(began.UnixNano() / int64(incarnationStep)),
+		Policy:      s.policy(), Alone: s.Policy == "alone",
+		Send:   func(peer string, m *wire.Message) bool { return r.links.Send(peer, wire.Encode(m)) },
+		LoadOf: r.client.Load, Log: r.log, Metrics: r.registry,
+	}
+	r.links.Linked = r.loop.Linked
+	r.loop.Init()
+	r.front = &front.Front{
+		Self: s.Name, Rules: r.loop.Rules, Ready: r.loop.Ready, Admit: r.loop.Admit, Finish: r.loop.Finish,
+		Progress: r.loop.Progress, OpenKey: r.loop.OpenKey, CloseKey: r.loop.CloseKey, Clock: r.loop.Now,
+		Note: r.note, Client: r.client, Log: r.log, Metrics: r.registry,
+	}
+	return r, nil
+}
+
+func (r *Router) open() error {
+	targets := []struct {
+		setting, address string
+		socket           *net.Listener
+	}{
+		{"listen", r.settings.Listen, &r.sockets.callers},
+		{"peer-listen", r.settings.PeerListen, &r.sockets.peers},
+		{"admin", r.settings.Admin, &r.sockets.admin},
+	}
+	for _, t := range targets {
+		socket, err := net.Listen("tcp", t.address)
+		if err != nil {
+			return errors.Wrapf(err, "--%s %s can't be opened", t.setting, t.address)
+		}
+		*t.socket = socket
+	}
+	return nil
+}
+
+// note remembers a step of a request for operators who ask about it.
+func (r *Router) note(request, team, product string, step report.Step) {
+	r.stories.Note(r.loop.Now(), request, team, product, step)
+}
+
+// Run serves until stop ends, then stops gracefully, and at once when hurry ends; a nil error means that the stop was clean.
+func (r *Router) Run(stop, hurry context.Context) error {
+	work, end := context.WithCancel(context.Background())
+	defer end()
+	r.loop.SetPeers = func(addresses map[string]string) { r.links.Set(work, addresses) }
+	callers := r.callers()
+	stopped := make(chan error, 1)
+	go func() {
+		select {
+		case <-stop.Done():
+			stopped <- r.stop(hurry, callers)
+		case <-work.Done():
+			stopped <- nil
+		}
+		end()
+	}()
+	r.log.Info("starting", "dataCentre", r.settings.DataCentre, "listen", r.settings.Listen, "policy", r.settings.Policy)
+	err := r.tree(callers).Run(work)
+	end()
+	if cut := <-stopped; err == nil {
+		err = cut
+	}
+	return err
+}
+
+// tree is the supervisor tree: control state, the fleet's links, and traffic.
+func (r *Router) tree(callers *http.Server) *guard.Tree {
+	listener := &peers.Listener{Trust: r.trust, Receive: r.loop.Receive, Log: r.log, Metrics: r.registry}
+	watcher := r.watcher()
+	operators := &http.Server{Handler: r.operators(), ReadHeaderTimeout: headerTimeout}
+	outside := &guard.Tree{Name: "outside", Log: r.log, Metrics: r.registry, Children: []guard.Child{
+		{Name: "peers", Critical: true, Run: func(ctx context.Context) error { return listener.Serve(ctx, r.sockets.peers) }},
+		{Name: "platform", Run: watcher.Run},
+	}}
+	traffic := &guard.Tree{Name: "traffic", Log: r.log, Metrics: r.registry, Children: []guard.Child{
+		{Name: "callers", Critical: true, Run: func(ctx context.Context) error { return serve(ctx, callers, r.sockets.callers) }},
+		{Name: "operators", Critical: true, Run: func(ctx context.Context) error { return serve(ctx, operators, r.sockets.admin) }},
+	}}
+	return &guard.Tree{Name: "router", Log: r.log, Metrics: r.registry, Children: []guard.Child{
+		{Name: "control", Critical: true, Run: r.loop.Run},
+		{Name: "outside", Critical: true, Run: outside.Run},
+		{Name: "traffic", Critical: true, Run: traffic.Run},
+	}}
+}
+
+func (r *Router) watcher() *plat.Watcher {
+	return &plat.Watcher{
+		Client: &plat.Client{Base: r.settings.Platform},
+		Offer:  r.loop.Offer, List: r.loop.List, Reader: r.loop.Reader, Log: r.log, Metrics: r.registry,
+	}
+}
+
+func (r *Router) operators() http.Handler {
+	server := &admin.Server{
+		Ready: r.ready, Status: r.loop.Status, Stories: r.stories, Registry: r.registry,
+		Team: func(ctx context.Context, team string) (*report.TeamExplanation, error) {
+			t, err := r.loop.Team(ctx, team)
+			if err == nil {
+				t.Recent = r.stories.Troubled(team, recentStories)
+			}
+			return t, err
+		},
+	}
+	return server.Handler()
+}
+
+// recentStories is how many of a team's latest refusals and failures are explained.
+const recentStories = 20
+
+// ready is what the balancer is told: a draining router takes no new callers.
+func (r *Router) ready() fleet.Reason {
+	if r.loop.Draining() {
+		return fleet.ReasonDraining
+	}
+	return r.loop.Ready()
+}
--- /dev/null
+++ b/router/boot/settings.go
@@ -0,0 +1,113 @@
+package boot
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"regexp"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"mangolug.org/core/sched"
+	"mangolug.org/router/peers"
+)
+
+// Settings are a router's flags and environment variables.
+type Settings struct {
+	Name        string        `long:"name" env:"MANGOLUG_NAME" required:"yes" description:"name of this VM on the platform's list"`
+	DataCentre  string        `long:"data-centre" env:"MANGOLUG_DATA_CENTRE" required:"yes" description:"data centre of this VM"`
+	Listen      string        `long:"listen" env:"MANGOLUG_LISTEN" default:"127.0.0.1:8080" description:"ip:port for callers"`
+	PeerListen  string        `long:"peer-listen" env:"MANGOLUG_PEER_LISTEN" default:"127.0.0.1:8081" description:"ip:port for peers to connect to"`
+	PeerAddress string        `long:"peer-address" env:"MANGOLUG_PEER_ADDRESS" description:"ip:port of this router on the platform's list; the same as peer-listen if not set"`
+	Admin       string        `long:"admin" env:"MANGOLUG_ADMIN" default:"127.0.0.1:8082" description:"ip:port for health, metrics and operators"`
+	Platform    string        `long:"platform" env:"MANGOLUG_PLATFORM" required:"yes" description:"base URL of the platform's configuration service"`
+	Secrets     []string      `long:"secret" env:"MANGOLUG_SECRETS" env-delim:"," required:"yes" description:"fleet secret; the first signs, all are accepted"`
+	Source      string        `long:"source" env:"MANGOLUG_SOURCE" description:"ip that outgoing connections are bound to"`
+	Policy      string        `long:"policy" env:"MANGOLUG_POLICY" default:"fair" choice:"fair" choice:"leastLoaded" choice:"alone" description:"fair, or a baseline to measure against"`
+	DrainDelay  time.Duration `long:"drain-delay" env:"MANGOLUG_DRAIN_DELAY" default:"2s" description:"how long a stopping router still takes callers, while the balancer learns of it"`
+	DrainLimit  time.Duration `long:"drain-limit" env:"MANGOLUG_DRAIN_LIMIT" default:"60s" description:"how long a stopping router lets requests finish"`
+	LogLevel    string        `long:"log-level" env:"MANGOLUG_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level that is logged"`
+}
+
+// SettingError says which setting is wrong and what would be right.
+type SettingError struct {
+	Setting, Value, Want string
+}
+
+// Error names the setting, its value and what would be right.
+func (e *SettingError) Error() string {
+	return fmt.Sprintf("--%s is %q: want %s", e.Setting, e.Value, e.Want)
+}
+
+// nameForm is what a router's name must look like, as peers check it against a certificate.
+var nameForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+// Parse reads flags over environment variables and checks each; its error is a *flags.Error or a *SettingError.
+func Parse(arguments []string) (*Settings, error) {
+	s := &Settings{}
+	parser := flags.NewNamedParser("router", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Settings", "", s); err != nil {
+		return nil, errors.Wrap(err, "define settings")
+	}
+	rest, err := parser.ParseArgs(arguments)
+	if err != nil {
+		return nil, err
+	}
+	if len(rest) > 0 {
+		return nil, &SettingError{Setting: "", Value: rest[0], Want: "no arguments besides flags"}
+	}
+	if s.PeerAddress == "" {
+		s.PeerAddress = s.PeerListen
+	}
+	return s, s.check()
+}
+
+func (s *Settings) check() error {
+	if !nameForm.MatchString(s.Name) {
+		return &SettingError{"name", s.Name, "1 to 63 of a-z, 0-9 and -, as in lahore-1"}
+	}
+	if !nameForm.MatchString(s.DataCentre) {
+		return &SettingError{"data-centre", s.DataCentre, "1 to 63 of a-z, 0-9 and -, as in lahore"}
+	}
+	addresses := []struct{ setting, value string }{
+		{"listen", s.Listen}, {"peer-listen", s.PeerListen}, {"peer-address", s.PeerAddress}, {"admin", s.Admin},
+	}
+	for _, a := range addresses {
+		if err := checkAddress(a.setting, a.value); err != nil {
+			return err
+		}
+	}
+	if u, err := url.Parse(s.Platform); err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		return &SettingError{"platform", s.Platform, "a URL, as in http://10.0.0.5:8500"}
+	}
+	if s.Source != "" && net.ParseIP(s.Source) == nil {
+		return &SettingError{"source", s.Source, "an ip number"}
+	}
+	for _, secret := range s.Secrets {
+		if len(secret) < peers.MinSecret {
+			return &SettingError{"secret", fmt.Sprintf("(%d bytes)", len(secret)), fmt.Sprintf("at least %d bytes", peers.MinSecret)}
+		}
+	}
+	if s.DrainDelay < 0 || s.DrainLimit < s.DrainDelay {
+		return &SettingError{"drain-limit", s.DrainLimit.String(), "a duration of at least drain-delay"}
+	}
+	return nil
+}
+
+func checkAddress(setting, value string) error {
+	host, port, err := net.SplitHostPort(value)
+	if err != nil || net.ParseIP(host) == nil || port == "" {
+		return &SettingError{setting, value, "ip:port, as in 10.0.0.5:8080"}
+	}
+	return nil
+}
+
+// policy gives the scheduler's policy.
+func (s *Settings) policy() sched.Policy {
+	if s.Policy == "leastLoaded" {
+		return sched.LeastLoaded
+	}
+	return sched.Fair
+}
--- /dev/null
+++ b/router/boot/stop.go
@@ -0,0 +1,75 @@
+package boot
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// headerTimeout bounds how long a caller may take over a request's header.
+	headerTimeout = 10 * time.Second
+	// idleTimeout bounds how long an unused connection is kept.
+	idleTimeout = 2 * time.Minute
+	// headerBytes bounds a request's header.
+	headerBytes = 32 << 10
+	// lastAnswers is how long requests that are cut at the time limit have to get their answers.
+	lastAnswers = 2 * time.Second
+)
+
+// callers is the server for callers; while the router drains it asks them to connect elsewhere.
+func (r *Router) callers() *http.Server {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if r.loop.Draining() {
+			w.Header().Set("Connection", "close")
+		}
+		r.front.ServeHTTP(w, q)
+	})
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+	}
+}
+
+// stop gives up duties, lets the balancer learn of it, finishes what runs, and says what had to be cut.
+func (r *Router) stop(hurry context.Context, callers *http.Server) error {
+	began := time.Now()
+	r.log.Info("stopping", "drainDelay", r.settings.DrainDelay, "drainLimit", r.settings.DrainLimit)
+	r.loop.Drain()
+	limit, cancel := context.WithTimeout(hurry, r.settings.DrainLimit)
+	defer cancel()
+	delay, cancelDelay := context.WithTimeout(limit, r.settings.DrainDelay)
+	defer cancelDelay()
+	<-delay.Done()
+	err := callers.Shutdown(limit)
+	if err != nil {
+		r.cut(callers)
+		err = errors.Wrap(err, "requests were cut")
+	}
+	r.log.Info("stopped", "after", time.Since(began), "error", err)
+	return err
+}
+
+// cut ends the requests that still run, each with a true answer as far as there is time.
+func (r *Router) cut(callers *http.Server) {
+	r.front.Stop()
+	last, cancel := context.WithTimeout(context.Background(), lastAnswers)
+	defer cancel()
+	if callers.Shutdown(last) != nil {
+		callers.Close()
+	}
+}
+
+// serve runs an HTTP server until the context ends or it is shut down.
+func serve(ctx context.Context, server *http.Server, socket net.Listener) error {
+	stopped := context.AfterFunc(ctx, func() { server.Close() })
+	defer stopped()
+	err := server.Serve(socket)
+	if errors.Is(err, http.ErrServerClosed) {
+		<-ctx.Done()
+		return nil
+	}
+	return errors.Wrap(err, "serve")
+}
--- /dev/null
+++ b/router/peers/listen.go
@@ -0,0 +1,87 @@
+package peers
+
+import (
+	"context"
+	"net"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/peer"
+	"google.golang.org/grpc/status"
+
+	"mangolug.org/router/wire"
+)
+
+// maxStreams is how many streams one connection may carry; a peer needs one.
+const maxStreams = 4
+
+// Listener takes the streams of peers.
+type Listener struct {
+	wire.UnimplementedLinkServer
+	Trust   *Trust
+	Receive func(from string, m *wire.Message) // called for each message, in order for each stream
+	Log     *log.Logger                        // nil logs nothing
+	Metrics metrics.Registry                   // nil uses the default registry
+}
+
+// Serve accepts peers on an open socket until the context ends.
+func (l *Listener) Serve(ctx context.Context, socket net.Listener) error {
+	server := grpc.NewServer(
+		grpc.Creds(credentials.NewTLS(l.Trust.server())),
+		grpc.MaxRecvMsgSize(wire.MaxMessage), grpc.MaxConcurrentStreams(maxStreams),
+		grpc.InitialWindowSize(window), grpc.InitialConnWindowSize(window))
+	wire.RegisterLinkServer(server, l)
+	stopped := context.AfterFunc(ctx, server.Stop)
+	defer stopped()
+	count := counters{sent: l.counter("control.bytesSent"), received: l.counter("control.bytesReceived")}
+	err := server.Serve(&countedListener{Listener: socket, counters: count})
+	if ctx.Err() != nil {
+		return nil
+	}
+	return errors.Wrap(err, "serve peers")
+}
+
+// Send receives one peer's stream.
+func (l *Listener) Send(stream grpc.ClientStreamingServer[wire.Envelope, wire.Closed]) error {
+	from, err := nameOf(stream.Context())
+	if err != nil {
+		l.counter("peers.refusedStranger").Inc(1)
+		return err
+	}
+	for {
+		e, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		m, err := wire.Decode(e)
+		if err != nil {
+			l.counter("peers.refusedMessage").Inc(1)
+			if l.Log != nil {
+				l.Log.Warn("peer message refused", "peer", from, "error", err)
+			}
+			return status.Error(codes.InvalidArgument, err.Error())
+		}
+		l.Receive(from, m)
+	}
+}
+
+func (l *Listener) counter(name string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(name, l.Metrics)
+}
+
+// nameOf gives the name that the peer's certificate proves.
+func nameOf(ctx context.Context) (string, error) {
+	p, found := peer.FromContext(ctx)
+	if !found {
+		return "", status.Error(codes.Unauthenticated, "no peer")
+	}
+	info, isTLS := p.AuthInfo.(credentials.TLSInfo)
+	if !isTLS || len(info.State.PeerCertificates) == 0 || len(info.State.PeerCertificates[0].DNSNames) != 1 {
+		return "", status.Error(codes.Unauthenticated, "no certificate with one name")
+	}
+	return info.State.PeerCertificates[0].DNSNames[0], nil
+}
--- /dev/null
+++ b/router/wire/message.go
@@ -0,0 +1,102 @@
+package wire
+
+import (
+	"github.com/pkg/errors"
+
+	"mangolug.org/core/fleet"
+)
+
+// Message is one envelope in the decision core's types; exactly one body is set.
+type Message struct {
+	Incarnation uint32
+	Stamp       int64  // sender's clock, in milliseconds
+	Echo        int64  // receiver's stamp last received by the sender; 0 for none
+	Echoed      uint32 // incarnation of the receiver that Echo belongs to
+
+	Heartbeat  *fleet.Heartbeat
+	Demand     *fleet.Demand
+	Grants     *fleet.Grants
+	KeyOpen    *fleet.KeyOpen
+	KeyAnswer  *fleet.KeyAnswer
+	KeyClose   *fleet.KeyClose
+	ConfigAsk  *fleet.ConfigAsk
+	ConfigText *fleet.ConfigText
+}
+
+// ErrNoBody is returned for an envelope without a known body.
+var ErrNoBody = errors.New("envelope without a known body")
+
+// Encode gives the protobuf form of a message.
+func Encode(m *Message) *Envelope {
+	e := &Envelope{Incarnation: m.Incarnation, Stamp: m.Stamp, Echo: m.Echo, Echoed: m.Echoed}
+	switch {
+	case m.Heartbeat != nil:
+		e.Body = &Envelope_Heartbeat{Heartbeat: encodeHeartbeat(m.Heartbeat)}
+	case m.Demand != nil:
+		e.Body = &Envelope_Demand{Demand: encodeDemand(m.Demand)}
+	case m.Grants != nil:
+		e.Body = &Envelope_Grants{Grants: encodeGrants(m.Grants)}
+	case m.KeyOpen != nil:
+		k := m.KeyOpen
+		e.Body = &Envelope_KeyOpen{KeyOpen: &KeyOpen{Ticket: k.Ticket, Team: k.Team, Key: k.Key, Digest: k.Digest}}
+	case m.KeyAnswer != nil:
+		k := m.KeyAnswer
+		e.Body = &Envelope_KeyAnswer{KeyAnswer: &KeyAnswer{
+			Ticket: k.Ticket, Verdict: int64(k.Verdict), Reason: int64(k.Reason), Answer: encodeAnswer(k.Answer),
+		}}
+	case m.KeyClose != nil:
+		k := m.KeyClose
+		e.Body = &Envelope_KeyClose{KeyClose: &KeyClose{
+			Team: k.Team, Key: k.Key, Outcome: int64(k.Outcome), Answer: encodeAnswer(k.Answer),
+		}}
+	case m.ConfigAsk != nil:
+		e.Body = &Envelope_ConfigAsk{ConfigAsk: &ConfigAsk{After: m.ConfigAsk.After}}
+	case m.ConfigText != nil:
+		e.Body = &Envelope_ConfigText{ConfigText: &ConfigText{Version: m.ConfigText.Version, Text: m.ConfigText.Text}}
+	}
+	return e
+}
+
+// Decode gives a message in the core's types; its error is ErrNoBody or a *FieldError.
+func Decode(e *Envelope) (*Message, error) {
+	m := &Message{Incarnation: e.GetIncarnation(), Stamp: e.GetStamp(), Echo: e.GetEcho(), Echoed: e.GetEchoed()}
+	var c checker
+	switch b := e.GetBody().(type) {
+	case *Envelope_Heartbeat:
+		m.Heartbeat = decodeHeartbeat(b.Heartbeat, &c)
+	case *Envelope_Demand:
+		m.Demand = decodeDemand(b.Demand, &c)
+	case *Envelope_Grants:
+		m.Grants = decodeGrants(b.Grants, &c)
+	case *Envelope_KeyOpen:
+		k := b.KeyOpen
+		m.KeyOpen = &fleet.KeyOpen{
+			Ticket: k.GetTicket(), Team: c.name("team", k.GetTeam()), Key: c.name("key", k.GetKey()), Digest: k.GetDigest(),
+		}
+	case *Envelope_KeyAnswer:
+		k := b.KeyAnswer
+		m.KeyAnswer = &fleet.KeyAnswer{
+			Ticket:  k.GetTicket(),
+			Verdict: fleet.KeyVerdict(c.enum("verdict", k.GetVerdict(), int64(fleet.KeyUnknown))),
+			Reason:  fleet.Reason(c.enum("reason", k.GetReason(), int64(fleet.ReasonSlowCaller))),
+			Answer:  decodeAnswer(k.GetAnswer(), &c),
+		}
+	case *Envelope_KeyClose:
+		k := b.KeyClose
+		m.KeyClose = &fleet.KeyClose{
+			Team: c.name("team", k.GetTeam()), Key: c.name("key", k.GetKey()),
+			Outcome: fleet.KeyVerdict(c.enum("outcome", k.GetOutcome(), int64(fleet.KeyUnknown))),
+			Answer:  decodeAnswer(k.GetAnswer(), &c),
+		}
+	case *Envelope_ConfigAsk:
+		m.ConfigAsk = &fleet.ConfigAsk{After: b.ConfigAsk.GetAfter()}
+	case *Envelope_ConfigText:
+		m.ConfigText = &fleet.ConfigText{Version: b.ConfigText.GetVersion(), Text: b.ConfigText.GetText()}
+	default:
+		return nil, ErrNoBody
+	}
+	if c.failed != nil {
+		return nil, c.failed
+	}
+	return m, nil
+}
