Add the homes of idempotency keys

A home records a key before its request may be sent and permits it once. Keys minted before the home began plus a guard are answered unknown, as an earlier home may have run them. Ruled out: dropping records for room, after which a key could run again.

--- /dev/null
+++ b/core/keys/home.go
@@ -0,0 +1,289 @@
+package keys
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"mangolug.org/core/fleet"
+)
+
+// Settings bounds a home; a zero field takes its default.
+type Settings struct {
+	Retention   time.Duration // how long a record is kept, and the age at which a key is no longer run
+	OpenLimit   time.Duration // how long a request may be in progress before its outcome is called unknown
+	Bytes       int64         // held by all records with their answers
+	FutureLimit time.Duration // how far ahead of this router's wall clock a key may be minted
+	ClockError  time.Duration // largest error of any router's wall clock
+	HoldFresh   time.Duration // how long after Hold a slot may be answered for
+}
+
+// Defaults of Settings.
+const (
+	DefaultRetention   = 10 * time.Minute
+	DefaultOpenLimit   = 2 * time.Minute
+	DefaultBytes       = 8 << 20
+	DefaultFutureLimit = 2 * time.Second
+	DefaultClockError  = 500 * time.Millisecond
+	DefaultHoldFresh   = 250 * time.Millisecond
+)
+
+// freedLeast is how many freed records stay in the lists before these are swept.
+const freedLeast = 64
+
+// recordBytes is charged for a record besides its key and its answer.
+const recordBytes = 256
+
+// Home holds the records of the key slots that this router is home of.
+type Home struct {
+	Settings   Settings
+	ClockJumps int64 // times that the wall clock and the monotonic clock disagreed
+
+	slots   [Slots]slot
+	records map[recordKey]*record
+	order   []*record // by begin, for expiry
+	bodies  []*record // with an answer, the oldest first
+	bytes   int64
+	freed   int // records in the lists that were freed
+}
+
+// slot says whether and since when this router is a slot's home.
+type slot struct {
+	holds bool
+	since time.Time     // on the wall clock
+	begun time.Duration // the same moment on the monotonic clock
+	heard time.Duration // of the last Hold
+}
+
+type recordKey struct {
+	team string
+	key  string
+}
+
+// record is one key's request.
+type record struct {
+	key     recordKey
+	digest  uint64
+	verdict fleet.KeyVerdict // KeyInProgress, KeyAnswered or KeyUnknown
+	begun   time.Duration
+	answer  fleet.Answer
+	freed   bool // it did not run, or was kept long enough
+}
+
+func (r *record) size() int64 {
+	return recordBytes + int64(len(r.key.team)+len(r.key.key)+len(r.answer.ContentType)+len(r.answer.Body))
+}
+
+func (h *Home) init() {
+	if h.records != nil {
+		return
+	}
+	h.records = make(map[recordKey]*record)
+	s := &h.Settings
+	s.Retention = orDefault(s.Retention, DefaultRetention)
+	s.OpenLimit = orDefault(s.OpenLimit, DefaultOpenLimit)
+	s.FutureLimit = orDefault(s.FutureLimit, DefaultFutureLimit)
+	s.ClockError = orDefault(s.ClockError, DefaultClockError)
+	s.HoldFresh = orDefault(s.HoldFresh, DefaultHoldFresh)
+	if s.Bytes == 0 {
+		s.Bytes = DefaultBytes
+	}
+}
+
+func orDefault(value, other time.Duration) time.Duration {
+	if value == 0 {
+		return other
+	}
+	return value
+}
+
+// Guard is how long after the begin of a home a key must be minted for the home to run it.
+func (h *Home) Guard() time.Duration {
+	h.init()
+	// An earlier home ran only keys minted at most FutureLimit ahead of its clock,
+	// and the two homes' clocks differ by at most twice ClockError.
+	return h.Settings.FutureLimit + 2*h.Settings.ClockError
+}
+
+// Hold tells whether this router is a slot's home now; it is to be called at each step of the control loop.
+func (h *Home) Hold(now time.Duration, number int, holds bool, wall time.Time) {
+	h.init()
+	s := &h.slots[number]
+	switch {
+	case !holds:
+		s.holds = false
+	case !s.holds:
+		*s = slot{holds: true, since: wall, begun: now}
+	default:
+		h.check(now, number, wall)
+	}
+	s.heard = now
+}
+
+// check begins the hold of a slot anew when the wall clock moved otherwise than the monotonic clock since.
+func (h *Home) check(now time.Duration, number int, wall time.Time) {
+	s := &h.slots[number]
+	moved := wall.Sub(s.since) - (now - s.begun)
+	if moved.Abs() > h.Settings.ClockError {
+		h.ClockJumps++
+		s.since, s.begun = wall, now
+	}
+}
+
+func (h *Home) holds(now time.Duration, number int) bool {
+	s := &h.slots[number]
+	return s.holds && now-s.heard <= h.Settings.HoldFresh
+}
+
+// Open decides whether the request of a key may be sent; only KeyRun permits it, and only once.
+func (h *Home) Open(now time.Duration, wall time.Time, _ string, o fleet.KeyOpen) fleet.KeyAnswer {
+	h.init()
+	refused := func(v fleet.KeyVerdict, r fleet.Reason) fleet.KeyAnswer {
+		return fleet.KeyAnswer{Ticket: o.Ticket, Verdict: v, Reason: r}
+	}
+	minted, ok := Minted(o.Key)
+	if !ok {
+		return refused(fleet.KeyRefused, fleet.ReasonKeyInvalid)
+	}
+	number := Slot(o.Team, o.Key)
+	if !h.holds(now, number) {
+		return refused(fleet.KeyRefused, fleet.ReasonNoMajority)
+	}
+	h.check(now, number, wall)
+	key := recordKey{o.Team, strings.ToLower(o.Key)}
+	if r := h.records[key]; r != nil {
+		return h.recorded(now, r, o)
+	}
+	switch {
+	case minted.After(wall.Add(h.Settings.FutureLimit)):
+		return refused(fleet.KeyRefused, fleet.ReasonKeyInvalid)
+	case !minted.After(h.slots[number].since.Add(h.Guard())), minted.Before(wall.Add(-h.oldest())):
+		return refused(fleet.KeyUnknown, fleet.ReasonKeyTooOld)
+	case !h.begin(now, key, o.Digest):
+		return refused(fleet.KeyRefused, fleet.ReasonTooManyOpen)
+	}
+	return fleet.KeyAnswer{Ticket: o.Ticket, Verdict: fleet.KeyRun, Reason: fleet.ReasonGranted}
+}
+
+// oldest is the age above which a key is not run: a record of it might have been forgotten.
+func (h *Home) oldest() time.Duration {
+	return h.Settings.Retention - h.Settings.FutureLimit - 2*h.Settings.ClockError
+}
+
+// recorded answers for a key whose request this home permitted before.
+func (h *Home) recorded(now time.Duration, r *record, o fleet.KeyOpen) fleet.KeyAnswer {
+	a := fleet.KeyAnswer{Ticket: o.Ticket, Verdict: r.verdict}
+	if r.digest != o.Digest {
+		a.Verdict, a.Reason = fleet.KeyRefused, fleet.ReasonKeyMismatch
+		return a
+	}
+	if r.verdict == fleet.KeyInProgress && now-r.begun > h.Settings.OpenLimit {
+		a.Verdict = fleet.KeyUnknown
+	}
+	switch a.Verdict {
+	case fleet.KeyAnswered:
+		a.Answer = r.answer
+	case fleet.KeyInProgress:
+		a.Reason = fleet.ReasonKeyInProgress
+	default:
+		a.Reason = fleet.ReasonOutcomeUnknown
+	}
+	return a
+}
+
+// begin records that a key's request may run; it fails when there is no room for the record.
+func (h *Home) begin(now time.Duration, key recordKey, digest uint64) bool {
+	r := &record{key: key, digest: digest, verdict: fleet.KeyInProgress, begun: now}
+	h.shrink(r.size())
+	if h.bytes+r.size() > h.Settings.Bytes {
+		return false
+	}
+	h.records[key] = r
+	h.order = append(h.order, r)
+	h.bytes += r.size()
+	return true
+}
+
+// shrink drops the oldest recorded bodies until there is room; that a key ran is never dropped.
+func (h *Home) shrink(room int64) {
+	for len(h.bodies) > 0 && h.bytes+room > h.Settings.Bytes {
+		r := h.bodies[0]
+		h.bodies = h.bodies[1:]
+		if r.freed {
+			continue
+		}
+		h.bytes -= int64(len(r.answer.Body))
+		r.answer.Body, r.answer.Truncated = nil, true
+	}
+}
+
+// Close records how a key's request ended; only the router that was answered KeyRun may send it.
+func (h *Home) Close(_ time.Duration, c fleet.KeyClose) {
+	h.init()
+	r := h.records[recordKey{c.Team, strings.ToLower(c.Key)}]
+	if r == nil || r.verdict == fleet.KeyAnswered {
+		return
+	}
+	switch c.Outcome {
+	case fleet.KeyRefused:
+		h.free(r)
+	case fleet.KeyAnswered:
+		h.keep(r, c.Answer)
+	case fleet.KeyUnknown:
+		r.verdict = fleet.KeyUnknown
+	}
+}
+
+func (h *Home) keep(r *record, a fleet.Answer) {
+	h.bytes -= r.size()
+	r.verdict, r.answer = fleet.KeyAnswered, a
+	h.shrink(r.size())
+	if h.bytes+r.size() > h.Settings.Bytes {
+		r.answer.Body, r.answer.Truncated = nil, true
+	}
+	h.bytes += r.size()
+	h.bodies = append(h.bodies, r)
+}
+
+func (h *Home) free(r *record) {
+	r.freed = true
+	delete(h.records, r.key)
+	h.bytes -= r.size()
+	h.freed++
+	if h.freed > len(h.records)+freedLeast {
+		h.sweep()
+	}
+}
+
+// sweep takes freed records out of the lists.
+func (h *Home) sweep() {
+	gone := func(r *record) bool { return r.freed }
+	h.order = slices.DeleteFunc(h.order, gone)
+	h.bodies = slices.DeleteFunc(h.bodies, gone)
+	h.freed = 0
+}
+
+// Tick forgets the records that were kept for the retention and checks the clocks.
+func (h *Home) Tick(now time.Duration, wall time.Time) {
+	h.init()
+	for number := range h.slots {
+		if h.slots[number].holds {
+			h.check(now, number, wall)
+		}
+	}
+	var old []*record
+	for _, r := range h.order {
+		if !r.freed && now-r.begun < h.Settings.Retention {
+			break
+		}
+		if !r.freed {
+			old = append(old, r)
+		}
+	}
+	for _, r := range old {
+		h.free(r)
+	}
+}
+
+// Records gives the number of keys on record and the bytes that they hold.
+func (h *Home) Records() (int, int64) { return len(h.records), h.bytes }
