--- a/desk/doc.go
+++ b/desk/doc.go
@@ -1,2 +1,2 @@
-// Package main is under construction.
+// Desk stands in for a plain service, some of whose calls must not be repeated.
 package main
