Judge membership by leased views and read the platform

Cause: duties need at most one holder without consensus, and routers need rules and the VM list within the platform's limit of reads. Ruled out: resetting every duty's age at each view change, which would stop the whole fleet's scheduling for a lease whenever one router leaves. Before: nothing. Conclusion: the API is ready to wire.

--- /dev/null
+++ b/core/member/beat.go
@@ -0,0 +1,150 @@
+package member
+
+import (
+	"time"
+
+	"mangolug.org/core/fleet"
+)
+
+// Beat is a heartbeat to send; Stamp and Echo belong to it and must travel with it unchanged.
+type Beat struct {
+	To        string
+	Stamp     int64 // this router's clock when the heartbeat was made, in milliseconds
+	Echo      int64 // newest stamp received from the peer's present incarnation; 0 for none
+	Heartbeat fleet.Heartbeat
+}
+
+// Clock gives the stamp for a message made now, in milliseconds.
+func (m *Members) Clock(now time.Duration) int64 { return now.Milliseconds() }
+
+// Echo gives the newest stamp received from a peer's present incarnation, 0 for none.
+func (m *Members) Echo(peer string) int64 {
+	if p, found := m.peers[peer]; found {
+		return p.stamp
+	}
+	return 0
+}
+
+// Receive takes a peer's heartbeat; echo is the stamp of this incarnation that it echoes, 0 for none.
+func (m *Members) Receive(now time.Duration, from string, incarnation uint64, stamp, echo int64, h fleet.Heartbeat) {
+	m.step(now)
+	if from == m.Self || h.ViewAge < 0 {
+		return
+	}
+	p := m.peer(from)
+	if p.incarnation != incarnation {
+		if p.heardEver && incarnation < p.incarnation && now-p.heard <= fleet.SilenceLimit {
+			return // a late message of an incarnation that is gone
+		}
+		p.restart(incarnation)
+	}
+	if stamp < p.stamp {
+		return
+	}
+	if echo > m.Clock(now) || echo < m.oldestStamp {
+		echo = 0
+	}
+	p.stamp, p.echo = stamp, echo
+	p.views = p.views.take(now, stamp, h.View, h.ViewAge)
+	p.draining, p.version = h.Draining, h.ConfigVersion
+	p.heard, p.heardEver = now, true
+	if echo > 0 {
+		p.confirmed = max(p.confirmed, time.Duration(echo)*time.Millisecond)
+	}
+}
+
+// restart forgets what an earlier incarnation of the peer said.
+func (p *peer) restart(incarnation uint64) {
+	p.incarnation = incarnation
+	p.stamp, p.echo = 0, 0
+	p.views = nil
+	p.sentEver = false
+}
+
+// Tick judges who is live and gives the heartbeats that are due; when the own view changes, each peer is told the old one's end and the new one.
+func (m *Members) Tick(now time.Duration) []Beat {
+	if m.ticked && now-m.lastTick > fleet.SilenceLimit {
+		m.Woke(now)
+	}
+	m.step(now)
+	m.ticked, m.lastTick = true, now
+	m.forget(now)
+	for _, p := range m.peers {
+		p.judge(now)
+	}
+	old := m.heartbeat(now)
+	changed := m.renew(now)
+	urgent := m.told != m.ConfigVersion || m.toldDrain != m.draining
+	m.told, m.toldDrain = m.ConfigVersion, m.draining
+	latest := m.heartbeat(now)
+	var beats []Beat
+	for _, name := range m.listed() {
+		p, found := m.peers[name]
+		if !found || name == m.Self {
+			continue
+		}
+		if !changed && !urgent && p.sentEver && now-p.sent < fleet.HeartbeatPeriod {
+			continue
+		}
+		beat := Beat{To: name, Stamp: m.Clock(now), Echo: p.stamp, Heartbeat: latest}
+		if changed && len(m.views) > 1 {
+			ending := beat
+			ending.Heartbeat = old
+			beats = append(beats, ending)
+		}
+		beats = append(beats, beat)
+		p.sent, p.sentEver = now, true
+	}
+	return beats
+}
+
+// heartbeat gives what this router tells its peers.
+func (m *Members) heartbeat(now time.Duration) fleet.Heartbeat {
+	h := fleet.Heartbeat{View: m.views.latest(), ConfigVersion: m.ConfigVersion, Draining: m.draining}
+	if n := len(m.views); n > 0 {
+		h.ViewAge = (now - m.views[n-1].since).Milliseconds()
+	}
+	return h
+}
+
+// forget drops routers that are off the list and silent.
+func (m *Members) forget(now time.Duration) {
+	for name, p := range m.peers {
+		if !m.isListed(name) && now-p.heard > m.listLag() {
+			delete(m.peers, name)
+		}
+	}
+}
+
+// judge decides whether a peer is live: it is heard, and it hears this router.
+func (p *peer) judge(now time.Duration) {
+	heard := p.heardEver && now-p.heard <= fleet.SilenceLimit &&
+		now-p.confirmed <= fleet.SilenceLimit+fleet.HeartbeatPeriod && p.confirmed > 0
+	switch {
+	case p.live && !heard:
+		p.live, p.back = false, false
+		p.losses++
+	case p.live:
+		if now-p.liveSince > lossMemory {
+			p.losses = 0
+		}
+	case !heard:
+		p.back = false
+	default:
+		if !p.back {
+			p.back, p.backSince = true, now
+		}
+		if !p.liveEver || now-p.backSince >= p.delay() {
+			p.live, p.liveEver, p.liveSince = true, true, now
+		}
+	}
+}
+
+// delay is how long a lost peer must be heard before it is live again.
+func (p *peer) delay() time.Duration {
+	delay := rejoinDelay
+	for range p.losses - 1 {
+		delay = min(2*delay, rejoinDelayLimit)
+	}
+	return delay
+}
--- /dev/null
+++ b/core/member/lend.go
@@ -0,0 +1,87 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"mangolug.org/core/fleet"
+)
+
+// Lenders gives the listed routers, ascending, whose leased views name this router for a duty, and how many routers are or lately were listed.
+func (m *Members) Lenders(now time.Duration, duty string) (lenders []string, listed int) {
+	m.step(now)
+	self := Hash(m.Self)
+	for _, name := range m.listed() {
+		if m.lends(now, name, duty, self) {
+			lenders = append(lenders, name)
+		}
+	}
+	return lenders, m.recentlyListed()
+}
+
+// Holds reports whether this router is a duty's only holder: a majority of each recent list lends itself.
+func (m *Members) Holds(now time.Duration, duty string) bool {
+	lenders, _ := m.Lenders(now, duty)
+	return m.isMajority(lenders)
+}
+
+// Majority reports whether this router lately exchanged heartbeats with a majority of the listed routers, itself included.
+func (m *Members) Majority(now time.Duration) bool {
+	m.step(now)
+	var reached []string
+	for _, name := range m.listed() {
+		if name == m.Self || m.echoed(now, m.peers[name]) {
+			reached = append(reached, name)
+		}
+	}
+	return m.isMajority(reached)
+}
+
+// lends reports whether this router may count a listed router for a duty now.
+func (m *Members) lends(now time.Duration, name, duty string, self uint32) bool {
+	views := m.views
+	if name != m.Self {
+		p := m.peers[name]
+		if !m.echoed(now, p) {
+			return false
+		}
+		views = p.views
+	}
+	since, ok := views.named(duty, self)
+	return ok && (m.ignoreAge || now-since >= lendAge)
+}
+
+// echoed reports whether a peer's newest heartbeat still binds the peer: it echoed a stamp younger than ViewLease.
+func (m *Members) echoed(now time.Duration, p *peer) bool {
+	return p.echo > 0 && now < time.Duration(p.echo)*time.Millisecond+fleet.ViewLease
+}
+
+// isMajority reports whether the routers are more than half of the current list and of each that was replaced within ListLag.
+func (m *Members) isMajority(routers []string) bool {
+	for _, l := range m.lists {
+		count := 0
+		for _, name := range routers {
+			if _, found := slices.BinarySearch(l.names, name); found {
+				count++
+			}
+		}
+		if 2*count <= len(l.names) {
+			return false
+		}
+	}
+	return len(m.lists) > 0
+}
+
+// recentlyListed counts the routers on the current list and on those replaced within ListLag.
+func (m *Members) recentlyListed() int {
+	if len(m.lists) == 1 {
+		return len(m.lists[0].names)
+	}
+	names := map[string]bool{}
+	for _, l := range m.lists {
+		for _, name := range l.names {
+			names[name] = true
+		}
+	}
+	return len(names)
+}
--- /dev/null
+++ b/core/member/view.go
@@ -0,0 +1,119 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"mangolug.org/core/fleet"
+)
+
+// lendAge is how long a view must have named a holder before the holder may count it.
+const lendAge = fleet.ViewLease + fleet.ClockDrift
+
+// historyLimit bounds the views remembered of one router.
+const historyLimit = 16
+
+// epoch is a time during which a router's view did not change.
+type epoch struct {
+	view  []uint32
+	since time.Duration // on the observer's clock, never before the true start
+	// adjoins says that no view in force for longer than ClockDrift lies between this epoch and the one before.
+	adjoins bool
+	begin   int64 // start on the owner's clock, in milliseconds
+	seen    int64 // owner's newest stamp under this view
+}
+
+// history is the latest epochs of one router's view, oldest first.
+type history []epoch
+
+func (h history) latest() []uint32 {
+	if len(h) == 0 {
+		return nil
+	}
+	return h[len(h)-1].view
+}
+
+// add appends an epoch and drops those too old to matter.
+func (h history) add(e epoch, now time.Duration) history {
+	h = append(h, e)
+	for len(h) > historyLimit || len(h) > 1 && now-h[1].since >= lendAge {
+		h = h[1:]
+	}
+	return h
+}
+
+// take adds what a heartbeat told of its sender's view, at the observer's time now.
+func (h history) take(now time.Duration, stamp int64, view []uint32, age int64) history {
+	const rounding = 2 // milliseconds
+	begin := stamp - age
+	since := now - time.Duration(age)*time.Millisecond
+	if len(h) > 0 {
+		last := &h[len(h)-1]
+		if slices.Equal(last.view, view) && begin <= last.begin+rounding {
+			last.since = min(last.since, since)
+			last.seen = stamp
+			return h
+		}
+	}
+	adjoins := len(h) > 0 && begin-h[len(h)-1].seen <= fleet.ClockDrift.Milliseconds()
+	return h.add(epoch{view: slices.Clone(view), since: since, adjoins: adjoins, begin: begin, seen: stamp}, now)
+}
+
+// named gives since when a router's views have named one holder for a duty without a gap.
+func (h history) named(duty string, holder uint32) (since time.Duration, ok bool) {
+	for i := len(h) - 1; i >= 0; i-- {
+		winner, found := Winner(h[i].view, duty)
+		if !found || winner != holder {
+			break
+		}
+		since, ok = h[i].since, true
+		if !h[i].adjoins {
+			break
+		}
+	}
+	return since, ok
+}
+
+// view computes which routers this one would give a duty: listed, live, neither leaving nor draining.
+func (m *Members) view() []uint32 {
+	view := m.hashes(func(name string) bool {
+		if m.vms[name].State == fleet.VMLeaving {
+			return false
+		}
+		if name == m.Self {
+			return !m.draining
+		}
+		return !m.peers[name].draining
+	})
+	if len(view) == 0 { // all stop: those that remain still serve each other
+		view = m.hashes(func(string) bool { return true })
+	}
+	return view
+}
+
+// hashes gives the hashes of the live routers that are fit, ascending; names whose hashes collide take no duty.
+func (m *Members) hashes(fit func(name string) bool) []uint32 {
+	count := make(map[uint32]int, len(m.listed()))
+	for _, name := range m.listed() {
+		count[Hash(name)]++
+	}
+	var view []uint32
+	for _, name := range m.listed() {
+		live := name == m.Self || m.peers[name].live
+		if live && fit(name) && count[Hash(name)] == 1 {
+			view = append(view, Hash(name))
+		}
+	}
+	slices.Sort(view)
+	return view
+}
+
+// renew recomputes the own view and reports whether it changed.
+func (m *Members) renew(now time.Duration) bool {
+	view := m.view()
+	if len(m.views) > 0 && slices.Equal(m.views.latest(), view) || len(m.views) == 0 && len(view) == 0 {
+		return false
+	}
+	m.views = m.views.add(epoch{view: view, since: now, adjoins: len(m.views) > 0}, now)
+	return true
+}
--- /dev/null
+++ b/router/plat/doc.go
@@ -0,0 +1,3 @@
+// Package plat reads the platform's configuration service and its list of VMs;
+// it never writes.
+package plat
