Add the client to backend servers

Every connection asks its attempt's gate before a write, so that it is certain whether a byte may have left, also when an attempt is cancelled. Ruled out: httptrace's WroteHeaders alone, which comes after the write.

--- /dev/null
+++ b/router/back/client.go
@@ -0,0 +1,244 @@
+package back
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"time"
+
+	"mangolug.org/core/fleet"
+)
+
+// Headers between routers and backend servers.
+const (
+	HeaderAttempt = "X-Attempt-Id"
+	HeaderRequest = "X-Request-Id"
+	HeaderTeam    = "X-Team"
+	HeaderFencing = "Fencing-Term"
+	HeaderNotRun  = "X-Not-Run"
+)
+
+// Settings of a Client; a zero field takes its default.
+type Settings struct {
+	Source         net.IP        // address that connections are made from; nil for any
+	ConnectTimeout time.Duration // to open a connection
+	IdleTimeout    time.Duration // after which an unused connection is closed
+	IdlePerServer  int           // unused connections kept to a server
+	HeaderBytes    int64         // of an answer's header
+	LoadTimeout    time.Duration // for one load report
+}
+
+// Defaults of Settings.
+const (
+	DefaultConnectTimeout = time.Second
+	DefaultIdleTimeout    = 15 * time.Second
+	DefaultIdlePerServer  = 64
+	DefaultHeaderBytes    = 64 << 10
+	DefaultLoadTimeout    = time.Second
+)
+
+// Client sends attempts to backend servers; its zero value works.
+type Client struct {
+	Settings Settings
+
+	once   sync.Once
+	pooled *http.Transport // for calls that may be repeated
+	single *http.Transport // a fresh connection for each call that may not
+}
+
+// Attempt is one try of a request at one backend server.
+type Attempt struct {
+	ID      string // unique; the server echoes it
+	Request string
+	Team    string
+	Server  string
+	Address string // ip:port
+	Fencing bool   // Term is sent as the fencing number
+	Term    uint64
+	Method  string
+	Target  string // path and query
+	Header  http.Header
+	Body    []byte
+	Once    bool        // the call may not be repeated
+	Lapsed  func() bool // checked immediately before the first write; nil for never
+}
+
+// Answer is a backend server's answer to an attempt; Body must be closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	Length int64 // of the body in bytes; -1 if it is not told beforehand
+	Body   io.ReadCloser
+}
+
+// ServerError tells why an attempt brought no answer.
+type ServerError struct {
+	Server string
+	Reason fleet.Reason
+	Sent   bool // a byte of the request may have left
+	NotRun bool // it is certain that the server did not run the request
+	Status int  // of the server's answer; 0 if there was none
+	Err    error
+}
+
+// Error gives the reason with the server and the cause.
+func (e *ServerError) Error() string {
+	text := fmt.Sprintf("server %s: %s", e.Server, e.Reason)
+	if e.Status != 0 {
+		text += fmt.Sprintf(", status %d", e.Status)
+	}
+	if e.Err != nil {
+		text += ": " + e.Err.Error()
+	}
+	return text
+}
+
+// Unwrap gives the cause.
+func (e *ServerError) Unwrap() error { return e.Err }
+
+func (c *Client) init() {
+	s := &c.Settings
+	if s.ConnectTimeout == 0 {
+		s.ConnectTimeout = DefaultConnectTimeout
+	}
+	if s.IdleTimeout == 0 {
+		s.IdleTimeout = DefaultIdleTimeout
+	}
+	if s.IdlePerServer == 0 {
+		s.IdlePerServer = DefaultIdlePerServer
+	}
+	if s.HeaderBytes == 0 {
+		s.HeaderBytes = DefaultHeaderBytes
+	}
+	if s.LoadTimeout == 0 {
+		s.LoadTimeout = DefaultLoadTimeout
+	}
+	c.pooled, c.single = c.transport(), c.transport()
+	c.single.DisableKeepAlives = true
+}
+
+func (c *Client) transport() *http.Transport {
+	dialer := &net.Dialer{Timeout: c.Settings.ConnectTimeout}
+	if c.Settings.Source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: c.Settings.Source}
+	}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			raw, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &conn{Conn: raw}, nil
+		},
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    c.Settings.IdlePerServer,
+		IdleConnTimeout:        c.Settings.IdleTimeout,
+		MaxResponseHeaderBytes: c.Settings.HeaderBytes,
+	}
+}
+
+// Close closes the connections that are not in use.
+func (c *Client) Close() {
+	c.once.Do(c.init)
+	c.pooled.CloseIdleConnections()
+	c.single.CloseIdleConnections()
+}
+
+// Send makes one attempt; all errors are of type *ServerError.
+func (c *Client) Send(ctx context.Context, a Attempt) (*Answer, error) {
+	c.once.Do(c.init)
+	g := &gate{lapsed: a.Lapsed, once: a.Once}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if own, ok := info.Conn.(*conn); ok {
+				own.enter(g)
+			}
+		},
+	})
+	request, err := a.request(ctx)
+	if err != nil {
+		return nil, &ServerError{Server: a.Server, Reason: fleet.ReasonBadRequest, NotRun: true, Err: err}
+	}
+	transport := c.pooled
+	if a.Once {
+		transport = c.single
+	}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return nil, failure(a.Server, g.seal(), err)
+	}
+	return accept(&a, response)
+}
+
+// failure names what went wrong before an answer's header came.
+func failure(server string, sent bool, err error) *ServerError {
+	e := &ServerError{Server: server, Sent: sent, NotRun: !sent, Err: err}
+	switch {
+	case errors.Is(err, errLapsed):
+		e.Reason = fleet.ReasonGrantExpired
+	case sent:
+		e.Reason = fleet.ReasonServerFailed
+	default:
+		e.Reason = fleet.ReasonConnectFailed
+	}
+	return e
+}
+
+// request builds the request; its body can't be read twice, so net/http can't send it twice by itself.
+func (a *Attempt) request(ctx context.Context) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, a.Method, "http://"+a.Address+a.Target, nil)
+	if err != nil {
+		return nil, err
+	}
+	if len(a.Body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(a.Body))
+		request.ContentLength = int64(len(a.Body))
+	}
+	for name, values := range a.Header {
+		request.Header[name] = values
+	}
+	request.Header.Set(HeaderAttempt, a.ID)
+	request.Header.Set(HeaderRequest, a.Request)
+	request.Header.Set(HeaderTeam, a.Team)
+	request.Header.Del(HeaderFencing)
+	if a.Fencing {
+		request.Header.Set(HeaderFencing, strconv.FormatUint(a.Term, 10))
+	}
+	return request, nil
+}
+
+// accept checks that an answer belongs to the attempt and that its end can be told.
+func accept(a *Attempt, response *http.Response) (*Answer, error) {
+	refuse := func(reason fleet.Reason, notRun bool) error {
+		response.Body.Close()
+		return &ServerError{Server: a.Server, Reason: reason, Sent: true, NotRun: notRun, Status: response.StatusCode}
+	}
+	if response.Header.Get(HeaderAttempt) != a.ID {
+		return nil, refuse(fleet.ReasonForeignAnswer, false)
+	}
+	overloaded := response.StatusCode == http.StatusTooManyRequests || response.StatusCode == http.StatusServiceUnavailable
+	if overloaded && response.Header.Get(HeaderNotRun) == "true" {
+		return nil, refuse(fleet.ReasonServerOverloaded, true)
+	}
+	if endless(a, response) {
+		return nil, refuse(fleet.ReasonStreamBroken, false)
+	}
+	return &Answer{
+		Status: response.StatusCode, Header: response.Header,
+		Length: response.ContentLength, Body: response.Body,
+	}, nil
+}
+
+// endless reports an answer that ends where its connection ends, so that a cut can't be told from its end.
+func endless(a *Attempt, response *http.Response) bool {
+	chunked := len(response.TransferEncoding) > 0 && response.TransferEncoding[0] == "chunked"
+	empty := a.Method == http.MethodHead || response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified
+	return response.ContentLength < 0 && !chunked && !empty
+}
