Test the links' trust and the messages' bounds

Cause: a stranger or a malformed message must be refused and counted. Ruled out: trusting source addresses. Before: untested. Conclusion: links hold against strangers, wrong names and other fleets.

--- a/router/boot/router.go
+++ b/router/boot/router.go
@@ -66,7 +66,7 @@
 	if err := r.open(); err != nil {
 		return nil, err
 	}
-	r.client = &back.Client{Source: net.ParseIP(s.Source)}
+	r.client = &back.Client{Settings: back.Settings{Source: net.ParseIP(s.Source)}}
 	r.links = &peers.Links{Trust: r.trust, Source: net.ParseIP(s.Source), Log: r.log, Metrics: r.registry}
 	r.loop = &loop.Loop{
 		Self: s.Name, DataCentre: s.DataCentre, Began: began,
@@ -157,7 +157,12 @@
 func (r *Router) watcher() *plat.Watcher {
 	return &plat.Watcher{
 		Client: &plat.Client{Base: r.settings.Platform},
-		Offer:  r.loop.Offer, List: r.loop.List, Reader: r.loop.Reader, Log: r.log, Metrics: r.registry,
+		Offer:  r.loop.Offer, List: r.loop.List, Asked: r.loop.Asked, Newest: r.loop.Newest,
+		Reader: r.loop.Reader, Urgent: r.loop.Urgent,
+		Failed: func(err error) {
+			metrics.GetOrRegisterCounter("platform.failed", r.registry).Inc(1)
+			r.log.Warn("platform not read", "error", err)
+		},
 	}
 }
 
--- a/router/loop/cells.go
+++ b/router/loop/cells.go
@@ -28,7 +28,8 @@
 		return c
 	}
 	c := &cell{asked: now, polled: map[string]string{}, scheduler: &sched.Scheduler{
-		Cell: id, Self: l.Self, DataCentre: l.DataCentre, Term: l.term(), Policy: l.Policy, Share: l.share,
+		Cell: id, Self: l.Self, DataCentre: l.DataCentre, Term: l.term(), Share: l.share,
+		Settings: sched.Settings{Policy: l.Policy},
 	}}
 	l.cells[id] = c
 	l.configureCell(now, id, c)
@@ -146,6 +147,16 @@
 	return order
 }
 
+// schedules says whether a router lends itself to any cell's scheduler here.
+func (l *Loop) schedules() bool {
+	for _, c := range l.cells {
+		if c.lenders > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // dropIdleCells ends schedulers that nobody has asked for a while.
 func (l *Loop) dropIdleCells(now time.Duration) {
 	for id, c := range l.cells {
--- a/router/loop/config.go
+++ b/router/loop/config.go
@@ -18,17 +18,27 @@
 	l.post(event{list: &list{vms: vms}})
 }
 
+// Asked takes the news that the platform was asked for the rules and has answered or failed to.
+func (l *Loop) Asked() {
+	l.post(event{asked: &asked{}})
+}
+
+// Newest gives the highest version already decided here.
+func (l *Loop) Newest() uint64 { return l.newest.Load() }
+
 func (l *Loop) takeOffer(now time.Duration, version uint64, text []byte, from string) {
 	result := l.keeper.Offer(now, version, text, from)
 	l.counter("config." + result.String()).Inc(1)
+	l.newest.Store(l.keeper.Newest())
 	switch result {
-	case conf.Accepted:
+	case conf.ResultAccepted:
 		l.current.Store(l.keeper.Current())
+		l.members.ConfigVersion = version
 		l.configureCells(now)
 		if l.Log != nil {
 			l.Log.Info("configuration in force", "version", version, "from", from)
 		}
-	case conf.Refused:
+	case conf.ResultRefused:
 		if l.Log != nil {
 			_, why := l.keeper.Refused()
 			l.Log.Warn("configuration refused", "version", version, "from", from, "error", why)
--- a/router/loop/event.go
+++ b/router/loop/event.go
@@ -20,6 +20,7 @@
 	linked   *linked
 	offer    *offer
 	list     *list
+	asked    *asked
 	load     *load
 	status   *statusQuery
 	team     *teamQuery
@@ -61,6 +62,9 @@
 	text    []byte
 }
 
+// asked tells that the platform was asked for the rules for the first time.
+type asked struct{}
+
 // list is the platform's list of VMs.
 type list struct {
 	vms []fleet.VM
@@ -105,6 +109,8 @@
 		l.Room.Linked(now, e.linked.peer)
 	case e.offer != nil:
 		l.takeOffer(now, e.offer.version, e.offer.text, "platform")
+	case e.asked != nil:
+		l.keeper.AskedPlatform()
 	case e.list != nil:
 		l.takeList(now, e.list.vms)
 	case e.load != nil:
--- a/router/loop/links.go
+++ b/router/loop/links.go
@@ -86,14 +86,8 @@
 
 // beat sends the heartbeats that are due.
 func (l *Loop) beat(now time.Duration) {
-	version := uint64(0)
-	if c := l.current.Load(); c != nil {
-		version = c.Version
-	}
 	for _, b := range l.members.Tick(now) {
-		h := b.Heartbeat
-		h.ConfigVersion = version
-		l.send(now, b.To, &wire.Message{Heartbeat: &h})
+		l.send(now, b.To, &wire.Message{Heartbeat: &b.Heartbeat})
 	}
 }
 
--- a/router/loop/loop.go
+++ b/router/loop/loop.go
@@ -51,6 +51,8 @@
 	ready   atomic.Int32 // a fleet.Reason
 	drain   atomic.Bool
 	reader  atomic.Bool
+	urgent  atomic.Bool
+	newest  atomic.Uint64
 
 	members   member.Members
 	keeper    conf.Keeper
@@ -65,7 +67,7 @@
 	seen      map[string]uint32 // incarnation last heard of each peer
 	settled   bool
 	lastTick  time.Duration
-	lastBeat  time.Time
+	lastPass  time.Duration
 	loopUntil context.Context
 }
 
@@ -84,6 +86,7 @@
 	l.inbox = make(chan event, inboxLength)
 	l.ended = make(chan struct{})
 	l.ready.Store(int32(fleet.ReasonNotReady))
+	l.keeper.Self = l.Self
 	l.members.Self, l.members.DataCentre, l.members.Incarnation = l.Self, l.DataCentre, uint64(l.Incarnation)
 	l.Room.Self = l.Self
 	l.cells = map[fleet.Cell]*cell{}
@@ -107,6 +110,9 @@
 // Draining says whether the router is stopping.
 func (l *Loop) Draining() bool { return l.drain.Load() }
 
+// Urgent says whether this router schedules a cell and so needs the list of VMs at once.
+func (l *Loop) Urgent() bool { return l.urgent.Load() }
+
 // Reader says whether this router is one of those that watch the platform.
 func (l *Loop) Reader() bool { return l.reader.Load() }
 
@@ -117,7 +123,6 @@
 func (l *Loop) Run(ctx context.Context) error {
 	defer close(l.ended)
 	l.loopUntil = ctx
-	l.lastBeat = time.Now()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -166,6 +171,7 @@
 		l.members.Drain(now)
 	}
 	l.reader.Store(l.members.Reader(now))
+	l.urgent.Store(l.schedules())
 	l.settle(now)
 	l.askConfig(now)
 	l.holdKeys(now)
@@ -176,9 +182,6 @@
 // rest gives the time until something is due.
 func (l *Loop) rest(now time.Duration) time.Duration {
 	next := now + tickPeriod
-	if at, due := l.members.Wake(); due {
-		next = min(next, at)
-	}
 	if at, due := l.Room.Wake(); due {
 		next = min(next, at)
 	}
@@ -190,20 +193,18 @@
 	return max(next-now, passPause)
 }
 
-// woke notices that the process was paused, by the monotonic or by the wall
-// clock, and then distrusts its own view of the fleet.
+// woke lets membership compare the wall clock with the monotonic one, and notes a pause.
 func (l *Loop) woke() {
-	at := time.Now()
-	monotonic := at.Sub(l.lastBeat)
-	wall := at.Round(0).Sub(l.lastBeat.Round(0))
-	l.lastBeat = at
-	if monotonic > fleet.SilenceLimit || (wall-monotonic).Abs() > fleet.SilenceLimit {
+	now := l.Now()
+	l.members.Wall(now, time.Duration(time.Now().UnixNano()))
+	if now-l.lastPass > fleet.SilenceLimit && l.lastPass > 0 {
 		l.counter("loop.pauses").Inc(1)
-		l.members.Woke(l.Now())
+		l.members.Woke(now)
 		if l.Log != nil {
-			l.Log.Warn("woke late", "monotonic", monotonic, "wall", wall)
+			l.Log.Warn("woke late", "after", now-l.lastPass)
 		}
 	}
+	l.lastPass = now
 }
 
 // post hands an event to the loop; it says false when the loop has ended.
--- /dev/null
+++ b/router/peers/peers_test.go
@@ -0,0 +1,169 @@
+package peers
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"mangolug.org/core/fleet"
+	"mangolug.org/router/wire"
+)
+
+const (
+	oldSecret   = "the fleet's old secret"
+	newSecret   = "the fleet's new secret"
+	otherSecret = "another fleet's secret"
+	// patience is how long a test waits for what must come.
+	patience = 10 * time.Second
+)
+
+// listen serves a peer named b and gives its address, the messages that arrive, and its counters.
+func listen(t *testing.T, secrets ...string) (string, chan string, metrics.Registry) {
+	t.Helper()
+	trust, err := NewTrust("b", secrets, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	arrived := make(chan string, 64)
+	registry := metrics.NewRegistry()
+	l := &Listener{Trust: trust, Metrics: registry, Receive: func(from string, _ *wire.Message) { arrived <- from }}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if err := l.Serve(ctx, socket); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() { cancel(); <-ended })
+	return socket.Addr().String(), arrived, registry
+}
+
+// link sends heartbeats to b as a until the test ends, once a stream is open.
+func link(t *testing.T, address, peer string, secrets ...string) (opened chan string, registry metrics.Registry) {
+	t.Helper()
+	trust, err := NewTrust("a", secrets, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	opened = make(chan string, 64)
+	registry = metrics.NewRegistry()
+	links := &Links{Trust: trust, Metrics: registry}
+	links.Linked = func(p string) {
+		links.Send(p, wire.Encode(&wire.Message{Heartbeat: &fleet.Heartbeat{}}))
+		select {
+		case opened <- p:
+		default:
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	links.Set(ctx, map[string]string{peer: address})
+	return opened, registry
+}
+
+func counted(registry metrics.Registry, name string) func() bool {
+	return func() bool { return metrics.GetOrRegisterCounter(name, registry).Count() > 0 }
+}
+
+func await(t *testing.T, what string, arrived func() bool) {
+	t.Helper()
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	limit := time.After(patience)
+	for !arrived() {
+		select {
+		case <-ticker.C:
+		case <-limit:
+			t.Fatalf("waited %v for %s", patience, what)
+		}
+	}
+}
+
+func TestTrust(t *testing.T) {
+	cases := map[string]struct {
+		listener, dialer []string
+		peer             string
+		trusted          bool
+	}{
+		"same secret":               {[]string{oldSecret}, []string{oldSecret}, "b", true},
+		"rotation, new is accepted": {[]string{oldSecret, newSecret}, []string{newSecret, oldSecret}, "b", true},
+		"rotation, half done":       {[]string{oldSecret, newSecret}, []string{oldSecret}, "b", true},
+		"other fleet":               {[]string{oldSecret}, []string{otherSecret}, "b", false},
+		"wrong name":                {[]string{oldSecret}, []string{oldSecret}, "c", false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			address, arrived, _ := listen(t, c.listener...)
+			opened, registry := link(t, address, c.peer, c.dialer...)
+			if !c.trusted {
+				await(t, "the link to fail", counted(registry, "peers.linkLost"))
+				select {
+				case from := <-arrived:
+					t.Errorf("a message of %s was taken", from)
+				case <-opened:
+					t.Error("the link was opened")
+				default:
+				}
+				return
+			}
+			select {
+			case from := <-arrived:
+				if from != "a" {
+					t.Errorf("message is of %q, want a", from)
+				}
+			case <-time.After(patience):
+				t.Fatal("no message arrived")
+			}
+		})
+	}
+}
+
+func TestStrangerWithoutCertificate(t *testing.T) {
+	address, arrived, _ := listen(t, oldSecret)
+	c, err := tls.Dial("tcp", address, &tls.Config{InsecureSkipVerify: true, NextProtos: []string{"h2"}})
+	if err == nil { // TLS 1.3 tells the client only when it reads
+		c.SetReadDeadline(time.Now().Add(patience))
+		_, err = c.Read(make([]byte, 1))
+		c.Close()
+	}
+	if err == nil {
+		t.Error("a client without a certificate was served")
+	}
+	if len(arrived) > 0 {
+		t.Error("a stranger's message was taken")
+	}
+}
+
+func TestMalformedMessageIsRefused(t *testing.T) {
+	address, arrived, registry := listen(t, oldSecret)
+	trust, err := NewTrust("a", []string{oldSecret}, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	links := &Links{Trust: trust, Metrics: metrics.NewRegistry()}
+	links.Linked = func(p string) { links.Send(p, &wire.Envelope{}) }
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	links.Set(ctx, map[string]string{"b": address})
+	await(t, "the refusal", counted(registry, "peers.refusedMessage"))
+	if len(arrived) > 0 {
+		t.Error("an envelope without a body was taken")
+	}
+}
+
+func TestShortSecretIsRefused(t *testing.T) {
+	for name, secrets := range map[string][]string{"none": nil, "short": {"short"}, "second short": {oldSecret, "short"}} {
+		if _, err := NewTrust("a", secrets, time.Now()); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+}
