Add the callers' interface

A request is authenticated before its body is read, stamped with the configuration in force, admitted, sent under a grant and answered whole or refused with a typed reason. Keyed non-idempotent calls ask the key's home first. Ruled out: asking the home only after the grant, since a refusal in the queue could then claim that a key did not run when an earlier try had.

--- /dev/null
+++ b/router/front/middle.go
@@ -0,0 +1,73 @@
+package front
+
+import (
+	"context"
+	"crypto/sha256"
+	"strings"
+
+	"github.com/go-kit/kit/endpoint"
+
+	"mangolug.org/core/fleet"
+)
+
+// readiness refuses while this router may serve nobody, and stamps the request with the configuration in force.
+func (f *Front) readiness(next endpoint.Endpoint) endpoint.Endpoint {
+	return func(ctx context.Context, request interface{}) (interface{}, error) {
+		c := request.(*call)
+		if f.Ready != nil {
+			if reason := f.Ready(); reason != fleet.ReasonNone && reason != fleet.ReasonGranted {
+				c.writer.Header().Set("Connection", "close")
+				return nil, c.turnDown(reason, "this router takes no requests now; another may")
+			}
+		}
+		c.rules = f.Rules()
+		if c.rules == nil {
+			return nil, c.turnDown(fleet.ReasonNotReady, "no configuration is in force here yet")
+		}
+		return next(ctx, request)
+	}
+}
+
+// authentication finds the team by its bearer key, before any byte of the body is read.
+func (f *Front) authentication(next endpoint.Endpoint) endpoint.Endpoint {
+	return func(ctx context.Context, request interface{}) (interface{}, error) {
+		c := request.(*call)
+		scheme, key, _ := strings.Cut(c.request.Header.Get("Authorization"), " ")
+		if strings.EqualFold(scheme, "Bearer") && key != "" {
+			c.team = c.rules.TeamsByKey[sha256.Sum256([]byte(key))]
+		}
+		if c.team == nil {
+			// The connection is closed so that the server does not read the body to reuse it.
+			c.writer.Header().Set("Connection", "close")
+			return nil, c.turnDown(fleet.ReasonUnauthorized, "the bearer key is missing or wrong")
+		}
+		return next(ctx, request)
+	}
+}
+
+// bound limits the open requests of one team.
+func (f *Front) bound(next endpoint.Endpoint) endpoint.Endpoint {
+	return func(ctx context.Context, request interface{}) (interface{}, error) {
+		c := request.(*call)
+		if !f.open.enterTeam(c.team.Name, f.Settings.OpenPerTeam) {
+			return nil, c.turnDown(fleet.ReasonTooManyOpen, "the team has too many requests open at this router")
+		}
+		defer f.open.leaveTeam(c.team.Name)
+		return next(ctx, request)
+	}
+}
+
+// serve reads the request and sees it through.
+func (f *Front) serve(ctx context.Context, request interface{}) (interface{}, error) {
+	c := request.(*call)
+	if err := c.read(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.deadline-c.arrived)
+	defer cancel()
+	c.note("arrived", fleet.ReasonNone, "", "")
+	if c.keyed() {
+		return nil, c.runKeyed(ctx)
+	}
+	return nil, c.run(ctx)
+}
