--- a/faults/doc.go
+++ b/faults/doc.go
@@ -1,2 +1,3 @@
-// Package main is under construction.
+// Faults forwards TCP connections and brings about network faults on them, by
+// link and by source address.
 package main
