--- a/loader/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package main is under construction.
-package main
--- /dev/null
+++ b/loader/drive/doc.go
@@ -0,0 +1,2 @@
+// Package drive runs a plan against routers on this machine.
+package drive
--- /dev/null
+++ b/loader/events/doc.go
@@ -0,0 +1,2 @@
+// Package events reads server-sent events of model answers.
+package events
--- /dev/null
+++ b/loader/tally/doc.go
@@ -0,0 +1,2 @@
+// Package tally counts what a load run saw and works out its result.
+package tally
