--- a/engine/batch/engine_test.go
+++ b/engine/batch/engine_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -96,8 +97,10 @@
 	engine, server := newEngine(t, Settings{Limit: 1, Queue: 1})
 	engine.start()
 	engine.stall(true)
+	var callers sync.WaitGroup
+	defer callers.Wait() // before the test's context ends
 	for n := 1; n <= 2; n++ {
-		go post(t.Context(), t, server, `{"prompt":"x"}`, "")
+		callers.Go(func() { post(t.Context(), t, server, `{"prompt":"x"}`, "") })
 		until(t, fmt.Sprintf("%d open", n), func() bool { return len(engine.Record().Runs) == n })
 	}
 	response := post(t.Context(), t, server, `{"prompt":"x"}`, "")
--- a/router/boot/stop.go
+++ b/router/boot/stop.go
@@ -10,12 +10,8 @@
 )
 
 const (
-	// headerTimeout bounds how long a caller may take over a request's header.
+	// headerTimeout bounds how long an operator may take over a request's header.
 	headerTimeout = 10 * time.Second
-	// idleTimeout bounds how long an unused connection is kept.
-	idleTimeout = 2 * time.Minute
-	// headerBytes bounds a request's header.
-	headerBytes = 32 << 10
 	// lastAnswers is how long requests that are cut at the time limit have to get their answers.
 	lastAnswers = 2 * time.Second
 )
@@ -28,9 +24,9 @@
 		}
 		r.front.ServeHTTP(w, q)
 	})
-	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
-	}
+	server := r.front.Server()
+	server.Handler = handler
+	return server
 }
 
 // stop gives up duties, lets the balancer learn of it, finishes what runs, and says what had to be cut.
@@ -54,7 +50,6 @@
 
 // cut ends the requests that still run, each with a true answer as far as there is time.
 func (r *Router) cut(callers *http.Server) {
-	r.front.Stop()
 	last, cancel := context.WithTimeout(context.Background(), lastAnswers)
 	defer cancel()
 	if callers.Shutdown(last) != nil {
--- a/router/loop/config.go
+++ b/router/loop/config.go
@@ -48,7 +48,7 @@
 
 // settle makes the router ready once it has asked platform and peers for the newest configuration.
 func (l *Loop) settle(now time.Duration) {
-	if l.settled || l.current.Load() == nil || !l.keeper.Settled(now, l.members.Live()) {
+	if l.settled || len(l.listed) == 0 || !l.keeper.Settled(now, l.listedNames()) {
 		return
 	}
 	l.settled = true
@@ -58,6 +58,15 @@
 	}
 }
 
+// listedNames gives all listed routers: those not yet heard may have a newer configuration than the platform tells.
+func (l *Loop) listedNames() []string {
+	names := make([]string, 0, len(l.listed))
+	for name := range l.listed {
+		names = append(names, name)
+	}
+	return names
+}
+
 // askConfig asks a peer for a newer version that it was heard to have.
 func (l *Loop) askConfig(now time.Duration) {
 	peer, _, wanted := l.keeper.Want(now)
