--- /dev/null
+++ b/core/entry/room_test.go
@@ -0,0 +1,414 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mangolug.org/core/fleet"
+	"mangolug.org/core/report"
+)
+
+const (
+	testProduct = "stain-llm"
+	scheduler   = "router-2"
+)
+
+var testCell = fleet.Cell{Product: testProduct}
+
+func request(id, team string) Request {
+	return Request{ID: id, Team: team, Product: testProduct, Estimate: 10, Bytes: 100, Deadline: time.Minute}
+}
+
+func grant(id uint64, team string) fleet.Grants {
+	return fleet.Grants{Cell: testCell, Term: 7, Grants: []fleet.Grant{{ID: id, Team: team, Server: "stain-1"}}}
+}
+
+// followed is a room that has told its scheduler all.
+func followed(s Settings) *Room {
+	r := &Room{Self: "router-1", Settings: s}
+	r.Follow(0, testCell, scheduler)
+	r.Demands(0)
+	return r
+}
+
+func reasons(verdicts []Verdict) []string {
+	list := []string{}
+	for _, v := range verdicts {
+		list = append(list, v.Request+" "+v.Reason.String())
+	}
+	return list
+}
+
+func TestArriveRefuses(t *testing.T) {
+	tests := map[string]struct {
+		settings Settings
+		served   func(string) bool
+		before   func(r *Room)
+		request  Request
+		want     []string
+	}{
+		"room": {request: request("b", "joiners"), want: []string{}},
+		"queue full": {
+			settings: Settings{QueueLength: 1},
+			before:   func(r *Room) { r.Arrive(0, request("a", "joiners")) },
+			request:  request("b", "joiners"),
+			want:     []string{"b queueFull"},
+		},
+		"another team's queue is full": {
+			settings: Settings{QueueLength: 1},
+			before:   func(r *Room) { r.Arrive(0, request("a", "turners")) },
+			request:  request("b", "joiners"),
+			want:     []string{},
+		},
+		"queue bytes": {
+			settings: Settings{QueueBytes: 150},
+			before:   func(r *Room) { r.Arrive(0, request("a", "joiners")) },
+			request:  request("b", "joiners"),
+			want:     []string{"b queueBytes"},
+		},
+		"a retry keeps its place": {
+			settings: Settings{QueueLength: 1},
+			before:   func(r *Room) { r.Arrive(0, request("a", "joiners")) },
+			request:  Request{ID: "b", Team: "joiners", Product: testProduct, Deadline: time.Minute, Retry: true},
+			want:     []string{},
+		},
+		"deadline passed": {
+			request: Request{ID: "b", Team: "joiners", Product: testProduct},
+			want:    []string{"b deadlinePassed"},
+		},
+		"no server": {
+			served:  func(string) bool { return false },
+			request: request("b", "joiners"),
+			want:    []string{"b noServer"},
+		},
+		"would miss its deadline": {
+			before: func(r *Room) {
+				slow(r, paceLeast, time.Second)
+			},
+			request: Request{ID: "b", Team: "joiners", Product: testProduct, Deadline: paceLeast*time.Second + 2*time.Second},
+			want:    []string{"b wouldMissDeadline"},
+		},
+		"too few grants to tell": {
+			before: func(r *Room) {
+				slow(r, paceLeast-1, time.Second)
+			},
+			request: Request{ID: "b", Team: "joiners", Product: testProduct, Deadline: paceLeast*time.Second + 2*time.Second},
+			want:    []string{},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := followed(tt.settings)
+			if tt.before != nil {
+				tt.before(r)
+			}
+			r.Served = tt.served
+			now := time.Duration(0)
+			if tt.request.Deadline != time.Minute && tt.request.Deadline > 0 {
+				now = paceLeast * time.Second
+			}
+			if d := cmp.Diff(tt.want, reasons(r.Arrive(now, tt.request))); d != "" {
+				t.Error(d)
+			}
+		})
+	}
+}
+
+// slow grants a number of the team's requests at a pace and leaves some waiting.
+func slow(r *Room, grants int, pace time.Duration) {
+	for i := range grants + 3 {
+		r.Arrive(0, request(fmt.Sprint("first-", i), "joiners"))
+	}
+	for i := range grants {
+		at := time.Duration(i+1) * pace
+		g := grant(uint64(i+1), "joiners")
+		g.Basis = at.Milliseconds()
+		r.Grants(at, scheduler, at.Milliseconds(), g)
+	}
+}
+
+func TestRetryAfterIsSpreadAndSeeded(t *testing.T) {
+	advice := func(seed uint64) []time.Duration {
+		r := &Room{Seed: seed, Settings: Settings{QueueLength: 1}}
+		r.Arrive(0, request("a", "joiners"))
+		var list []time.Duration
+		for i := range 50 {
+			v := r.Arrive(0, request(fmt.Sprint(i), "joiners"))[0]
+			if v.RetryAfter < DefaultRetryAfter/2 || v.RetryAfter >= DefaultRetryAfter*3/2 {
+				t.Fatalf("advice %v is out of its range", v.RetryAfter)
+			}
+			list = append(list, v.RetryAfter)
+		}
+		return list
+	}
+	if d := cmp.Diff(advice(3), advice(3)); d != "" {
+		t.Errorf("one seed gave two lists: %s", d)
+	}
+	if cmp.Equal(advice(3), advice(4)) {
+		t.Error("two seeds gave one list")
+	}
+}
+
+func TestGrantsUsed(t *testing.T) {
+	life := fleet.GrantLifetime.Milliseconds()
+	tests := map[string]struct {
+		from   string
+		clock  int64
+		grants []fleet.Grants
+		want   []string
+		unused Unused
+	}{
+		"first in, first out": {
+			from: scheduler, grants: []fleet.Grants{grant(1, "joiners"), grant(2, "joiners")},
+			want: []string{"a granted", "b granted"},
+		},
+		"from another router": {
+			from: "router-3", grants: []fleet.Grants{grant(1, "joiners")},
+			want: []string{}, unused: Unused{Foreign: 1},
+		},
+		"twice": {
+			from: scheduler, grants: []fleet.Grants{grant(2, "joiners"), grant(2, "joiners"), grant(1, "joiners")},
+			want: []string{"a granted"}, unused: Unused{Duplicate: 2},
+		},
+		"at the end of its life": {
+			from: scheduler, clock: life - 1, grants: []fleet.Grants{grant(1, "joiners")},
+			want: []string{"a granted"},
+		},
+		"lapsed": {
+			from: scheduler, clock: life, grants: []fleet.Grants{grant(1, "joiners")},
+			want: []string{}, unused: Unused{Lapsed: 1},
+		},
+		"nobody waits": {
+			from: scheduler, grants: []fleet.Grants{grant(1, "turners")},
+			want: []string{}, unused: Unused{Unwanted: 1},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := followed(Settings{})
+			r.Arrive(0, request("a", "joiners"))
+			r.Arrive(0, request("b", "joiners"))
+			var verdicts []Verdict
+			for _, g := range tt.grants {
+				verdicts = append(verdicts, r.Grants(0, tt.from, tt.clock, g)...)
+			}
+			if d := cmp.Diff(tt.want, reasons(verdicts)); d != "" {
+				t.Error(d)
+			}
+			if d := cmp.Diff(tt.unused, r.Unused); d != "" {
+				t.Error(d)
+			}
+			for _, v := range verdicts {
+				if left := time.Duration(life-tt.clock) * time.Millisecond; v.Expires != left || v.Term != 7 {
+					t.Errorf("verdict %+v, want it to expire at %v in term 7", v, left)
+				}
+			}
+		})
+	}
+}
+
+func TestRetriesGoFirst(t *testing.T) {
+	r := followed(Settings{})
+	r.Arrive(0, request("a", "joiners"))
+	again := request("b", "joiners")
+	again.Retry = true
+	r.Arrive(0, again)
+	if d := cmp.Diff([]string{"b granted"}, reasons(r.Grants(0, scheduler, 0, grant(1, "joiners")))); d != "" {
+		t.Error(d)
+	}
+}
+
+func TestGrantAfterDeadlineIsReturned(t *testing.T) {
+	r := followed(Settings{})
+	late := request("a", "joiners")
+	late.Deadline = time.Millisecond
+	r.Arrive(0, late)
+	if d := cmp.Diff([]string{"a deadlinePassed"}, reasons(r.Grants(time.Second, scheduler, 0, grant(1, "joiners")))); d != "" {
+		t.Error(d)
+	}
+	if r.Unused.Unwanted != 1 {
+		t.Errorf("unused %+v", r.Unused)
+	}
+}
+
+func TestDemands(t *testing.T) {
+	waiting := func(n int) []fleet.TeamDemand {
+		return []fleet.TeamDemand{{Team: "joiners", Waiting: n, Estimate: 10}}
+	}
+	tests := map[string]struct {
+		steps func(r *Room) time.Duration // gives the time at which demands are taken
+		want  []Outgoing
+	}{
+		"nothing changed": {steps: func(*Room) time.Duration { return time.Hour }},
+		"two arrivals in one": {
+			steps: func(r *Room) time.Duration {
+				r.Arrive(0, request("a", "joiners"))
+				r.Arrive(0, request("b", "joiners"))
+				return 0
+			},
+			want: []Outgoing{{To: scheduler, Demand: fleet.Demand{Cell: testCell, Seq: 2, Waiting: waiting(2)}}},
+		},
+		"came and went untold": {
+			steps: func(r *Room) time.Duration {
+				r.Arrive(0, request("a", "joiners"))
+				r.Leave(0, "a")
+				return 0
+			},
+			want: []Outgoing{{To: scheduler, Demand: fleet.Demand{Cell: testCell, Seq: 2}}},
+		},
+		"left after it was told": {
+			steps: func(r *Room) time.Duration {
+				r.Arrive(0, request("a", "joiners"))
+				r.Demands(0)
+				r.Leave(0, "a")
+				return 0
+			},
+			want: []Outgoing{{To: scheduler, Demand: fleet.Demand{
+				Cell: testCell, Seq: 3, Waiting: []fleet.TeamDemand{{Team: "joiners"}},
+			}}},
+		},
+		"a receipt waits for company": {
+			steps: func(r *Room) time.Duration {
+				r.Arrive(0, request("a", "joiners"))
+				r.Demands(0)
+				r.Grants(0, scheduler, 0, grant(1, "joiners"))
+				return DefaultAckDelay - 1
+			},
+		},
+		"a receipt waits no longer than its delay": {
+			steps: func(r *Room) time.Duration {
+				r.Arrive(0, request("a", "joiners"))
+				r.Demands(0)
+				r.Grants(0, scheduler, 0, grant(1, "joiners"))
+				return DefaultAckDelay
+			},
+			want: []Outgoing{{To: scheduler, Demand: fleet.Demand{
+				Cell: testCell, Seq: 3, SeenTerm: 7, Seen: 1, Waiting: []fleet.TeamDemand{{Team: "joiners"}},
+			}}},
+		},
+		"unwanted grant is returned": {
+			steps: func(r *Room) time.Duration {
+				r.Grants(0, scheduler, 0, grant(1, "joiners"))
+				return 0
+			},
+			want: []Outgoing{{To: scheduler, Demand: fleet.Demand{
+				Cell: testCell, Seq: 2, SeenTerm: 7, Seen: 1,
+				Done: []fleet.Done{{Grant: 1, Outcome: fleet.OutcomeReturned}},
+			}}},
+		},
+		"a new link is told all": {
+			steps: func(r *Room) time.Duration {
+				r.Arrive(0, request("a", "joiners"))
+				r.Arrive(0, request("b", "joiners"))
+				r.Grants(0, scheduler, 0, grant(1, "joiners"))
+				r.Progress(0, testCell, 1, 5)
+				r.Demands(0)
+				r.Linked(0, scheduler)
+				return 0
+			},
+			want: []Outgoing{{To: scheduler, Demand: fleet.Demand{
+				Cell: testCell, Seq: 3, Full: true, SeenTerm: 7, Seen: 1, Waiting: waiting(1),
+				Running: []fleet.Running{{Grant: 1, Team: "joiners", Server: "stain-1", Cost: 5}},
+			}}},
+		},
+		"a new scheduler is told what runs under the old one": {
+			steps: func(r *Room) time.Duration {
+				r.Arrive(0, request("a", "joiners"))
+				r.Grants(0, scheduler, 0, grant(1, "joiners"))
+				r.Grants(0, scheduler, 0, grant(2, "joiners"))
+				r.Follow(0, testCell, "router-3")
+				return 0
+			},
+			want: []Outgoing{{To: "router-3", Demand: fleet.Demand{
+				Cell: testCell, Seq: 2, Full: true,
+				Running: []fleet.Running{{Grant: 1, Team: "joiners", Server: "stain-1"}},
+			}}},
+		},
+		"no scheduler": {
+			steps: func(r *Room) time.Duration {
+				r.Follow(0, testCell, "")
+				r.Arrive(0, request("a", "joiners"))
+				return time.Hour
+			},
+		},
+		"costs so far": {
+			steps: func(r *Room) time.Duration {
+				r.Arrive(0, request("a", "joiners"))
+				r.Grants(0, scheduler, 0, grant(1, "joiners"))
+				r.Demands(0)
+				r.Progress(time.Second, testCell, 1, 5)
+				r.Progress(time.Second, testCell, 1, 9)
+				return time.Second
+			},
+			want: []Outgoing{{To: scheduler, Demand: fleet.Demand{
+				Cell: testCell, Seq: 3, SeenTerm: 7, Seen: 1,
+				Running: []fleet.Running{{Grant: 1, Team: "joiners", Server: "stain-1", Cost: 9}},
+			}}},
+		},
+		"the end of a grant is told once": {
+			steps: func(r *Room) time.Duration {
+				r.Arrive(0, request("a", "joiners"))
+				r.Grants(0, scheduler, 0, grant(1, "joiners"))
+				r.Demands(0)
+				for range 2 {
+					r.Finish(0, testCell, fleet.Done{Grant: 1, Outcome: fleet.OutcomeCompleted, Cost: 12})
+				}
+				return 0
+			},
+			want: []Outgoing{{To: scheduler, Demand: fleet.Demand{
+				Cell: testCell, Seq: 3, SeenTerm: 7, Seen: 1,
+				Done: []fleet.Done{{Grant: 1, Outcome: fleet.OutcomeCompleted, Cost: 12}},
+			}}},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := followed(Settings{})
+			if d := cmp.Diff(tt.want, r.Demands(tt.steps(r))); d != "" {
+				t.Error(d)
+			}
+		})
+	}
+}
+
+func TestExpireRefusesAtOnce(t *testing.T) {
+	r := followed(Settings{})
+	early := request("b", "joiners")
+	early.Deadline = time.Second
+	r.Arrive(0, request("a", "joiners"))
+	r.Arrive(0, early)
+	if at, ok := r.Wake(); !ok || at != 0 {
+		t.Errorf("wake at %v, %v, want at once for the demand", at, ok)
+	}
+	r.Demands(0)
+	if at, ok := r.Wake(); !ok || at != time.Second {
+		t.Errorf("wake at %v, %v, want at the first deadline", at, ok)
+	}
+	if got := r.Expire(time.Second - 1); len(got) > 0 {
+		t.Errorf("refused early: %v", got)
+	}
+	if d := cmp.Diff([]string{"b deadlinePassed"}, reasons(r.Expire(time.Second))); d != "" {
+		t.Error(d)
+	}
+	r.Served = func(string) bool { return false }
+	if d := cmp.Diff([]string{"a noServer"}, reasons(r.Expire(time.Second))); d != "" {
+		t.Error(d)
+	}
+}
+
+func TestStatus(t *testing.T) {
+	r := followed(Settings{})
+	r.Arrive(time.Second, request("a", "turners"))
+	r.Arrive(time.Second, request("b", "joiners"))
+	r.Grants(time.Second, scheduler, 0, grant(1, "turners"))
+	want := []report.Room{
+		{Team: "joiners", Product: testProduct, Waiting: 1, OldestWaitMillis: 1000, Scheduler: scheduler, Why: fleet.ReasonHeld},
+		{Team: "turners", Product: testProduct, Running: 1, Scheduler: scheduler},
+	}
+	if d := cmp.Diff(want, r.Status(2*time.Second)); d != "" {
+		t.Error(d)
+	}
+}
