--- /dev/null
+++ b/core/keys/home_test.go
@@ -0,0 +1,263 @@
+package keys
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mangolug.org/core/fleet"
+)
+
+var epoch = time.UnixMilli(1_800_000_000_000)
+
+// mint makes a UUIDv7 of a moment since the epoch.
+func mint(at time.Duration, number int) string {
+	millis := epoch.Add(at).UnixMilli()
+	return fmt.Sprintf("%08x-%04x-7000-8000-%012x", millis>>16, millis&0xffff, number)
+}
+
+func TestMinted(t *testing.T) {
+	good := mint(0, 1)
+	tests := map[string]struct {
+		key string
+		ok  bool
+	}{
+		"version 7":        {good, true},
+		"upper case":       {strings.ToUpper(good), true},
+		"empty":            {"", false},
+		"version 4":        {good[:14] + "4" + good[15:], false},
+		"other variant":    {good[:19] + "c" + good[20:], false},
+		"no hyphen":        {good[:8] + "0" + good[9:], false},
+		"not hexadecimal":  {good[:35] + "g", false},
+		"too long":         {good + "0", false},
+		"in braces":        {"{" + good[:34] + "}", false},
+		"hyphen elsewhere": {good[:30] + "-" + good[31:], false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			at, ok := Minted(tt.key)
+			if ok != tt.ok || ok && !at.Equal(epoch) {
+				t.Errorf("got %v, %v", at, ok)
+			}
+		})
+	}
+}
+
+func TestSlotIgnoresCase(t *testing.T) {
+	seen := map[int]bool{}
+	for i := range 2000 {
+		key := mint(time.Duration(i)*time.Second, i)
+		slot := Slot("joiners", key)
+		if slot < 0 || slot >= Slots || slot != Slot("joiners", strings.ToUpper(key)) {
+			t.Fatalf("slot %d of %s", slot, key)
+		}
+		seen[slot] = true
+	}
+	if len(seen) != Slots {
+		t.Errorf("%d of %d slots used", len(seen), Slots)
+	}
+}
+
+// bench is a home with a clock that both of its clocks follow.
+type bench struct {
+	home Home
+	now  time.Duration
+}
+
+func (b *bench) wall() time.Time { return epoch.Add(b.now) }
+
+func (b *bench) hold(at time.Duration, holds bool) {
+	b.now = at
+	for slot := range Slots {
+		b.home.Hold(at, slot, holds, b.wall())
+	}
+	b.home.Tick(at, b.wall())
+}
+
+func (b *bench) open(key string, digest uint64) string {
+	a := b.home.Open(b.now, b.wall(), "router-1", fleet.KeyOpen{Ticket: 5, Team: "joiners", Key: key, Digest: digest})
+	text := a.Verdict.String() + " " + a.Reason.String()
+	if a.Ticket != 5 {
+		text += " ticket lost"
+	}
+	if a.Verdict == fleet.KeyAnswered {
+		text += fmt.Sprintf(" %d %s truncated=%v", a.Answer.Status, a.Answer.Body, a.Answer.Truncated)
+	}
+	return text
+}
+
+func (b *bench) end(key string, outcome fleet.KeyVerdict, body string) {
+	b.home.Close(b.now, fleet.KeyClose{
+		Team: "joiners", Key: key, Outcome: outcome, Answer: fleet.Answer{Status: 201, Body: []byte(body)},
+	})
+}
+
+const (
+	run     = "run granted"
+	tooOld  = "unknown keyTooOld"
+	invalid = "refused keyInvalid"
+	unknown = "unknown outcomeUnknown"
+)
+
+func TestOpen(t *testing.T) {
+	const minute = time.Minute
+	key := mint(minute, 1)
+	tests := map[string]struct {
+		steps func(b *bench) string
+		want  string
+	}{
+		"first try": {func(b *bench) string { return b.open(key, 1) }, run},
+		"second try while the first runs": {func(b *bench) string {
+			b.open(key, 1)
+			return b.open(key, 1)
+		}, "inProgress keyInProgress"},
+		"the same key in other letters": {func(b *bench) string {
+			b.open(mint(minute, 0xabc), 1)
+			return b.open(strings.ToUpper(mint(minute, 0xabc)), 1)
+		}, "inProgress keyInProgress"},
+		"answered": {func(b *bench) string {
+			b.open(key, 1)
+			b.end(key, fleet.KeyAnswered, "sent")
+			return b.open(key, 1)
+		}, "answered none 201 sent truncated=false"},
+		"an answer stands": {func(b *bench) string {
+			b.open(key, 1)
+			b.end(key, fleet.KeyAnswered, "sent")
+			b.end(key, fleet.KeyRefused, "")
+			return b.open(key, 1)
+		}, "answered none 201 sent truncated=false"},
+		"another request under the key": {func(b *bench) string {
+			b.open(key, 1)
+			return b.open(key, 2)
+		}, "refused keyMismatch"},
+		"no byte left": {func(b *bench) string {
+			b.open(key, 1)
+			b.end(key, fleet.KeyRefused, "")
+			return b.open(key, 1)
+		}, run},
+		"outcome unknown": {func(b *bench) string {
+			b.open(key, 1)
+			b.end(key, fleet.KeyUnknown, "")
+			return b.open(key, 1)
+		}, unknown},
+		"the entry router died": {func(b *bench) string {
+			b.open(key, 1)
+			b.hold(minute+DefaultOpenLimit+1, true)
+			return b.open(key, 1)
+		}, unknown},
+		"the entry router was slow": {func(b *bench) string {
+			b.open(key, 1)
+			b.hold(minute+DefaultOpenLimit+1, true)
+			b.open(key, 1)
+			b.end(key, fleet.KeyAnswered, "sent")
+			return b.open(key, 1)
+		}, "answered none 201 sent truncated=false"},
+		"forgotten": {func(b *bench) string {
+			b.open(key, 1)
+			b.hold(minute+DefaultRetention, true)
+			if n, bytes := b.home.Records(); n != 0 || bytes != 0 {
+				return fmt.Sprintf("%d records of %d bytes left", n, bytes)
+			}
+			return b.open(key, 1)
+		}, tooOld},
+		"not the home": {func(b *bench) string {
+			b.hold(minute, false)
+			return b.open(key, 1)
+		}, "refused noMajority"},
+		"the hold is stale": {func(b *bench) string {
+			b.now += DefaultHoldFresh + 1
+			return b.open(key, 1)
+		}, "refused noMajority"},
+		"minted before the home began": {func(b *bench) string { return b.open(mint(-1, 1), 1) }, tooOld},
+		"minted within the guard":      {func(b *bench) string { return b.open(mint(b.home.Guard(), 1), 1) }, tooOld},
+		"minted after the guard": {func(b *bench) string {
+			return b.open(mint(b.home.Guard()+time.Millisecond, 1), 1)
+		}, run},
+		"minted ahead within the limit": {func(b *bench) string {
+			return b.open(mint(minute+DefaultFutureLimit, 1), 1)
+		}, run},
+		"minted too far ahead": {func(b *bench) string {
+			return b.open(mint(minute+DefaultFutureLimit+time.Millisecond, 1), 1)
+		}, invalid},
+		"held, lost and held again": {func(b *bench) string {
+			b.hold(minute, false)
+			b.hold(minute+1, true)
+			return b.open(key, 1)
+		}, tooOld},
+		"an answer outlives a lost hold": {func(b *bench) string {
+			b.open(key, 1)
+			b.end(key, fleet.KeyAnswered, "sent")
+			b.hold(minute, false)
+			b.hold(minute+1, true)
+			return b.open(key, 1)
+		}, "answered none 201 sent truncated=false"},
+		"the wall clock jumped": {func(b *bench) string {
+			b.home.Tick(b.now, b.wall().Add(DefaultClockError+time.Millisecond))
+			return b.open(key, 1)
+		}, tooOld},
+		"not a UUIDv7": {func(b *bench) string { return b.open("walnut", 1) }, invalid},
+		"closed without having been opened": {func(b *bench) string {
+			b.end(key, fleet.KeyAnswered, "sent")
+			return b.open(key, 1)
+		}, run},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := &bench{}
+			b.hold(0, true)
+			b.hold(minute, true)
+			if d := cmp.Diff(tt.want, tt.steps(b)); d != "" {
+				t.Error(d)
+			}
+		})
+	}
+}
+
+func TestBytesAreBounded(t *testing.T) {
+	b := &bench{home: Home{Settings: Settings{Bytes: 5000}}}
+	b.hold(0, true)
+	b.hold(time.Minute, true)
+	refused, truncated := 0, 0
+	for i := range 30 {
+		key := mint(time.Minute, i)
+		if b.open(key, 1) != run {
+			refused++
+			continue
+		}
+		b.end(key, fleet.KeyAnswered, strings.Repeat("x", 400))
+		if _, bytes := b.home.Records(); bytes > 5000 {
+			t.Fatalf("%d bytes held", bytes)
+		}
+	}
+	for i := range 30 - refused {
+		answer := b.open(mint(time.Minute, i), 1)
+		if !strings.HasPrefix(answer, "answered none 201") {
+			t.Errorf("key %d was forgotten: %s", i, answer)
+		}
+		if strings.HasSuffix(answer, "truncated=true") {
+			truncated++
+		}
+	}
+	if refused == 0 || truncated == 0 {
+		t.Errorf("%d keys refused, %d answers truncated, want some of each", refused, truncated)
+	}
+}
+
+func TestFreedRecordsDoNotPile(t *testing.T) {
+	b := &bench{}
+	b.hold(0, true)
+	b.hold(time.Minute, true)
+	key := mint(time.Minute, 1)
+	for range 10_000 {
+		if got := b.open(key, 1); got != run {
+			t.Fatal(got)
+		}
+		b.end(key, fleet.KeyRefused, "")
+	}
+	if len(b.home.order) > 2*freedLeast {
+		t.Errorf("%d records in the list", len(b.home.order))
+	}
+}
