Test the scheduler by random events with invariants checked at each step

Ruled out: freeing it when it lapses, which lets a server run more than its ceiling if the grant did arrive. Before: the grant stayed until the router's next full demand. Conclusion: limits, work conservation and the counts hold in these events.

--- /dev/null
+++ b/core/sched/random_test.go
@@ -0,0 +1,167 @@
+package sched
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"mangolug.org/core/fleet"
+)
+
+// checkLimits fails if grants were given beyond the usable limit, or a server ran more than its ceiling.
+func checkLimits(w *world) {
+	for _, s := range w.schedulers {
+		for _, v := range s.listed {
+			own := v.outstanding + v.orphans
+			if v.room < 0 || v.room > 0 && own+v.room > s.usable(v) {
+				w.t.Errorf("%s has room %d beside %d of %d", v.rule.Name, v.room, own, s.usable(v))
+			}
+			if own > v.rule.Limit {
+				w.t.Errorf("%s has %d grants outstanding, ceiling %d", v.rule.Name, own, v.rule.Limit)
+			}
+		}
+	}
+	for _, v := range w.servers {
+		if v.running > v.rule.Limit {
+			w.t.Errorf("%s runs %d, ceiling %d", v.rule.Name, v.running, v.rule.Limit)
+		}
+	}
+}
+
+// checkWork fails if a request waits beside a free slot.
+func checkWork(w *world) {
+	for _, s := range w.schedulers {
+		room := 0
+		for _, v := range s.listed {
+			room += v.room
+		}
+		if room != s.room {
+			w.t.Errorf("room counted %d, is %d", s.room, room)
+		}
+		if room > 0 && s.backlog.top() != nil {
+			w.t.Errorf("%d slots free while team %s waits", room, s.backlog.top().team.name)
+		}
+	}
+}
+
+// checkCounts fails if what is outstanding does not add up.
+func checkCounts(w *world) {
+	for _, s := range w.schedulers {
+		servers, teams, unseen := 0, 0, 0
+		for _, v := range s.servers {
+			servers += v.outstanding
+		}
+		for _, m := range s.teams {
+			teams += m.running
+		}
+		for _, r := range s.byName {
+			unseen += len(r.unseen)
+			for _, e := range r.entries {
+				unseen -= e.unseen
+			}
+		}
+		if servers != len(s.grants) || teams != len(s.grants) || unseen != 0 {
+			w.t.Errorf("%d grants, %d on servers, %d of teams, %d unseen too many", len(s.grants), servers, teams, unseen)
+		}
+	}
+}
+
+func randomWorld(t *testing.T, seed uint64) *world {
+	w := newWorld(t, seed, 2+int(seed%5), 1+int(seed%4), 1+int(seed%7))
+	w.delay = time.Duration(w.rng.Int64N(20)) * time.Millisecond
+	w.loadLag = time.Duration(w.rng.Int64N(300)) * time.Millisecond
+	w.stated = seed%2 == 0
+	for i := range 2 + int(seed%6) {
+		w.teams = append(w.teams, &fakeTeam{
+			name: fmt.Sprintf("team-%d", i), share: 1 + w.rng.IntN(100),
+			cost: 5 + w.rng.Int64N(100), hint: []float64{0.1, 1, 10}[w.rng.IntN(3)],
+		})
+	}
+	w.checks = append(w.checks, checkLimits, checkWork, checkCounts, (*world).disturb)
+	return w
+}
+
+// disturb brings about one random event now and then.
+func (w *world) disturb() {
+	r := w.routers[w.rng.IntN(len(w.routers))]
+	m := w.teams[w.rng.IntN(len(w.teams))]
+	switch w.rng.IntN(400) {
+	case 0, 1, 2, 3, 4, 5, 6, 7, 8, 9:
+		for range 1 + w.rng.IntN(8) {
+			w.ask(r, m)
+		}
+	case 10, 11:
+		m.keep = w.rng.IntN(4)
+	case 12:
+		r.cutTill = w.now + time.Duration(w.rng.IntN(700))*time.Millisecond
+	case 13:
+		w.restart(r)
+		w.schedulers[r.scheduler].Forget(w.now, r.name)
+	case 14:
+		v := w.servers[w.rng.IntN(len(w.servers))]
+		v.epoch++
+		w.fail(v)
+	case 15:
+		r.waiting[m.name] = nil // callers gone
+	case 16:
+		out := map[string]bool{fmt.Sprintf("dc-%d", w.rng.IntN(6)): true}
+		w.schedulers[0].Configure(w.now, w.rules(), out, nil)
+	case 18:
+		r.out, r.in, r.afresh = nil, nil, true // the connection broke and came back
+	case 17:
+		w.lose(r, time.Duration(w.rng.IntN(3000))*time.Millisecond)
+	}
+}
+
+// calm ends all disturbance and arrivals, and fails unless everything drains.
+func (w *world) calm() {
+	w.t.Helper()
+	w.checks = w.checks[:3]
+	for _, m := range w.teams {
+		m.keep = 0
+	}
+	for _, s := range w.schedulers {
+		s.Configure(w.now, w.rules(), nil, nil)
+	}
+	for w.now < 2*time.Minute && (w.now < 10*time.Second || w.waiting() > 0) {
+		w.run(time.Second)
+	}
+	w.run(2 * time.Second)
+	for _, s := range w.schedulers {
+		if len(s.grants) > 0 || s.backlog.top() != nil || len(s.teams) > 0 {
+			w.t.Errorf("seed %d: %d grants and %d teams left, backlog %v", w.seed, len(s.grants), len(s.teams), s.backlog.top())
+		}
+		for _, v := range s.listed {
+			if v.orphans > 0 {
+				w.t.Errorf("seed %d: %d orphans left on %s", w.seed, v.orphans, v.rule.Name)
+			}
+		}
+	}
+}
+
+// fail ends all that runs on a server.
+func (w *world) fail(v *fakeServer) {
+	for _, r := range w.routers {
+		for _, run := range r.runs() {
+			if run.Server == v.rule.Name {
+				w.finish(r, run.Grant, fleet.OutcomeFailed)
+			}
+		}
+	}
+}
+
+var (
+	firstSeed = flag.Uint64("first", 0, "first seed of the random tests")
+	seeds     = flag.Uint64("seeds", 60, "number of seeds of the random tests")
+)
+
+func TestRandomEvents(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			w := randomWorld(t, seed)
+			w.run(6 * time.Second)
+			w.calm()
+		})
+	}
+}
--- a/core/sched/router.go
+++ b/core/sched/router.go
@@ -22,6 +22,7 @@
 	entries    map[string]*entry
 	grants     map[uint64]*grant
 	unseen     []*grant // grants that it has not acknowledged, oldest first
+	doubtful   []*grant // acknowledged grants that may have been lost, oldest first
 	parked     []*entry // entries left out of the queues until the router is heard again
 }
 
@@ -93,6 +94,7 @@
 func (s *Scheduler) heard(now time.Duration, r *router, basis int64) {
 	r.basis, r.basisAt = basis, now
 	s.lapseUnseen(now, r)
+	s.orphanDoubtful(now, r)
 	parked := r.parked
 	r.parked = nil
 	for _, e := range parked {
@@ -109,15 +111,36 @@
 		g.seen = true
 		g.entry.unseen--
 		s.queueEntry(g.entry)
+		if g.doubtful {
+			r.doubtful = append(r.doubtful, g)
+		}
 		n++
 	}
 	r.unseen = r.unseen[n:]
 }
 
-// lapseUnseen frees grants that the router, by its own clock, would not use any more.
+// lapsed reports whether the router, by its own clock, would not use the grant any more.
+func (r *router) lapsed(now time.Duration, g *grant) bool {
+	return r.basis > g.basis+lapse && now > g.basisAt+fleet.GrantLifetime+fleet.ClockDrift
+}
+
+// orphanDoubtful leaves it to the servers' reports whether grants that may have been lost still run.
+func (s *Scheduler) orphanDoubtful(now time.Duration, r *router) {
+	n := 0
+	for n < len(r.doubtful) && r.lapsed(now, r.doubtful[n]) {
+		g := r.doubtful[n]
+		n++
+		if g.doubtful && s.grants[g.id] == g {
+			s.orphan(now, g)
+		}
+	}
+	r.doubtful = r.doubtful[n:]
+}
+
+// lapseUnseen frees grants that the router never took up.
 func (s *Scheduler) lapseUnseen(now time.Duration, r *router) {
 	n := 0
-	for n < len(r.unseen) && r.basis > r.unseen[n].basis+lapse && now > r.unseen[n].basisAt+fleet.GrantLifetime+fleet.ClockDrift {
+	for n < len(r.unseen) && r.lapsed(now, r.unseen[n]) {
 		g := r.unseen[n]
 		n++
 		s.Lapsed++
@@ -141,6 +164,7 @@
 			g.server.limiter.Lost()
 			s.release(now, g, g.charged)
 		}
+		g.doubtful = !g.seen
 	}
 	waiting := make(map[string]bool, len(d.Waiting))
 	for _, w := range d.Waiting {
@@ -221,16 +245,3 @@
 	}
 	s.countLent()
 }
-
-// orphan turns a lost router's grant into load that only the server's reports can free.
-func (s *Scheduler) orphan(now time.Duration, g *grant) {
-	v := g.server
-	v.limiter.Lost()
-	s.release(now, g, g.charged)
-	v.orphans++
-	v.orphanedAt, v.spares = now, 0
-	if v.lost == nil {
-		v.lost = map[uint64]bool{}
-	}
-	v.lost[g.id] = true
-}
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -79,6 +79,7 @@
 	idle     queue // teams without, that are still ahead of the rest
 	level    float64
 	grants   map[uint64]*grant
+	lost     map[uint64]*server // orphans
 	memory   memory
 	expected []expectation
 }
@@ -184,6 +185,7 @@
 	s.routers = map[string]*router{}
 	s.teams = map[string]*team{}
 	s.grants = map[uint64]*grant{}
+	s.lost = map[uint64]*server{}
 	s.Settings = s.Settings.withDefaults()
 }
 
--- a/core/sched/server.go
+++ b/core/sched/server.go
@@ -23,8 +23,8 @@
 	outstanding int           // grants in the hands of live routers
 	orphans     int           // grants of routers that were lost
 	orphanedAt  time.Duration
-	lost        map[uint64]bool // IDs of the orphans
-	foreign     int             // reported load that no grant explains
+	lost        int // orphans, those included that reports freed and that may yet be heard of
+	foreign     int // reported load that no grant explains
 	spare       [orphanReports]int
 	spares      int // reports since the last orphan
 	recent      peak
@@ -109,7 +109,11 @@
 	v.limiter.Load(now, l)
 	v.recent.note(now, s.Settings.ReportLag, v.outstanding)
 	v.foreign = max(0, l.Running+l.Waiting-v.recent.highest())
+	before := v.orphans
 	v.freeOrphans(now, l)
+	if v.orphans < before {
+		s.forgetLost()
+	}
 	s.touch(v)
 }
 
@@ -129,16 +133,38 @@
 		most = max(most, n)
 	}
 	v.orphans = min(v.orphans, most)
-	if v.orphans == 0 {
-		v.lost = nil
-	}
+}
+
+// orphan turns a grant into load that only its server's reports, or news of it, can free.
+func (s *Scheduler) orphan(now time.Duration, g *grant) {
+	v := g.server
+	v.limiter.Lost()
+	s.release(now, g, g.charged)
+	v.orphans++
+	v.lost++
+	v.orphanedAt, v.spares = now, 0
+	s.lost[g.id] = v
 }
 
 // found takes a grant back from the orphans.
-func (v *server) found(id uint64) {
-	if v.lost[id] {
-		delete(v.lost, id)
-		v.orphans = max(0, v.orphans-1)
+func (s *Scheduler) found(id uint64) {
+	v := s.lost[id]
+	if v == nil {
+		return
+	}
+	delete(s.lost, id)
+	v.lost--
+	v.orphans = min(v.orphans, v.lost)
+	s.touch(v)
+}
+
+// forgetLost drops the IDs of orphans that were freed.
+func (s *Scheduler) forgetLost() {
+	for id, v := range s.lost {
+		if v.orphans == 0 {
+			delete(s.lost, id)
+			v.lost = 0
+		}
 	}
 }
 
--- a/core/sched/team.go
+++ b/core/sched/team.go
@@ -32,6 +32,8 @@
 	basis   int64
 	basisAt time.Duration
 	seen    bool
+
+	doubtful bool // sent before a full demand that did not know it: it may be lost
 }
 
 // expectation is a team that is likely to ask again at once.
@@ -178,6 +180,7 @@
 	if g == nil || g.router != r {
 		g = s.adopt(now, r, p)
 	}
+	g.doubtful = false
 	if p.Cost <= g.used {
 		return
 	}
@@ -194,7 +197,7 @@
 	}
 	g := &grant{id: p.Grant, team: s.team(p.Team), router: r, server: s.server(p.Server), seen: true}
 	g.charged, g.used = p.Cost, p.Cost
-	g.server.found(g.id)
+	s.found(g.id)
 	s.hold(now, g)
 	return g
 }
@@ -224,6 +227,7 @@
 func (s *Scheduler) done(now time.Duration, r *router, d fleet.Done) {
 	g := s.grants[d.Grant]
 	if g == nil || g.router != r {
+		s.found(d.Grant)
 		return
 	}
 	s.sawUnseen(r, g)
