--- /dev/null
+++ b/stage/chart/doc.go
@@ -0,0 +1,2 @@
+// Package chart draws bars for pages.
+package chart
--- /dev/null
+++ b/stage/trial/doc.go
@@ -0,0 +1,2 @@
+// Package trial runs one load on one fleet and gathers what it showed.
+package trial
--- /dev/null
+++ b/stage/usage/doc.go
@@ -0,0 +1,2 @@
+// Package usage reads what the processes that this one started have used.
+package usage
