Make a router's control state one deterministic machine, and replay its traces

Cause: decisions were spread over the control goroutine, which read the clocks and maps itself, so that nothing recorded could be replayed. While moving it, a key's home was found to free a record on any router's KeyClose: a router that had asked in vain and taken its question back could let the key run a second time. After: a close counts only with the ticket of the question that was answered KeyRun; the test passes.

--- a/core/keys/home.go
+++ b/core/keys/home.go
@@ -63,6 +63,8 @@
 // record is one key's request.
 type record struct {
 	key     recordKey
+	router  string // that was permitted to send the request
+	ticket  uint64 // of its question
 	digest  uint64
 	verdict fleet.KeyVerdict // KeyInProgress, KeyAnswered or KeyUnknown
 	begun   time.Duration
@@ -136,7 +138,7 @@
 }
 
 // Open decides whether the request of a key may be sent; only KeyRun permits it, and only once.
-func (h *Home) Open(now time.Duration, wall time.Time, _ string, o fleet.KeyOpen) fleet.KeyAnswer {
+func (h *Home) Open(now time.Duration, wall time.Time, from string, o fleet.KeyOpen) fleet.KeyAnswer {
 	h.init()
 	refused := func(v fleet.KeyVerdict, r fleet.Reason) fleet.KeyAnswer {
 		return fleet.KeyAnswer{Ticket: o.Ticket, Verdict: v, Reason: r}
@@ -159,7 +161,7 @@
 		return refused(fleet.KeyRefused, fleet.ReasonKeyInvalid)
 	case !minted.After(h.slots[number].since.Add(h.Guard())), minted.Before(wall.Add(-h.oldest())):
 		return refused(fleet.KeyUnknown, fleet.ReasonKeyTooOld)
-	case !h.begin(now, key, o.Digest):
+	case !h.begin(now, &record{key: key, router: from, ticket: o.Ticket, digest: o.Digest}):
 		return refused(fleet.KeyRefused, fleet.ReasonTooManyOpen)
 	}
 	return fleet.KeyAnswer{Ticket: o.Ticket, Verdict: fleet.KeyRun, Reason: fleet.ReasonGranted}
@@ -192,13 +194,13 @@
 }
 
 // begin records that a key's request may run; it fails when there is no room for the record.
-func (h *Home) begin(now time.Duration, key recordKey, digest uint64) bool {
-	r := &record{key: key, digest: digest, verdict: fleet.KeyInProgress, begun: now}
+func (h *Home) begin(now time.Duration, r *record) bool {
+	r.verdict, r.begun = fleet.KeyInProgress, now
 	h.shrink(r.size())
 	if h.bytes+r.size() > h.Settings.Bytes {
 		return false
 	}
-	h.records[key] = r
+	h.records[r.key] = r
 	h.order = append(h.order, r)
 	h.bytes += r.size()
 	return true
@@ -217,11 +219,12 @@
 	}
 }
 
-// Close records how a key's request ended; only the router that was answered KeyRun may send it.
-func (h *Home) Close(_ time.Duration, c fleet.KeyClose) {
+// Close records how a key's request ended; it has no effect unless it belongs to the question that was answered KeyRun:
+// a router that asked in vain, or no longer waits, must not end another router's attempt.
+func (h *Home) Close(_ time.Duration, from string, c fleet.KeyClose) {
 	h.init()
 	r := h.records[recordKey{c.Team, strings.ToLower(c.Key)}]
-	if r == nil || r.verdict == fleet.KeyAnswered {
+	if r == nil || r.verdict == fleet.KeyAnswered || r.router != from || r.ticket != c.Ticket {
 		return
 	}
 	switch c.Outcome {
--- a/core/keys/home_test.go
+++ b/core/keys/home_test.go
@@ -90,8 +90,8 @@
 }
 
 func (b *bench) end(key string, outcome fleet.KeyVerdict, body string) {
-	b.home.Close(b.now, fleet.KeyClose{
-		Team: "joiners", Key: key, Outcome: outcome, Answer: fleet.Answer{Status: 201, Body: []byte(body)},
+	b.home.Close(b.now, "router-1", fleet.KeyClose{
+		Ticket: 5, Team: "joiners", Key: key, Outcome: outcome, Answer: fleet.Answer{Status: 201, Body: []byte(body)},
 	})
 }
 
--- a/core/keys/random_test.go
+++ b/core/keys/random_test.go
@@ -16,8 +16,9 @@
 
 // permit is a KeyRun that some entry router holds.
 type permit struct {
-	key  string
-	home int
+	key    string
+	home   int
+	ticket uint64
 }
 
 // homes passes the duty between routers that lose their memory, one holder at a time.
@@ -31,6 +32,7 @@
 	keys   []string
 	runs   map[string]int
 	open   []permit
+	ticket uint64
 	counts map[fleet.KeyVerdict]int
 }
 
@@ -63,10 +65,17 @@
 	if at < 0 || h.random.IntN(10) == 0 {
 		at = h.random.IntN(len(h.sites))
 	}
-	a := h.sites[at].home.Open(h.now, h.wall(at), "router", fleet.KeyOpen{Team: "joiners", Key: key, Digest: 1})
+	h.ticket++
+	o := fleet.KeyOpen{Ticket: h.ticket, Team: "joiners", Key: key, Digest: 1}
+	a := h.sites[at].home.Open(h.now, h.wall(at), "router", o)
 	h.counts[a.Verdict]++
-	if a.Verdict == fleet.KeyRun {
-		h.open = append(h.open, permit{key, at})
+	switch {
+	case a.Verdict == fleet.KeyRun:
+		h.open = append(h.open, permit{key, at, o.Ticket})
+	case h.random.IntN(4) == 0: // the asker no longer waited for this answer and takes its question back
+		h.sites[at].home.Close(h.now, "router", fleet.KeyClose{
+			Ticket: o.Ticket, Team: o.Team, Key: key, Outcome: fleet.KeyRefused,
+		})
 	}
 }
 
@@ -78,7 +87,7 @@
 	i := h.random.IntN(len(h.open))
 	p := h.open[i]
 	h.open = append(h.open[:i], h.open[i+1:]...)
-	c := fleet.KeyClose{Team: "joiners", Key: p.key, Outcome: fleet.KeyRefused}
+	c := fleet.KeyClose{Ticket: p.ticket, Team: "joiners", Key: p.key, Outcome: fleet.KeyRefused}
 	if h.random.IntN(4) > 0 {
 		h.runs[p.key]++
 		if h.runs[p.key] > 1 {
@@ -89,9 +98,9 @@
 	switch h.random.IntN(4) {
 	case 0: // lost
 	case 1:
-		h.sites[h.random.IntN(len(h.sites))].home.Close(h.now, c)
+		h.sites[h.random.IntN(len(h.sites))].home.Close(h.now, "router", c)
 	default:
-		h.sites[p.home].home.Close(h.now, c)
+		h.sites[p.home].home.Close(h.now, "router", c)
 	}
 }
 
--- /dev/null
+++ b/core/node/peers.go
@@ -0,0 +1,124 @@
+package node
+
+import (
+	"maps"
+	"slices"
+
+	"mangolug.org/core/fleet"
+)
+
+// send stamps a message for a peer.
+func (n *Node) send(to string, m fleet.Message) {
+	m.Incarnation = n.Start.Incarnation
+	m.Stamp = n.members.Clock(n.now)
+	m.Echo, m.Echoed = n.members.Echo(to), n.seen[to]
+	n.do(Effect{Send: &Send{To: to, Message: m}})
+}
+
+// receive handles one message; those of an earlier incarnation or of a VM that is not listed are dropped.
+func (n *Node) receive(from string, m *fleet.Message) {
+	if _, listed := n.listed[from]; !listed {
+		n.count("peers.notListed")
+		return
+	}
+	if !n.sameOrNewer(from, m.Incarnation) {
+		n.count("peers.oldIncarnation")
+		return
+	}
+	switch {
+	case m.Heartbeat != nil:
+		n.heartbeat(from, m)
+	case m.Demand != nil:
+		c := n.ensureCell(m.Demand.Cell)
+		c.asked = n.now
+		c.scheduler.Take(n.now, from, n.listed[from].DataCentre, m.Stamp, *m.Demand)
+	case m.Grants != nil:
+		n.deliver(n.room.Grants(n.now, from, n.members.Clock(n.now), *m.Grants))
+	case m.KeyOpen != nil:
+		answer := n.openHere(from, *m.KeyOpen)
+		n.send(from, fleet.Message{KeyAnswer: &answer})
+	case m.KeyAnswer != nil:
+		n.answerOpen(*m.KeyAnswer, from)
+	case m.KeyClose != nil:
+		n.home.Close(n.now, from, *m.KeyClose)
+	case m.ConfigAsk != nil:
+		n.answerConfig(from, m.ConfigAsk.After)
+	case m.ConfigText != nil:
+		n.offer(m.ConfigText.Version, m.ConfigText.Text, from)
+	}
+}
+
+func (n *Node) heartbeat(from string, m *fleet.Message) {
+	echo := m.Echo
+	if m.Echoed != n.Start.Incarnation {
+		echo = 0
+	}
+	n.members.Receive(n.now, from, uint64(m.Incarnation), m.Stamp, echo, *m.Heartbeat)
+	n.keeper.Heard(n.now, from, m.Heartbeat.ConfigVersion)
+	for _, id := range n.order {
+		n.cells[id].scheduler.Heard(n.now, from, m.Stamp)
+	}
+}
+
+// sameOrNewer notes a peer's incarnation; a new one forgets what the earlier one asked for.
+func (n *Node) sameOrNewer(from string, incarnation uint32) bool {
+	last, known := n.seen[from]
+	if known && last == incarnation {
+		return true
+	}
+	if known && int32(incarnation-last) < 0 {
+		return false
+	}
+	n.seen[from] = incarnation
+	if known {
+		n.forget(from)
+	}
+	return true
+}
+
+func (n *Node) forget(router string) {
+	for _, id := range n.order {
+		n.cells[id].scheduler.Forget(n.now, router)
+	}
+}
+
+// beat sends the heartbeats that are due.
+func (n *Node) beat() {
+	for _, b := range n.members.Tick(n.now) {
+		n.send(b.To, fleet.Message{Heartbeat: &b.Heartbeat})
+	}
+}
+
+// list applies the platform's list of VMs.
+func (n *Node) list(vms []fleet.VM) {
+	addresses := map[string]string{}
+	listed := map[string]fleet.VM{}
+	leaving := map[string]bool{}
+	for _, v := range vms {
+		switch {
+		case v.Router:
+			listed[v.Name] = v
+			if v.Name != n.Start.Self {
+				addresses[v.Name] = v.Address
+			}
+		case v.State == fleet.VMLeaving:
+			leaving[v.Name] = true
+		}
+	}
+	n.do(Effect{Links: &Links{Addresses: addresses}})
+	for _, name := range n.listedNames() {
+		if _, still := listed[name]; !still {
+			n.keeper.Gone(name)
+			n.forget(name)
+		}
+	}
+	n.listed, n.leaving = listed, leaving
+	n.members.List(n.now, vms)
+	n.configureCells()
+}
+
+// listedNames gives all listed routers, ascending.
+func (n *Node) listedNames() []string { return slices.Sorted(maps.Keys(n.listed)) }
+
+// sorted gives the names of a set, ascending, so that no step depends on the order of a map.
+func sorted(set map[string]bool) []string { return slices.Sorted(maps.Keys(set)) }
--- a/router/admin/server.go
+++ b/router/admin/server.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
+	"net/http/pprof"
 	"strings"
 
 	"github.com/go-kit/kit/endpoint"
@@ -22,6 +24,7 @@
 	Team     func(ctx context.Context, team string) (*report.TeamExplanation, error)
 	Stories  *Stories
 	Registry metrics.Registry
+	Trace    func(w io.Writer) (bool, error) // writes the recorded trace, compressed; false when none is kept
 }
 
 // NotFoundError says what is not known here.
@@ -40,6 +43,9 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", s.readyz)
 	mux.HandleFunc("GET /metrics", s.metrics)
+	mux.HandleFunc("GET /trace", s.trace)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.Handle("GET /status", serve(s.status))
 	mux.Handle("GET /explain/request/{name}", serve(s.explainRequest))
 	mux.Handle("GET /explain/team/{name}", serve(s.explainTeam))
@@ -80,6 +86,17 @@
 	writeText(w, s.Registry)
 }
 
+func (s *Server) trace(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/gzip")
+	kept, err := s.Trace(w)
+	if !kept {
+		http.Error(w, "no trace is kept; start the router with --trace-bytes", http.StatusNotFound)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+	}
+}
+
 func (s *Server) status(ctx context.Context, _ interface{}) (interface{}, error) {
 	return s.Status(ctx)
 }
--- a/router/boot/router.go
+++ b/router/boot/router.go
@@ -12,7 +12,9 @@
 	"github.com/rcrowley/go-metrics"
 
 	"mangolug.org/core/fleet"
+	"mangolug.org/core/node"
 	"mangolug.org/core/report"
+	"mangolug.org/core/trace"
 	"mangolug.org/router/admin"
 	"mangolug.org/router/back"
 	"mangolug.org/router/front"
@@ -38,6 +40,7 @@
 	links    *peers.Links
 	client   *back.Client
 	front    *front.Front
+	trace    *memory // nil unless steps are recorded
 }
 
 // sockets are opened before anything runs, so that a taken address is told at once.
@@ -69,12 +72,18 @@
 	r.client = &back.Client{Settings: back.Settings{Source: net.ParseIP(s.Source)}}
 	r.links = &peers.Links{Trust: r.trust, Source: net.ParseIP(s.Source), Log: r.log, Metrics: r.registry}
 	r.loop = &loop.Loop{
-		Self: s.Name, DataCentre: s.DataCentre, Began: began,
-		Incarnation: uint32(began.UnixNano() / int64(incarnationStep)),
-		Policy:      s.policy(), Alone: s.Policy == "alone",
-		Send:   func(peer string, m *wire.Message) bool { return r.links.Send(peer, wire.Encode(m)) },
+		Start: node.Start{
+			Self: s.Name, DataCentre: s.DataCentre, Incarnation: uint32(began.UnixNano() / int64(incarnationStep)),
+			Policy: s.policy(), Alone: s.Policy == "alone", Seed: uint64(began.UnixNano()),
+		},
+		Began:  began,
+		Send:   func(peer string, m *fleet.Message) { r.links.Send(peer, wire.Encode(m)) },
 		LoadOf: r.client.Load, Log: r.log, Metrics: r.registry,
 	}
+	if s.TraceBytes > 0 {
+		r.trace = newMemory(s.TraceBytes)
+		r.loop.Trace = &trace.Writer{Out: r.trace}
+	}
 	r.links.Linked = r.loop.Linked
 	r.loop.Init()
 	r.front = &front.Front{
@@ -168,7 +177,7 @@
 
 func (r *Router) operators() http.Handler {
 	server := &admin.Server{
-		Ready: r.ready, Status: r.loop.Status, Stories: r.stories, Registry: r.registry,
+		Ready: r.ready, Status: r.loop.Status, Stories: r.stories, Registry: r.registry, Trace: r.trace.dump,
 		Team: func(ctx context.Context, team string) (*report.TeamExplanation, error) {
 			t, err := r.loop.Team(ctx, team)
 			if err == nil {
--- a/router/boot/settings.go
+++ b/router/boot/settings.go
@@ -28,6 +28,7 @@
 	Policy      string        `long:"policy" env:"MANGOLUG_POLICY" default:"fair" choice:"fair" choice:"leastLoaded" choice:"alone" description:"fair, or a baseline to measure against"`
 	DrainDelay  time.Duration `long:"drain-delay" env:"MANGOLUG_DRAIN_DELAY" default:"2s" description:"how long a stopping router still takes callers, while the balancer learns of it"`
 	DrainLimit  time.Duration `long:"drain-limit" env:"MANGOLUG_DRAIN_LIMIT" default:"60s" description:"how long a stopping router lets requests finish"`
+	TraceBytes  int64         `long:"trace-bytes" env:"MANGOLUG_TRACE_BYTES" default:"0" description:"memory, compressed, for a trace of all control decisions since the start; 0 records none"`
 	LogLevel    string        `long:"log-level" env:"MANGOLUG_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level that is logged"`
 }
 
@@ -93,6 +94,9 @@
 	if s.DrainDelay < 0 || s.DrainLimit < s.DrainDelay {
 		return &SettingError{"drain-limit", s.DrainLimit.String(), "a duration of at least drain-delay"}
 	}
+	if s.TraceBytes < 0 {
+		return &SettingError{"trace-bytes", fmt.Sprint(s.TraceBytes), "0 or a number of bytes"}
+	}
 	return nil
 }
 
--- a/router/loop/doc.go
+++ b/router/loop/doc.go
@@ -1,4 +1,3 @@
-// Package loop is the one goroutine that owns a router's control state:
-// membership, configuration, waiting rooms, the cells it schedules and the
-// keys it is home of.
+// Package loop feeds a router's control state from one goroutine: traffic,
+// peers and the platform hand it events, and it carries out the effects.
 package loop
--- /dev/null
+++ b/router/loop/effect.go
@@ -0,0 +1,109 @@
+package loop
+
+import (
+	"context"
+	"time"
+
+	"mangolug.org/core/entry"
+	"mangolug.org/core/fleet"
+	"mangolug.org/core/node"
+)
+
+const (
+	// pollPeriod is the time between two load reports of one backend server.
+	pollPeriod = 500 * time.Millisecond
+	// pollTimeout bounds one load report.
+	pollTimeout = 400 * time.Millisecond
+)
+
+// carryOut does what the control state decided.
+func (l *Loop) carryOut(ctx context.Context, e *node.Effect) {
+	switch {
+	case e.Send != nil:
+		l.Send(e.Send.To, &e.Send.Message)
+	case e.Verdict != nil:
+		l.deliver(e.Verdict)
+	case e.Key != nil:
+		if waiting, found := l.asked[e.Key.Ask]; found {
+			delete(l.asked, e.Key.Ask)
+			waiting <- e.Key.Answer
+		}
+	case e.Links != nil:
+		l.SetPeers(e.Links.Addresses)
+	case e.Poll != nil:
+		l.poll(ctx, e.Poll)
+	case e.Notice != nil:
+		l.log(e.Notice)
+	}
+}
+
+func (l *Loop) deliver(v *entry.Verdict) {
+	if waiting, found := l.waiting[v.Request]; found {
+		delete(l.waiting, v.Request)
+		waiting <- *v
+	}
+}
+
+// poll keeps one goroutine for each backend server that is to be asked for its load.
+func (l *Loop) poll(ctx context.Context, p *node.Poll) {
+	if stop := l.polls[p.Cell]; stop != nil {
+		stop()
+		delete(l.polls, p.Cell)
+	}
+	if len(p.Servers) == 0 {
+		return
+	}
+	ctx, stop := context.WithCancel(ctx)
+	l.polls[p.Cell] = stop
+	for server, address := range p.Servers {
+		go l.pollServer(ctx, p.Cell, server, address)
+	}
+}
+
+func (l *Loop) pollServer(ctx context.Context, cell fleet.Cell, server, address string) {
+	ticker := time.NewTicker(pollPeriod)
+	defer ticker.Stop()
+	for {
+		asking, cancel := context.WithTimeout(ctx, pollTimeout)
+		report, err := l.LoadOf(asking, server, address)
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		report.Server = server
+		l.post(input{event: node.Event{Load: &node.Load{Cell: cell, Report: report, Failed: err != nil}}})
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// log writes a notice as one line of key=value pairs.
+func (l *Loop) log(n *node.Notice) {
+	if l.Log == nil {
+		return
+	}
+	var pairs []interface{}
+	if n.Cell.Product != "" {
+		pairs = append(pairs, "cell", n.Cell, "term", n.Term)
+	}
+	if n.Version > 0 {
+		pairs = append(pairs, "version", n.Version)
+	}
+	if n.From != "" {
+		pairs = append(pairs, "from", n.From)
+	}
+	if n.After > 0 {
+		pairs = append(pairs, "after", n.After)
+	}
+	switch n.Kind {
+	case node.NoticeRefused:
+		l.Log.Warn(n.Kind.String(), append(pairs, "why", n.Why)...)
+	case node.NoticeWokeLate, node.NoticePeerLost:
+		l.Log.Warn(n.Kind.String(), pairs...)
+	default:
+		l.Log.Info(n.Kind.String(), pairs...)
+	}
+}
--- a/router/loop/loop.go
+++ b/router/loop/loop.go
@@ -6,211 +6,155 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"mangolug.org/core/conf"
 	"mangolug.org/core/entry"
 	"mangolug.org/core/fleet"
-	"mangolug.org/core/keys"
-	"mangolug.org/core/member"
-	"mangolug.org/core/sched"
-	"mangolug.org/router/wire"
+	"mangolug.org/core/node"
+	"mangolug.org/core/trace"
 )
 
 const (
 	// inboxLength is how many events may wait for the loop.
 	inboxLength = 4096
-	// batchLimit is how many waiting events are taken before their effects are sent, in one go.
+	// batchLimit is how many waiting events are handled in one step.
 	batchLimit = 256
-	// tickPeriod is the longest time between two passes.
-	tickPeriod = 100 * time.Millisecond
-	// passPause is the shortest time between two passes that no event asked for.
-	passPause = time.Millisecond
+	// shortestRest is the least time between two steps that no event asked for.
+	shortestRest = time.Millisecond
 )
 
-// Loop owns the control state; set the exported fields, then call Run.
+// Loop owns the control state; set the exported fields, call Init and then Run.
 type Loop struct {
-	Self        string
-	DataCentre  string
-	Admin       string // own admin address
-	Incarnation uint32
-	Began       time.Time // start of the monotonic clock
-	Policy      sched.Policy
-	Alone       bool // a baseline: this router schedules all that arrives here, without its peers
-	Room        entry.Room
-
-	Send     func(peer string, m *wire.Message) bool                               // queues a message for a peer
+	Start node.Start
+	Began time.Time // start of the monotonic clock
+
+	Send     func(peer string, m *fleet.Message)                                   // queues a message for a peer
 	SetPeers func(addresses map[string]string)                                     // opens links to the listed peers
 	LoadOf   func(ctx context.Context, server, address string) (fleet.Load, error) // asks a backend server
+	Trace    *trace.Writer                                                         // nil records nothing
 	Log      *log.Logger                                                           // nil logs nothing
 	Metrics  metrics.Registry                                                      // nil uses the default registry
 
-	inbox   chan event
-	ended   chan struct{} // closed when Run has returned
-	current atomic.Pointer[conf.InForce]
-	ready   atomic.Int32 // a fleet.Reason
-	drain   atomic.Bool
-	reader  atomic.Bool
-	urgent  atomic.Bool
-	newest  atomic.Uint64
-
-	members   member.Members
-	keeper    conf.Keeper
-	home      keys.Home
-	cells     map[fleet.Cell]*cell
-	waiting   map[string]admission // by request
-	opens     map[uint64]keyOpening
-	opened    map[keyName]string // home that let a key run
-	ticket    uint64
-	listed    map[string]fleet.VM
-	leaving   map[string]bool
-	seen      map[string]uint32 // incarnation last heard of each peer
-	settled   bool
-	lastTick  time.Duration
-	lastPass  time.Duration
-	loopUntil context.Context
-}
-
-// cell is a cell that this router schedules or was asked to schedule.
-type cell struct {
-	scheduler *sched.Scheduler
-	lenders   int
-	listed    int
-	asked     time.Duration // last demand or own holding
-	stopPolls context.CancelFunc
-	polled    map[string]string // servers polled, with address
+	inbox chan input
+	ended chan struct{} // closed when Run has returned
+	ask   atomic.Uint64
+
+	state   node.Node
+	events  []node.Event
+	waiting map[string]chan entry.Verdict // by request
+	asked   map[uint64]chan fleet.KeyAnswer
+	polls   map[fleet.Cell]context.CancelFunc
+
+	current  atomic.Pointer[conf.InForce]
+	ready    atomic.Int32 // a fleet.Reason
+	draining atomic.Bool
+	reader   atomic.Bool
+	urgent   atomic.Bool
+	newest   atomic.Uint64
 }
 
-// Init makes the zero parts ready; call it once before any other method.
+// Init makes the loop ready to take events.
 func (l *Loop) Init() {
-	l.inbox = make(chan event, inboxLength)
+	l.inbox = make(chan input, inboxLength)
 	l.ended = make(chan struct{})
+	l.waiting = map[string]chan entry.Verdict{}
+	l.asked = map[uint64]chan fleet.KeyAnswer{}
+	l.polls = map[fleet.Cell]context.CancelFunc{}
 	l.ready.Store(int32(fleet.ReasonNotReady))
-	l.keeper.Self = l.Self
-	l.members.Self, l.members.DataCentre, l.members.Incarnation = l.Self, l.DataCentre, uint64(l.Incarnation)
-	l.Room.Self = l.Self
-	l.cells = map[fleet.Cell]*cell{}
-	l.waiting = map[string]admission{}
-	l.opens = map[uint64]keyOpening{}
-	l.opened = map[keyName]string{}
-	l.listed = map[string]fleet.VM{}
-	l.leaving = map[string]bool{}
-	l.seen = map[string]uint32{}
+	l.state.Start = l.Start
+	l.state.Count = func(name string) { l.counter(name).Inc(1) }
 }
 
 // Now gives the time since the process began.
 func (l *Loop) Now() time.Duration { return time.Since(l.Began) }
 
-// Rules gives the configuration in force; nil before the first.
-func (l *Loop) Rules() *conf.InForce { return l.current.Load() }
-
-// Ready says why callers are not served now; ReasonNone when they are, also while the router drains.
-func (l *Loop) Ready() fleet.Reason { return fleet.Reason(l.ready.Load()) }
-
-// Draining says whether the router is stopping.
-func (l *Loop) Draining() bool { return l.drain.Load() }
-
-// Urgent says whether this router schedules a cell and so needs the list of VMs at once.
-func (l *Loop) Urgent() bool { return l.urgent.Load() }
-
-// Reader says whether this router is one of those that watch the platform.
-func (l *Loop) Reader() bool { return l.reader.Load() }
-
-// Drain makes this router give up its duties; it goes on serving what it has.
-func (l *Loop) Drain() { l.drain.Store(true) }
-
 // Run handles events until the context ends.
 func (l *Loop) Run(ctx context.Context) error {
 	defer close(l.ended)
-	l.loopUntil = ctx
+	if l.Trace != nil {
+		if err := l.Trace.Begin(trace.Header{Start: l.Start}); err != nil {
+			return err
+		}
+	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
+		var batch []input
 		select {
 		case <-ctx.Done():
 			return nil
-		case e := <-l.inbox:
-			l.woke()
-			l.handle(l.Now(), e)
-			l.takeWaiting()
+		case i := <-l.inbox:
+			batch = l.gather(i)
 		case <-timer.C:
-			l.woke()
 		}
-		now := l.Now()
-		l.pass(now)
-		timer.Reset(l.rest(now))
+		l.step(ctx, batch)
+		timer.Reset(max(l.state.Rest(), shortestRest))
 	}
 }
 
-// takeWaiting handles what else waits in the inbox, so that one pass sends the effects of all.
-func (l *Loop) takeWaiting() {
-	for range batchLimit {
+// gather takes what else waits in the inbox, so that one step handles all of it.
+func (l *Loop) gather(first input) []input {
+	batch := []input{first}
+	for len(batch) < batchLimit {
 		select {
-		case e := <-l.inbox:
-			l.handle(l.Now(), e)
+		case i := <-l.inbox:
+			batch = append(batch, i)
 		default:
-			return
+			return batch
 		}
 	}
+	return batch
 }
 
-// pass runs what time has made due and sends what changed.
-func (l *Loop) pass(now time.Duration) {
-	if now-l.lastTick >= tickPeriod || l.lastTick == 0 {
-		l.lastTick = now
-		l.tick(now)
+// step hands a batch of events to the control state and carries out the effects.
+func (l *Loop) step(ctx context.Context, batch []input) {
+	l.events = l.events[:0]
+	for i := range batch {
+		if batch[i].query == nil {
+			l.register(&batch[i])
+			l.events = append(l.events, batch[i].event)
+		}
 	}
-	l.deliver(l.Room.Expire(now))
-	l.beat(now)
-	l.flush(now)
-}
-
-// tick does the periodic work that needs no exact time.
-func (l *Loop) tick(now time.Duration) {
-	if l.drain.Load() {
-		l.members.Drain(now)
+	now, wall := l.Now(), time.Now()
+	effects := l.state.Step(now, wall, l.events)
+	l.record(now, wall, effects)
+	for i := range effects {
+		l.carryOut(ctx, &effects[i])
+	}
+	l.publish()
+	for i := range batch {
+		l.settle(&batch[i])
 	}
-	l.reader.Store(l.members.Reader(now))
-	l.urgent.Store(l.schedules())
-	l.settle(now)
-	l.askConfig(now)
-	l.holdKeys(now)
-	l.expireOpens(now)
-	l.dropIdleCells(now)
 }
 
-// rest gives the time until something is due.
-func (l *Loop) rest(now time.Duration) time.Duration {
-	next := now + tickPeriod
-	if at, due := l.Room.Wake(); due {
-		next = min(next, at)
+func (l *Loop) record(now time.Duration, wall time.Time, effects []node.Effect) {
+	if l.Trace == nil {
+		return
 	}
-	for _, c := range l.cells {
-		if at, due := c.scheduler.Wake(); due && c.lenders > 0 {
-			next = min(next, at)
+	err := l.Trace.Add(&trace.Step{Now: now, Wall: wall.UnixNano(), Events: l.events, Effects: effects})
+	if err != nil {
+		l.Trace = nil
+		if l.Log != nil {
+			l.Log.Warn("trace ended", "error", err)
 		}
 	}
-	return max(next-now, passPause)
 }
 
-// woke lets membership compare the wall clock with the monotonic one, and notes a pause.
-func (l *Loop) woke() {
-	now := l.Now()
-	l.members.Wall(now, time.Duration(time.Now().UnixNano()))
-	if now-l.lastPass > fleet.SilenceLimit && l.lastPass > 0 {
-		l.counter("loop.pauses").Inc(1)
-		l.members.Woke(now)
-		if l.Log != nil {
-			l.Log.Warn("woke late", "after", now-l.lastPass)
-		}
-	}
-	l.lastPass = now
+// publish makes known what other goroutines read without asking.
+func (l *Loop) publish() {
+	l.current.Store(l.state.InForce())
+	l.ready.Store(int32(l.state.Ready()))
+	l.reader.Store(l.state.Reader())
+	l.urgent.Store(l.state.Urgent())
+	l.newest.Store(l.state.Newest())
 }
 
-// post hands an event to the loop; it says false when the loop has ended.
-func (l *Loop) post(e event) bool {
+// post hands an input to the loop; it says false when the loop has ended.
+func (l *Loop) post(i input) bool {
 	select {
-	case l.inbox <- e:
+	case l.inbox <- i:
 		return true
 	case <-l.ended:
 		return false
@@ -220,3 +164,6 @@
 func (l *Loop) counter(name string) metrics.Counter {
 	return metrics.GetOrRegisterCounter(name, l.Metrics)
 }
+
+// errEnded is returned to who asks a loop that has ended.
+var errEnded = errors.New("the control loop has ended")
--- a/router/peers/listen.go
+++ b/router/peers/listen.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 
+	"mangolug.org/core/fleet"
 	"mangolug.org/router/wire"
 )
 
@@ -23,9 +24,9 @@
 type Listener struct {
 	wire.UnimplementedLinkServer
 	Trust   *Trust
-	Receive func(from string, m *wire.Message) // called for each message, in order for each stream
-	Log     *log.Logger                        // nil logs nothing
-	Metrics metrics.Registry                   // nil uses the default registry
+	Receive func(from string, m *fleet.Message) // called for each message, in order for each stream
+	Log     *log.Logger                         // nil logs nothing
+	Metrics metrics.Registry                    // nil uses the default registry
 }
 
 // Serve accepts peers on an open socket until the context ends.
--- a/router/peers/peers_test.go
+++ b/router/peers/peers_test.go
@@ -34,7 +34,7 @@
 	}
 	arrived := make(chan string, 64)
 	registry := metrics.NewRegistry()
-	l := &Listener{Trust: trust, Metrics: registry, Receive: func(from string, _ *wire.Message) { arrived <- from }}
+	l := &Listener{Trust: trust, Metrics: registry, Receive: func(from string, _ *fleet.Message) { arrived <- from }}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
@@ -58,7 +58,7 @@
 	registry = metrics.NewRegistry()
 	links := &Links{Trust: trust, Metrics: registry}
 	links.Linked = func(p string) {
-		links.Send(p, wire.Encode(&wire.Message{Heartbeat: &fleet.Heartbeat{}}))
+		links.Send(p, wire.Encode(&fleet.Message{Heartbeat: &fleet.Heartbeat{}}))
 		select {
 		case opened <- p:
 		default:
--- a/router/wire/message.go
+++ b/router/wire/message.go
@@ -6,28 +6,11 @@
 	"mangolug.org/core/fleet"
 )
 
-// Message is one envelope in the decision core's types; exactly one body is set.
-type Message struct {
-	Incarnation uint32
-	Stamp       int64  // sender's clock, in milliseconds
-	Echo        int64  // receiver's stamp last received by the sender; 0 for none
-	Echoed      uint32 // incarnation of the receiver that Echo belongs to
-
-	Heartbeat  *fleet.Heartbeat
-	Demand     *fleet.Demand
-	Grants     *fleet.Grants
-	KeyOpen    *fleet.KeyOpen
-	KeyAnswer  *fleet.KeyAnswer
-	KeyClose   *fleet.KeyClose
-	ConfigAsk  *fleet.ConfigAsk
-	ConfigText *fleet.ConfigText
-}
-
 // ErrNoBody is returned for an envelope without a known body.
 var ErrNoBody = errors.New("envelope without a known body")
 
 // Encode gives the protobuf form of a message.
-func Encode(m *Message) *Envelope {
+func Encode(m *fleet.Message) *Envelope {
 	e := &Envelope{Incarnation: m.Incarnation, Stamp: m.Stamp, Echo: m.Echo, Echoed: m.Echoed}
 	switch {
 	case m.Heartbeat != nil:
@@ -47,7 +30,7 @@
 	case m.KeyClose != nil:
 		k := m.KeyClose
 		e.Body = &Envelope_KeyClose{KeyClose: &KeyClose{
-			Team: k.Team, Key: k.Key, Outcome: int64(k.Outcome), Answer: encodeAnswer(k.Answer),
+			Ticket: k.Ticket, Team: k.Team, Key: k.Key, Outcome: int64(k.Outcome), Answer: encodeAnswer(k.Answer),
 		}}
 	case m.ConfigAsk != nil:
 		e.Body = &Envelope_ConfigAsk{ConfigAsk: &ConfigAsk{After: m.ConfigAsk.After}}
@@ -58,8 +41,8 @@
 }
 
 // Decode gives a message in the core's types; its error is ErrNoBody or a *FieldError.
-func Decode(e *Envelope) (*Message, error) {
-	m := &Message{Incarnation: e.GetIncarnation(), Stamp: e.GetStamp(), Echo: e.GetEcho(), Echoed: e.GetEchoed()}
+func Decode(e *Envelope) (*fleet.Message, error) {
+	m := &fleet.Message{Incarnation: e.GetIncarnation(), Stamp: e.GetStamp(), Echo: e.GetEcho(), Echoed: e.GetEchoed()}
 	var c checker
 	switch b := e.GetBody().(type) {
 	case *Envelope_Heartbeat:
@@ -84,7 +67,7 @@
 	case *Envelope_KeyClose:
 		k := b.KeyClose
 		m.KeyClose = &fleet.KeyClose{
-			Team: c.name("team", k.GetTeam()), Key: c.name("key", k.GetKey()),
+			Ticket: k.GetTicket(), Team: c.name("team", k.GetTeam()), Key: c.name("key", k.GetKey()),
 			Outcome: fleet.KeyVerdict(c.enum("outcome", k.GetOutcome(), int64(fleet.KeyUnknown))),
 			Answer:  decodeAnswer(k.GetAnswer(), &c),
 		}
--- a/router/wire/wire_test.go
+++ b/router/wire/wire_test.go
@@ -11,10 +11,10 @@
 )
 
 // samples holds one message of each kind with all fields set.
-func samples() map[string]*Message {
+func samples() map[string]*fleet.Message {
 	cell := fleet.Cell{Product: "stain-llm", Part: 2}
 	answer := fleet.Answer{Status: 201, ContentType: "application/json", Body: []byte(`{"ok":true}`), Truncated: true}
-	return map[string]*Message{
+	return map[string]*fleet.Message{
 		"heartbeat": {Incarnation: 7, Stamp: 100, Echo: 90, Echoed: 3, Heartbeat: &fleet.Heartbeat{
 			View: []uint32{1, 5, 9}, ViewAge: 20, ViewSeq: 4, ConfigVersion: 11, Draining: true,
 		}},
@@ -29,7 +29,7 @@
 		}}},
 		"keyOpen":    {KeyOpen: &fleet.KeyOpen{Ticket: 1, Team: "farm", Key: "k", Digest: 8}},
 		"keyAnswer":  {KeyAnswer: &fleet.KeyAnswer{Ticket: 1, Verdict: fleet.KeyAnswered, Reason: fleet.ReasonKeyTooOld, Answer: answer}},
-		"keyClose":   {KeyClose: &fleet.KeyClose{Team: "farm", Key: "k", Outcome: fleet.KeyAnswered, Answer: answer}},
+		"keyClose":   {KeyClose: &fleet.KeyClose{Ticket: 6, Team: "farm", Key: "k", Outcome: fleet.KeyAnswered, Answer: answer}},
 		"configAsk":  {ConfigAsk: &fleet.ConfigAsk{After: 4}},
 		"configText": {ConfigText: &fleet.ConfigText{Version: 5, Text: []byte("text")}},
 	}
