Test fairness, starvation and the limiter, and adapt to lasting slowness

Cause: a server whose first bytes stayed late kept its limit at the floor for good. Ruled out: dropping the cut, which is the only sign of a server that turned cold unannounced. Before: limit 1 after 200 late requests. After: the norm follows within some 20 requests.

--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -17,6 +17,7 @@
 	slowFactor   = 4                     // times the norm that make a first byte slow
 	slowMargin   = 20 * time.Millisecond // least excess over the norm that makes a first byte slow
 	normWeight   = 16                    // requests over which the norm is averaged
+	slowWeight   = 64                    // weight of the norm against a slow request, so that a lasting change becomes the norm
 	normRequests = 4                     // requests before the norm counts
 
 	raisePeriod   = 250 * time.Millisecond // least time between two raises by reports
@@ -105,6 +106,7 @@
 	l.reason, l.backoff = fleet.ReasonNone, 0
 	if l.isSlow(first) {
 		l.slow++
+		l.norm += (first - l.norm) / slowWeight
 		if l.slow >= slowInRow {
 			l.cut(floor)
 			l.slow = 0
--- /dev/null
+++ b/core/limit/limit_test.go
@@ -0,0 +1,136 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mangolug.org/core/fleet"
+)
+
+const (
+	usual = 40_000  // microseconds to the first byte of a warm server
+	late  = 400_000 // microseconds to the first byte of a cold one
+)
+
+// ended is a request that ended, n times over.
+func ended(n int, outcome fleet.Outcome, first int64) func(*Limiter) {
+	return func(l *Limiter) {
+		for range n {
+			l.Start()
+			l.Done(0, fleet.Done{Outcome: outcome, FirstByte: first}, l.Limit())
+		}
+	}
+}
+
+func completed(n int) func(*Limiter) { return ended(n, fleet.OutcomeCompleted, usual) }
+
+func reported(at time.Duration, r fleet.Load) func(*Limiter) {
+	return func(l *Limiter) { l.Load(at, r) }
+}
+
+func TestLimit(t *testing.T) {
+	cases := map[string]struct {
+		steps []func(*Limiter)
+		want  []int // after each step
+	}{
+		"unknown starts at the floor and rises by completions": {
+			[]func(*Limiter){completed(0), completed(1), completed(2), completed(4), completed(100)},
+			[]int{1, 2, 4, 8, 16},
+		},
+		"little use proves nothing": {
+			[]func(*Limiter){completed(7), func(l *Limiter) { l.Done(0, fleet.Done{Outcome: fleet.OutcomeCompleted}, 1) }},
+			[]int{8, 8},
+		},
+		"an overload halves at once and the limit then rises slowly": {
+			[]func(*Limiter){completed(15), ended(1, fleet.OutcomeOverloaded, 0), completed(8), completed(9)},
+			[]int{16, 8, 9, 10},
+		},
+		"a burst of overloads leads to the floor": {
+			[]func(*Limiter){completed(15), ended(5, fleet.OutcomeOverloaded, 0)},
+			[]int{16, 1},
+		},
+		"returned and cancelled requests teach nothing": {
+			[]func(*Limiter){completed(7), ended(9, fleet.OutcomeReturned, 0), ended(9, fleet.OutcomeCancelled, 0)},
+			[]int{8, 8, 8},
+		},
+		"a new epoch leads to the floor": {
+			[]func(*Limiter){reported(0, fleet.Load{Epoch: 1}), completed(15), reported(0, fleet.Load{Epoch: 2, Running: 9})},
+			[]int{1, 16, 1},
+		},
+		"late first bytes in a row mean a cold server": {
+			[]func(*Limiter){completed(15), ended(2, fleet.OutcomeCompleted, late), ended(1, fleet.OutcomeCompleted, late)},
+			[]int{16, 16, 1},
+		},
+		"single late first bytes do not": {
+			[]func(*Limiter){completed(15), ended(2, fleet.OutcomeCompleted, late), completed(1), ended(2, fleet.OutcomeCompleted, late)},
+			[]int{16, 16, 16, 16},
+		},
+		"a lasting change becomes the norm": {
+			[]func(*Limiter){completed(15), ended(6, fleet.OutcomeCompleted, late), ended(200, fleet.OutcomeCompleted, late)},
+			[]int{16, 1, 16},
+		},
+		"a report lowers at once and raises slowly": {
+			[]func(*Limiter){
+				completed(15), reported(0, fleet.Load{Limit: 4}), reported(1, fleet.Load{Limit: 16}), completed(20),
+				reported(time.Second, fleet.Load{Limit: 16}), completed(20),
+			},
+			[]int{16, 4, 4, 4, 4, 5},
+		},
+		"a running server found by a new scheduler keeps its work": {
+			[]func(*Limiter){reported(0, fleet.Load{Running: 9})},
+			[]int{9},
+		},
+		"one found with a queue does not": {
+			[]func(*Limiter){reported(0, fleet.Load{Running: 9, Waiting: 1})},
+			[]int{1},
+		},
+		"a lasting queue lowers to what is in service": {
+			[]func(*Limiter){completed(15), reported(0, fleet.Load{Running: 6, Waiting: 5}), reported(0, fleet.Load{Running: 6, Waiting: 5})},
+			[]int{16, 16, 6},
+		},
+		"without reports the limit rises slowly": {
+			[]func(*Limiter){completed(1), func(l *Limiter) { l.LoadFailed(); l.LoadFailed(); l.LoadFailed() }, completed(2), completed(3)},
+			[]int{2, 2, 3, 4},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := &Limiter{Ceiling: 16}
+			var got []int
+			for _, step := range c.steps {
+				step(l)
+				got = append(got, l.Limit())
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("limits differ (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestSetAside(t *testing.T) {
+	l := &Limiter{Ceiling: 16}
+	ended(failuresKept, fleet.OutcomeFailed, 0)(l)
+	for now, backoff := time.Duration(0), firstBackoff; backoff < time.Minute; backoff *= 2 {
+		wait := min(backoff, lastBackoff)
+		if why, until := l.Held(now); why != fleet.ReasonServerFailed || until != now+wait {
+			t.Fatalf("held for %v until %v, want %v", why, until, now+wait)
+		}
+		now += wait
+		if why, _ := l.Held(now); why != fleet.ReasonNone || !l.Probing() {
+			t.Fatalf("not tried again after %v: %v", wait, why)
+		}
+		l.Start()
+		if why, _ := l.Held(now); why == fleet.ReasonNone {
+			t.Fatal("a second request while the first tries the server")
+		}
+		l.Done(now, fleet.Done{Outcome: fleet.OutcomeUnreached}, 1)
+	}
+	l.Start()
+	l.Done(time.Hour, fleet.Done{Outcome: fleet.OutcomeCompleted}, 1)
+	if why, _ := l.Held(time.Hour); why != fleet.ReasonNone || l.Probing() || l.Limit() > 2 {
+		t.Errorf("after a success: held for %v, limit %d", why, l.Limit())
+	}
+}
--- a/core/sched/random_test.go
+++ b/core/sched/random_test.go
@@ -71,7 +71,7 @@
 	w := newWorld(t, seed, 2+int(seed%5), 1+int(seed%4), 1+int(seed%7))
 	w.delay = time.Duration(w.rng.Int64N(20)) * time.Millisecond
 	w.loadLag = time.Duration(w.rng.Int64N(300)) * time.Millisecond
-	w.stated = seed%2 == 0
+	w.stated, w.delisted = seed%2 == 0, seed%3 == 0
 	for i := range 2 + int(seed%6) {
 		w.teams = append(w.teams, &fakeTeam{
 			name: fmt.Sprintf("team-%d", i), share: 1 + w.rng.IntN(100),
--- /dev/null
+++ b/core/sched/split_test.go
@@ -0,0 +1,60 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// splitWorld has two schedulers of one cell, each followed by some of the routers.
+func splitWorld(t *testing.T, seed uint64) *world {
+	w := newWorld(t, seed, 2+int(seed%8), 1+int(seed%3), 1+int(seed%9))
+	w.delay = time.Duration(1+w.rng.Int64N(10)) * time.Millisecond
+	w.loadLag = time.Duration(w.rng.Int64N(200)) * time.Millisecond
+	w.addScheduler(Settings{})
+	for i := range 3 {
+		w.teams = append(w.teams, &fakeTeam{
+			name: fmt.Sprintf("team-%d", i), share: 1 + w.rng.IntN(10), cost: 20 + w.rng.Int64N(400), hint: 1, keep: 1 + w.rng.IntN(4),
+		})
+	}
+	w.checks = append(w.checks, checkLimits, checkWork, checkCounts)
+	return w
+}
+
+func TestTwoSchedulersKeepTheLimit(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			w := splitWorld(t, seed)
+			for _, r := range w.routers[:1+w.rng.IntN(len(w.routers)-1)] {
+				r.scheduler = 1
+			}
+			w.lend()
+			w.run(4 * time.Second)
+		})
+	}
+}
+
+func TestTakeoverKeepsTheLimit(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			w := splitWorld(t, seed)
+			for range 6 {
+				w.run(time.Duration(200+w.rng.IntN(2000)) * time.Millisecond)
+				for _, r := range w.routers {
+					if w.rng.IntN(2) == 0 {
+						w.follow(r, 1-r.scheduler)
+					}
+				}
+				w.lend()
+			}
+			w.run(4 * time.Second)
+		})
+	}
+}
+
+// follow makes a router leave its scheduler for another, as when views change.
+func (w *world) follow(r *fakeRouter, scheduler int) {
+	w.schedulers[r.scheduler].Forget(w.now, r.name)
+	r.scheduler, r.afresh = scheduler, true
+	r.out, r.in, r.done = nil, nil, nil
+}
--- a/core/sched/world_test.go
+++ b/core/sched/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"testing"
 	"time"
@@ -25,6 +26,7 @@
 	loadPeriod time.Duration
 	loadLag    time.Duration
 	stated     bool // servers say what they bear
+	delisted   bool // the platform's list drops lost routers at once
 	checks     []func(w *world)
 	idle, busy int // free and used slots, summed over ticks in which work waits
 }
@@ -34,7 +36,8 @@
 	share    int
 	cost     int64   // mean cost, in ticks of service
 	hint     float64 // hint over true cost
-	keep     int     // requests to keep waiting or running at each router; 0 for none
+	keep     int     // requests to keep waiting at each router; 0 for none
+	at       []int   // the routers that it asks, by place; none for all
 	used     int64   // cost units served, as the servers know
 	finished int
 	waits    []time.Duration
@@ -139,7 +142,11 @@
 				names = append(names, r.name)
 			}
 		}
-		s.Lend(w.now, names, len(w.routers))
+		listed := len(w.routers)
+		if w.delisted {
+			listed = len(names)
+		}
+		s.Lend(w.now, names, listed)
 	}
 }
 
@@ -168,9 +175,9 @@
 
 func (w *world) tick() {
 	w.now += time.Millisecond
-	for _, r := range w.routers {
+	for i, r := range w.routers {
 		w.serve(r)
-		w.arrive(r)
+		w.arrive(i, r)
 		w.send(r)
 	}
 	w.report()
@@ -206,10 +213,12 @@
 	r.done = append(r.done, fleet.Done{Grant: id, Outcome: outcome, Cost: q.used, FirstByte: 1000, Service: q.used * 1000})
 }
 
-func (w *world) arrive(r *fakeRouter) {
+func (w *world) arrive(place int, r *fakeRouter) {
 	for _, m := range w.teams {
-		have := len(r.waiting[m.name])
-		for ; have < m.keep; have++ {
+		if len(m.at) > 0 && !slices.Contains(m.at, place) {
+			continue
+		}
+		for have := len(r.waiting[m.name]); have < m.keep; have++ {
 			w.ask(r, m)
 		}
 	}
