--- /dev/null
+++ b/router/back/events_test.go
@@ -0,0 +1,89 @@
+package back
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+	"testing/iotest"
+)
+
+const stream = "data: {\"n\":1}\n\n: comment\ndata: two\r\ndata: lines\r\n\r\ndata: [DONE]\n\n"
+
+// readAll gives the whole events' text, whether the end marker was seen, and the error before it.
+func readAll(e *Events) (string, bool, error) {
+	var text strings.Builder
+	for {
+		event, err := e.Next()
+		if err != nil {
+			return text.String(), false, err
+		}
+		text.Write(event.Text)
+		if event.End {
+			return text.String(), true, nil
+		}
+	}
+}
+
+func TestEventsCutAtEachByte(t *testing.T) {
+	for n := range len(stream) + 1 {
+		text, end, err := readAll(NewEvents(iotest.OneByteReader(strings.NewReader(stream[:n]))))
+		if !strings.HasPrefix(stream, text) {
+			t.Errorf("cut at %d: text %q", n, text)
+		}
+		if end != (n == len(stream)) {
+			t.Errorf("cut at %d: end %v", n, end)
+		}
+		var broken *EventError
+		if !end && !errors.As(err, &broken) {
+			t.Errorf("cut at %d: error %v", n, err)
+		}
+		if broken != nil && broken.Inside != (len(text) < n) {
+			t.Errorf("cut at %d after %d bytes of whole events: inside %v", n, len(text), broken.Inside)
+		}
+	}
+}
+
+func TestEventData(t *testing.T) {
+	e := NewEvents(strings.NewReader(stream))
+	for _, want := range []string{`{"n":1}`, "two\nlines", "[DONE]"} {
+		event, err := e.Next()
+		if err != nil || string(event.Data) != want {
+			t.Errorf("data %q, error %v, want %q", event.Data, err, want)
+		}
+	}
+}
+
+func TestEventTooLong(t *testing.T) {
+	for name, text := range map[string]string{
+		"one line":   "data: " + strings.Repeat("x", 10_000),
+		"many lines": strings.Repeat("data: x\n", 1000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := NewEvents(strings.NewReader(text))
+			e.Limit = 2000
+			if _, err := e.Next(); !errors.Is(err, errEventTooLong) {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte(stream))
+	f.Add([]byte("data: [DONE]"))
+	f.Add([]byte("\n\n\r\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		whole, end, err := readAll(NewEvents(bytes.NewReader(text)))
+		pieces, endAgain, _ := readAll(NewEvents(iotest.OneByteReader(bytes.NewReader(text))))
+		if whole != pieces || end != endAgain {
+			t.Errorf("%q in pieces, %q whole", pieces, whole)
+		}
+		if !bytes.HasPrefix(text, []byte(whole)) {
+			t.Errorf("text %q is no prefix", whole)
+		}
+		if end == (err != nil) {
+			t.Errorf("end %v, error %v", end, err)
+		}
+	})
+}
