Test the callers' interface against whole, cut and crossed answers

Every answer class, refusal and key verdict by a table; a model stream cut at each byte after its first event. Cause of one change: an answer over the bound was cut before its header had gone out, so the caller saw no answer at all; parts are now flushed.

--- /dev/null
+++ b/router/front/front_test.go
@@ -0,0 +1,319 @@
+package front
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mangolug.org/core/fleet"
+	"mangolug.org/core/keys"
+	"mangolug.org/core/rule"
+)
+
+const (
+	head      = "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\n"
+	plainBody = head + "Content-Type: text/plain\r\nContent-Length: 6\r\n\r\nwalnut"
+	cutBody   = head + "Content-Length: 6\r\n\r\nwal"
+	foreign   = "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 3\r\n\r\noak"
+	overload  = "HTTP/1.1 429 Slow\r\nX-Attempt-Id: ID\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n"
+	failed    = "HTTP/1.1 500 Broken\r\nX-Attempt-Id: ID\r\nContent-Length: 3\r\n\r\nbad"
+	events    = head + "Content-Type: text/event-stream\r\n\r\n"
+	sse       = head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	one       = "data: {\"text\":\"a\"}\n\n"
+	last      = "data: {\"usage\":{\"prompt_tokens\":5,\"completion_tokens\":7}}\n\n"
+	marker    = "data: [DONE]\n\n"
+	modelBody = `{"model":"stain-llm","stream":true,"prompt":"walnut on ash"}`
+	aKey      = "01890000-0000-7000-8000-000000000001"
+)
+
+// chunks frames text for chunked coding; without an end it breaks off.
+func chunks(end bool, parts ...string) string {
+	var s strings.Builder
+	for _, p := range parts {
+		fmt.Fprintf(&s, "%x\r\n%s\r\n", len(p), p)
+	}
+	if end {
+		s.WriteString("0\r\n\r\n")
+	}
+	return s.String()
+}
+
+// refused is what a caller reads of a refusal, without what differs each time.
+func refused(t *testing.T, answer *http.Response, text string) string {
+	t.Helper()
+	var b refusalBody
+	if err := json.Unmarshal([]byte(text), &b); err != nil {
+		return text
+	}
+	if b.RequestID != answer.Header.Get("X-Request-Id") || b.RequestID == "" {
+		t.Errorf("request id %q in the body, %q in the header", b.RequestID, answer.Header.Get("X-Request-Id"))
+	}
+	if (b.RetryAfter > 0) != (answer.Header.Get("Retry-After") != "") {
+		t.Errorf("retryAfter %v, header %q", b.RetryAfter, answer.Header.Get("Retry-After"))
+	}
+	if b.NotRun {
+		return b.Reason + " notRun"
+	}
+	return b.Reason + " " + b.Outcome
+}
+
+func TestAnswers(t *testing.T) {
+	const (
+		get  = "GET /swatch-desk/colours"
+		once = "POST /swatch-desk/dispatches"
+		chat = "POST /v1/chat/completions"
+	)
+	key := http.Header{"Idempotency-Key": {aKey}}
+	tests := map[string]struct {
+		answers []string
+		call    string
+		header  http.Header
+		script  []fleet.Reason
+		opens   []fleet.KeyAnswer
+		status  int
+		want    string
+		ends    []string
+		closes  []string
+		sends   int
+	}{
+		"plain": {answers: []string{plainBody}, call: get, status: 200, want: "walnut", ends: []string{"1 completed"}, sends: 1},
+		"plain, cut once": {
+			answers: []string{cutBody, plainBody}, call: get, status: 200, want: "walnut",
+			ends: []string{"1 failed", "2 completed"}, sends: 2,
+		},
+		"plain, always cut": {
+			answers: []string{cutBody}, call: get, status: 502, want: "streamBroken unknown",
+			ends: []string{"1 failed", "2 failed", "3 failed"}, sends: 3,
+		},
+		"another's answer, then its own": {
+			answers: []string{foreign, plainBody}, call: get, status: 200, want: "walnut",
+			ends: []string{"1 failed", "2 completed"}, sends: 2,
+		},
+		"overloaded": {
+			answers: []string{overload}, call: get, status: 503, want: "serverOverloaded notRun",
+			ends: []string{"1 overloaded", "2 overloaded", "3 overloaded"}, sends: 3,
+		},
+		"plain services answer 500 themselves": {answers: []string{failed}, call: get, status: 500, want: "bad", ends: []string{"1 completed"}, sends: 1},
+		"queue full": {
+			answers: []string{plainBody}, call: get, script: []fleet.Reason{fleet.ReasonQueueFull}, status: 429, want: "queueFull notRun",
+		},
+		"lapsed grant": {
+			answers: []string{plainBody}, call: get, script: []fleet.Reason{fleet.ReasonGrantExpired}, status: 200, want: "walnut",
+			ends: []string{"1 returned", "2 completed"}, sends: 1,
+		},
+		"refused after a try that may have run": {
+			answers: []string{cutBody}, call: get, script: []fleet.Reason{fleet.ReasonGranted, fleet.ReasonDeadlinePassed},
+			status: 504, want: "deadlinePassed unknown", ends: []string{"1 failed"}, sends: 1,
+		},
+		"once": {answers: []string{plainBody}, call: once, status: 200, want: "walnut", ends: []string{"1 completed"}, sends: 1},
+		"once, cut": {
+			answers: []string{cutBody, plainBody}, call: once, status: 502, want: "outcomeUnknown unknown",
+			ends: []string{"1 failed"}, sends: 1,
+		},
+		"once, no answer": {
+			answers: []string{"", plainBody}, call: once, status: 502, want: "outcomeUnknown unknown",
+			ends: []string{"1 failed"}, sends: 1,
+		},
+		"once, another's answer": {
+			answers: []string{foreign, plainBody}, call: once, status: 502, want: "outcomeUnknown unknown",
+			ends: []string{"1 failed"}, sends: 1,
+		},
+		"once, not begun": {
+			answers: []string{overload, plainBody}, call: once, status: 503, want: "serverOverloaded notRun",
+			ends: []string{"1 overloaded"}, sends: 1,
+		},
+		"once by another spelling": {
+			answers: []string{cutBody, plainBody}, call: "POST /swatch-desk/x/../DISPATCHES/1", status: 502,
+			want: "outcomeUnknown unknown", ends: []string{"1 failed"}, sends: 1,
+		},
+		"keyed": {
+			answers: []string{plainBody}, call: once, header: key, status: 200, want: "walnut",
+			ends: []string{"1 completed"}, closes: []string{"answered 200 walnut"}, sends: 1,
+		},
+		"keyed, cut": {
+			answers: []string{cutBody}, call: once, header: key, status: 502, want: "outcomeUnknown unknown",
+			ends: []string{"1 failed"}, closes: []string{"unknown 0 "}, sends: 1,
+		},
+		"keyed, refused in the queue": {
+			answers: []string{plainBody}, call: once, header: key, script: []fleet.Reason{fleet.ReasonQueueFull},
+			status: 429, want: "queueFull notRun", closes: []string{"refused 0 "},
+		},
+		"keyed, no home": {
+			answers: []string{plainBody}, call: once, header: key, status: 503, want: "noMajority unknown",
+			opens: []fleet.KeyAnswer{{Verdict: fleet.KeyRefused, Reason: fleet.ReasonNoMajority}},
+		},
+		"keyed, home unreachable": {
+			answers: []string{plainBody}, call: once, header: key, status: 503, want: "keyHomeUnreachable unknown",
+			opens: []fleet.KeyAnswer{{Verdict: fleet.KeyRefused, Reason: fleet.ReasonKeyHomeUnreachable}},
+		},
+		"keyed, too old": {
+			answers: []string{plainBody}, call: once, header: key, status: 409, want: "keyTooOld unknown",
+			opens: []fleet.KeyAnswer{{Verdict: fleet.KeyUnknown, Reason: fleet.ReasonKeyTooOld}},
+		},
+		"keyed, in progress": {
+			answers: []string{plainBody}, call: once, header: key, status: 409, want: "keyInProgress unknown",
+			opens: []fleet.KeyAnswer{{Verdict: fleet.KeyInProgress, Reason: fleet.ReasonKeyInProgress}},
+		},
+		"keyed, answered before": {
+			answers: []string{plainBody}, call: once, header: key, status: 201, want: "oak",
+			opens: []fleet.KeyAnswer{{Verdict: fleet.KeyAnswered, Answer: fleet.Answer{Status: 201, Body: []byte("oak")}}},
+		},
+		"keyed, answered before at length": {
+			answers: []string{plainBody}, call: once, header: key, status: 409, want: "bodyTooLarge completed",
+			opens: []fleet.KeyAnswer{{Verdict: fleet.KeyAnswered, Answer: fleet.Answer{Status: 201, Truncated: true}}},
+		},
+		"key of another form": {
+			answers: []string{plainBody}, call: once, header: http.Header{"Idempotency-Key": {"walnut"}}, status: 400, want: "keyInvalid unknown",
+		},
+		"a key on a call that may be repeated": {
+			answers: []string{plainBody}, call: get, header: key, script: []fleet.Reason{fleet.ReasonQueueFull}, status: 429, want: "queueFull notRun",
+		},
+		"stream": {
+			answers: []string{sse + chunks(true, one, last+marker)}, call: chat, status: 200, want: one + last + marker,
+			ends: []string{"1 completed"}, sends: 1,
+		},
+		"stream of a failing server": {
+			answers: []string{failed, sse + chunks(true, one, marker)}, call: chat, status: 200, want: one + marker,
+			ends: []string{"1 failed", "2 completed"}, sends: 2,
+		},
+		"stream cut in its header": {
+			answers: []string{head + "Content-Ty", sse + chunks(true, one, marker)}, call: chat, status: 200, want: one + marker,
+			ends: []string{"1 failed", "2 completed"}, sends: 2,
+		},
+		"stream cut inside its first event": {
+			answers: []string{sse + chunks(false, one[:9]), sse + chunks(true, one, marker)}, call: chat, status: 200, want: one + marker,
+			ends: []string{"1 failed", "2 completed"}, sends: 2,
+		},
+		"stream without a length or chunks": {
+			answers: []string{events + one + marker, sse + chunks(true, one, marker)}, call: chat, status: 200, want: one + marker,
+			ends: []string{"1 failed", "2 completed"}, sends: 2,
+		},
+		"no such model":   {answers: []string{plainBody}, call: "POST /v1/completions", status: 404, want: "unknownProduct notRun"},
+		"no such product": {answers: []string{plainBody}, call: "GET /teak/x", status: 404, want: "unknownProduct notRun"},
+		"model as plain":  {answers: []string{plainBody}, call: "GET /stain-llm/x", status: 404, want: "unknownProduct notRun"},
+		"bad timeout": {
+			answers: []string{plainBody}, call: get, header: http.Header{"X-Request-Timeout": {"soon"}}, status: 400, want: "badRequest notRun",
+		},
+		"wrong key": {
+			answers: []string{plainBody}, call: get, header: http.Header{"Authorization": {"Bearer x"}}, status: 401, want: "unauthorized notRun",
+		},
+		"wrong team with an idempotency key": {
+			answers: []string{plainBody}, call: once, status: 401, want: "unauthorized unknown",
+			header: http.Header{"Authorization": {"Bearer x"}, "Idempotency-Key": {aKey}},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, tt.answers...)
+			b.script, b.opens = tt.script, tt.opens
+			b.start(t)
+			method, path, _ := strings.Cut(tt.call, " ")
+			body := ""
+			switch {
+			case tt.call == chat:
+				body = modelBody
+			case method == "POST":
+				body = `{"model":"teak"}`
+			}
+			answer, text := b.ask(t, method, path, body, tt.header)
+			if answer.StatusCode != tt.status {
+				t.Errorf("status %d, want %d", answer.StatusCode, tt.status)
+			}
+			if got := refused(t, answer, text); got != tt.want {
+				t.Errorf("answer %q, want %q", got, tt.want)
+			}
+			for range tt.ends {
+				wait(t, "the end of a grant", b.ended)
+			}
+			b.server.Close()
+			if d := cmp.Diff(tt.ends, b.ends); d != "" {
+				t.Errorf("grants ended: %s", d)
+			}
+			if d := cmp.Diff(tt.closes, b.closes); d != "" {
+				t.Errorf("keys closed: %s", d)
+			}
+			if got := b.backend.seen(); len(got) != tt.sends {
+				t.Errorf("sent %v, want %d", got, tt.sends)
+			}
+		})
+	}
+}
+
+func TestStreamCutAtEachByte(t *testing.T) {
+	whole := one + last + marker
+	for n := len(one); n <= len(whole); n++ {
+		b := newBench(t, sse+chunks(n == len(whole), whole[:n]))
+		b.start(t)
+		_, text := b.ask(t, "POST", "/v1/chat/completions", modelBody, nil)
+		passed, refusal, cut := strings.Cut(text, "event: error\ndata: ")
+		if !strings.HasPrefix(whole, passed) || !strings.HasSuffix(passed, "\n\n") {
+			t.Errorf("cut at %d: passed %q, which is not whole events", n, passed)
+		}
+		if cut == strings.Contains(passed, "[DONE]") || cut != (n < len(whole)) {
+			t.Errorf("cut at %d: caller got %q", n, text)
+		}
+		if cut && !strings.Contains(refusal, `"reason":"streamBroken","outcome":"unknown"`) {
+			t.Errorf("cut at %d: error event %q", n, refusal)
+		}
+		if got := b.backend.seen(); len(got) != 1 {
+			t.Errorf("cut at %d: sent %d times after bytes went to the caller", n, len(got))
+		}
+		b.server.Close()
+	}
+}
+
+func TestLongAnswerIsCutOff(t *testing.T) {
+	long := strings.Repeat("x", 100)
+	tests := map[string]struct {
+		answer string
+		want   string
+	}{
+		"whole":          {head + "Content-Length: 100\r\n\r\n" + long, long},
+		"length, cut":    {head + "Content-Length: 100\r\n\r\n" + long[:60], long[:60] + "BROKEN"},
+		"chunks, cut":    {head + "Transfer-Encoding: chunked\r\n\r\n" + chunks(false, long), long + "BROKEN"},
+		"chunked, whole": {head + "Transfer-Encoding: chunked\r\n\r\n" + chunks(true, long), long},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, tt.answer)
+			b.front.Settings.PlainBytes = 50
+			b.start(t)
+			_, text := b.ask(t, "GET", "/swatch-desk/colours", "", nil)
+			// How much came before the cut is the transport's choice; that it was cut is not.
+			if strings.HasSuffix(text, "BROKEN") != strings.HasSuffix(tt.want, "BROKEN") || !strings.HasPrefix(tt.want, strings.TrimSuffix(text, "BROKEN")) {
+				t.Errorf("got %q, want %q", text, tt.want)
+			}
+		})
+	}
+}
+
+func TestCosts(t *testing.T) {
+	c := &call{front: &Front{Clock: func() time.Duration { return time.Second }}, prompt: 4, product: &rule.Product{Kind: rule.KindModel}}
+	tests := map[string]struct {
+		try  try
+		want int64
+	}{
+		"nothing came": {try{call: c}, 0},
+		"cut":          {try{call: c, firstByte: 1, chunks: 3}, 10},
+		"counted":      {try{call: c, firstByte: 1, chunks: 3, usage: &usage{PromptTokens: 5, CompletionTokens: 7}}, 19},
+		"plain":        {try{call: &call{front: c.front, product: &rule.Product{Kind: rule.KindPlain}}, begun: 960 * time.Millisecond}, 40},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := tt.try.cost(); got != tt.want {
+				t.Errorf("cost %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestKeyOfTestIsValid(t *testing.T) {
+	if _, ok := keys.Minted(aKey); !ok {
+		t.Errorf("%s is no UUIDv7", aKey)
+	}
+}
--- a/router/front/pass.go
+++ b/router/front/pass.go
@@ -186,6 +186,9 @@
 			if _, err := c.writer.Write(part[:n]); err != nil {
 				return t.callerLost(err)
 			}
+			if err := c.control.Flush(); err != nil {
+				return t.callerLost(err)
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			c.remember(a, nil)
