--- a/router/back/client.go
+++ b/router/back/client.go
@@ -181,10 +181,10 @@
 func failure(server string, sent bool, err error) *ServerError {
 	e := &ServerError{Server: server, Sent: sent, NotRun: !sent, Err: err}
 	switch {
-	case errors.Is(err, errLapsed):
-		e.Reason = fleet.ReasonGrantExpired
 	case sent:
 		e.Reason = fleet.ReasonServerFailed
+	case errors.Is(err, errLapsed):
+		e.Reason = fleet.ReasonGrantExpired
 	default:
 		e.Reason = fleet.ReasonConnectFailed
 	}
--- a/router/back/client_test.go
+++ b/router/back/client_test.go
@@ -237,6 +237,14 @@
 				return g.pass(first)
 			}, false,
 		},
+		"lapsed before net/http's own repetition": {
+			&gate{},
+			func(g *gate) error {
+				_ = g.pass(first)
+				g.lapsed = func() bool { return true }
+				return g.pass(second)
+			}, true,
+		},
 		"lapsed": {&gate{lapsed: func() bool { return true }}, func(g *gate) error { return g.pass(first) }, false},
 	}
 	for name, tt := range tests {
--- a/router/back/conn.go
+++ b/router/back/conn.go
@@ -34,7 +34,7 @@
 		return g.refuse
 	case g.once && g.begun && g.conn != c:
 		return errSealed
-	case !g.begun && g.lapsed != nil && g.lapsed():
+	case g.conn != c && g.lapsed != nil && g.lapsed():
 		g.refuse = errLapsed
 		return errLapsed
 	}
--- a/router/front/call.go
+++ b/router/front/call.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -10,6 +11,12 @@
 	"mangolug.org/core/rule"
 )
 
+// Advice to callers when the waiting room gives none.
+const (
+	retryAfterLeast  = time.Second
+	retryAfterSpread = time.Second
+)
+
 // call is one caller's request on its way through the router.
 type call struct {
 	front   *Front
@@ -57,7 +64,12 @@
 	case c.keyed():
 		notRun = notRun && c.vouched
 	}
-	return &Refusal{Reason: reason, NotRun: notRun, Message: message}
+	return &Refusal{Reason: reason, NotRun: notRun, Message: message, RetryAfter: comeBack()}
+}
+
+// comeBack spreads the advice so that callers that were refused together don't return together.
+func comeBack() time.Duration {
+	return retryAfterLeast + rand.N(retryAfterSpread)
 }
 
 // refuse writes a refusal, or what is left to say when the answer has begun.
--- a/router/front/front.go
+++ b/router/front/front.go
@@ -77,6 +77,7 @@
 	c := &call{front: f, writer: w, request: r, control: http.NewResponseController(w), id: newID(), arrived: f.Clock()}
 	w.Header().Set(headerRequest, c.id)
 	f.count("requests")
+	c.extend() // the deadline that an earlier request on this connection left may have passed
 	if !f.open.enter(f.Settings.Open) {
 		c.refuse(&Refusal{Reason: fleet.ReasonTooManyOpen, Shared: true, NotRun: !c.named(), Message: "this router has too many requests open"})
 		return
--- a/router/front/pass.go
+++ b/router/front/pass.go
@@ -142,11 +142,11 @@
 func (t *try) passWhole(a *back.Answer, model bool) error {
 	c := t.call
 	limit := c.front.Settings.PlainBytes
+	t.first()
 	held, err := io.ReadAll(io.LimitReader(a.Body, limit+1))
 	if err != nil {
 		return t.broken(err)
 	}
-	t.first()
 	if int64(len(held)) > limit {
 		return t.passLong(a, held)
 	}
--- a/router/front/run.go
+++ b/router/front/run.go
@@ -61,12 +61,15 @@
 		ID: c.id, Team: c.team.Name, Product: c.product.Name, Estimate: estimate,
 		Bytes: int64(len(c.body)), Deadline: latest, Prefix: c.prefix, Retry: again,
 	})
-	if v.Reason != fleet.ReasonGranted {
-		if v.Reason == fleet.ReasonNone || v.Reason == fleet.ReasonHeld {
-			v.Reason = fleet.ReasonCallerGone
-		}
+	switch v.Reason {
+	case fleet.ReasonGranted:
+	case fleet.ReasonNone, fleet.ReasonHeld, fleet.ReasonCallerGone:
+		return v, c.over(ctx) // the wait was given up without a decision
+	default:
 		e := c.turnDown(v.Reason, "")
-		e.RetryAfter = v.RetryAfter
+		if v.RetryAfter > 0 {
+			e.RetryAfter = v.RetryAfter
+		}
 		return v, e
 	}
 	c.note("granted", fleet.ReasonGranted, v.Grant.Server, "")
