--- a/router/front/call.go
+++ b/router/front/call.go
@@ -96,6 +96,9 @@
 
 // note records a step for operators.
 func (c *call) note(what string, reason fleet.Reason, server, detail string) {
+	if c.front.Log != nil {
+		c.front.Log.Debug(what, "request", c.id, "reason", reason, "server", server, "detail", detail)
+	}
 	if c.front.Note == nil {
 		return
 	}
