--- a/router/front/pass.go
+++ b/router/front/pass.go
@@ -142,11 +142,11 @@
 func (t *try) passWhole(a *back.Answer, model bool) error {
 	c := t.call
 	limit := c.front.Settings.PlainBytes
+	t.first()
 	held, err := io.ReadAll(io.LimitReader(a.Body, limit+1))
 	if err != nil {
 		return t.broken(err)
 	}
-	t.first()
 	if int64(len(held)) > limit {
 		return t.passLong(a, held)
 	}
@@ -186,6 +186,9 @@
 			if _, err := c.writer.Write(part[:n]); err != nil {
 				return t.callerLost(err)
 			}
+			if err := c.control.Flush(); err != nil {
+				return t.callerLost(err)
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			c.remember(a, nil)
