Use a larger part of a limit only once load reports show it to be free

Ruled out: counting reported load less the highest own count, which misses what is on its way. Before: both together passed the ceiling. Conclusion: growth waits for a report measured after it, at most 2 s.

--- a/core/sched/router.go
+++ b/core/sched/router.go
@@ -64,7 +64,7 @@
 	r.told = true
 	r.seq, r.dataCentre = d.Seq, dataCentre
 	if d.SeenTerm == s.Term {
-		s.acknowledge(r, d.Seen)
+		s.acknowledge(now, r, d.Seen)
 	}
 	for _, g := range d.Running {
 		s.progress(now, r, g)
@@ -75,7 +75,7 @@
 	if d.Full {
 		s.dropMissing(now, r, d)
 		r.full = true
-		s.countLent()
+		s.countLent(now)
 	}
 	for _, w := range d.Waiting {
 		s.wait(now, r, w)
@@ -104,11 +104,11 @@
 }
 
 // acknowledge marks the grants up to an ID as received by their router.
-func (s *Scheduler) acknowledge(r *router, seen uint64) {
+func (s *Scheduler) acknowledge(now time.Duration, r *router, seen uint64) {
 	n := 0
 	for n < len(r.unseen) && r.unseen[n].id <= seen {
 		g := r.unseen[n]
-		g.seen = true
+		g.seen, g.seenAt = true, now
 		g.entry.unseen--
 		s.queueEntry(g.entry)
 		if g.doubtful {
@@ -243,5 +243,5 @@
 			break
 		}
 	}
-	s.countLent()
+	s.countLent(now)
 }
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -22,11 +22,13 @@
 const (
 	defaultReportLag  = 500 * time.Millisecond
 	defaultStallLimit = 30 * time.Second
-	defaultFirstLoad  = time.Second
+	defaultSettle     = 2 * time.Second
 	defaultLocalSlack = 0.25
 
 	// staleBasis is the age of a router's stamp at which a grant would lapse on the way.
 	staleBasis = fleet.GrantLifetime - 150*time.Millisecond
+	// transit is the time within which messages between routers usually arrive.
+	transit = 50 * time.Millisecond
 	// reviewPeriod is the time between two looks at what changes without an event.
 	reviewPeriod = 200 * time.Millisecond
 )
@@ -36,7 +38,7 @@
 	Policy     Policy
 	ReportLag  time.Duration // how old a load report may be beyond its stated age; 500 ms
 	StallLimit time.Duration // time without progress that sets a server aside; 30 s
-	FirstLoad  time.Duration // how long a server waits for its first load report while routers are missing; 1 s
+	Settle     time.Duration // how long a larger part waits for load reports while routers are missing; 2 s
 	LocalSlack float64       // load fraction by which a server in the router's data centre may be fuller; 0.25
 	Anticipate time.Duration // how long a free slot may wait for a team that is behind and has just been served; 0 s
 }
@@ -96,7 +98,7 @@
 			continue
 		}
 		v := s.server(r.Name)
-		v.configure(now, r, out, leaving)
+		s.configure(now, v, r, out, leaving)
 		s.listed = append(s.listed, v)
 	}
 	sort.Slice(s.listed, func(i, j int) bool { return s.listed[i].rule.Name < s.listed[j].rule.Name })
@@ -141,26 +143,51 @@
 	for _, name := range lenders {
 		s.lenders[name] = true
 	}
-	s.fleet = listed
-	s.countLent()
+	if listed != s.fleet {
+		s.unsettle(now, s.lent, listed)
+	}
+	s.countLent(now)
 	s.review = now
 }
 
 // countLent counts the lenders that sent a full demand.
-func (s *Scheduler) countLent() {
+func (s *Scheduler) countLent(now time.Duration) {
 	lent := 0
 	for _, r := range s.byName {
 		if r.full && s.lenders[r.name] {
 			lent++
 		}
 	}
-	if lent == s.lent {
-		return
+	if lent != s.lent {
+		s.unsettle(now, lent, s.fleet)
 	}
-	s.lent = lent
-	for _, v := range s.listed {
+}
+
+// unsettle changes the part of each limit; what it grows by is used once load reports show it to be free.
+func (s *Scheduler) unsettle(now time.Duration, lent, listed int) {
+	before := make([]int, len(s.listed))
+	for i, v := range s.listed {
+		before[i] = s.allowed(v)
+	}
+	s.lent, s.fleet = lent, listed
+	for i, v := range s.listed {
 		s.touch(v)
+		part := s.part(v.limiter.Bound())
+		v.allowed = min(before[i], part)
+		v.settled = lent >= listed || v.settled && part <= before[i]
+		if part > before[i] {
+			v.grewAt = now
+		}
+	}
+}
+
+// allowed gives what of a server's limit may be used, settled or not.
+func (s *Scheduler) allowed(v *server) int {
+	part := s.part(v.limiter.Bound())
+	if v.settled {
+		return part
 	}
+	return min(part, v.allowed)
 }
 
 // part gives how much of a limit the lenders' loans allow; over all schedulers the parts never exceed it.
@@ -196,8 +223,8 @@
 	if t.StallLimit <= 0 {
 		t.StallLimit = defaultStallLimit
 	}
-	if t.FirstLoad <= 0 {
-		t.FirstLoad = defaultFirstLoad
+	if t.Settle <= 0 {
+		t.Settle = defaultSettle
 	}
 	if t.LocalSlack <= 0 {
 		t.LocalSlack = defaultLocalSlack
--- a/core/sched/server.go
+++ b/core/sched/server.go
@@ -18,10 +18,12 @@
 	present     bool // in the configuration
 	dropped     bool // neither configured nor in use
 	stopped     fleet.Reason
-	since       time.Duration // when it was first configured
-	heard       bool          // a load report came, or enough of them failed
-	outstanding int           // grants in the hands of live routers
-	orphans     int           // grants of routers that were lost
+	settled     bool // the whole part may be used
+	allowed     int  // until settled, what may be used
+	grewAt      time.Duration
+	sample      sample
+	outstanding int // grants in the hands of live routers
+	orphans     int // grants of routers that were lost
 	orphanedAt  time.Duration
 	lost        int // orphans, those included that reports freed and that may yet be heard of
 	foreign     int // reported load that no grant explains
@@ -37,6 +39,13 @@
 	heldTill time.Duration
 }
 
+// sample is a load report kept until what ended before it was measured is known.
+type sample struct {
+	measured time.Duration
+	load     int // requests in service and waiting
+	kept     bool
+}
+
 // peak keeps the highest count over the last one to two periods.
 type peak struct {
 	began           time.Duration
@@ -55,9 +64,10 @@
 
 func (p *peak) highest() int { return max(p.before, p.current) }
 
-func (v *server) configure(now time.Duration, r rule.Server, out, leaving map[string]bool) {
+func (s *Scheduler) configure(now time.Duration, v *server, r rule.Server, out, leaving map[string]bool) {
 	if v.rule.Name == "" || v.rule.Address != r.Address {
-		v.since, v.progress = now, now
+		v.progress = now
+		v.grewAt, v.settled = now, s.lent >= s.fleet
 	}
 	v.rule, v.present = r, true
 	v.limiter.Ceiling = r.Limit
@@ -105,8 +115,8 @@
 	if v == nil {
 		return
 	}
-	v.heard = true
 	v.limiter.Load(now, l)
+	s.keep(v, now-time.Duration(l.Age)*time.Millisecond, l.Running+l.Waiting)
 	v.recent.note(now, s.Settings.ReportLag, v.outstanding)
 	v.foreign = max(0, l.Running+l.Waiting-v.recent.highest())
 	before := v.orphans
@@ -117,6 +127,47 @@
 	s.touch(v)
 }
 
+// keep holds the report that tells soonest about the time after the part grew.
+func (s *Scheduler) keep(v *server, measured time.Duration, load int) {
+	if !v.settled && !v.sample.kept && measured >= v.grewAt+transit {
+		v.sample = sample{measured: measured, load: load, kept: true}
+		s.review = min(s.review, measured+transit)
+	}
+}
+
+// settleServer lets more of the part be used as far as a report shows that others left it.
+func (s *Scheduler) settleServer(now time.Duration, v *server) {
+	if v.settled {
+		v.sample.kept = false
+		return
+	}
+	if now >= v.grewAt+s.Settings.Settle {
+		v.settled = true
+		return
+	}
+	if !v.sample.kept || now < v.sample.measured+transit {
+		return
+	}
+	v.sample.kept = false
+	if v.sample.measured < v.grewAt+transit {
+		return
+	}
+	others := max(0, v.sample.load-s.surelyRan(v))
+	v.allowed = max(v.allowed, v.limiter.Bound()-others)
+	v.settled = v.allowed >= s.part(v.limiter.Bound())
+}
+
+// surelyRan counts the grants that a server had begun and not ended when its sample was measured.
+func (s *Scheduler) surelyRan(v *server) int {
+	n := 0
+	for _, g := range s.grants {
+		if g.server == v && g.seen && g.seenAt <= v.sample.measured {
+			n++
+		}
+	}
+	return n
+}
+
 // freeOrphans drops orphans that several reports in a row, measured since, leave no room for.
 func (v *server) freeOrphans(now time.Duration, l fleet.Load) {
 	measured := now - time.Duration(l.Age)*time.Millisecond
@@ -188,6 +239,7 @@
 				v.limiter.Stall(now)
 				v.progress = now
 			}
+			s.settleServer(now, v)
 			s.touch(v)
 		}
 	}
@@ -227,7 +279,7 @@
 // usable gives how many grants may be outstanding on a server, orphans included.
 func (s *Scheduler) usable(v *server) int {
 	beside := max(0, v.foreign-v.orphans)
-	return min(s.part(v.limiter.Bound()), v.limiter.Limit()-beside)
+	return min(s.allowed(v), v.limiter.Limit()-beside)
 }
 
 func (s *Scheduler) whyHeld(now time.Duration, v *server) (fleet.Reason, time.Duration) {
@@ -237,8 +289,8 @@
 	if v.stopped != fleet.ReasonNone {
 		return v.stopped, 0
 	}
-	if !v.heard && s.lent < s.fleet && now < v.since+s.Settings.FirstLoad {
-		return fleet.ReasonNotReady, v.since + s.Settings.FirstLoad
+	if !v.settled && s.allowed(v) == 0 && s.part(v.limiter.Bound()) > 0 {
+		return fleet.ReasonNotReady, v.grewAt + s.Settings.Settle
 	}
 	return v.limiter.Held(now)
 }
--- a/core/sched/team.go
+++ b/core/sched/team.go
@@ -32,6 +32,7 @@
 	basis   int64
 	basisAt time.Duration
 	seen    bool
+	seenAt  time.Duration // when it was known to be seen
 
 	doubtful bool // sent before a full demand that did not know it: it may be lost
 }
@@ -195,7 +196,7 @@
 	if old := s.grants[p.Grant]; old != nil {
 		s.release(now, old, old.charged)
 	}
-	g := &grant{id: p.Grant, team: s.team(p.Team), router: r, server: s.server(p.Server), seen: true}
+	g := &grant{id: p.Grant, team: s.team(p.Team), router: r, server: s.server(p.Server), seen: true, seenAt: now}
 	g.charged, g.used = p.Cost, p.Cost
 	s.found(g.id)
 	s.hold(now, g)
@@ -230,7 +231,7 @@
 		s.found(d.Grant)
 		return
 	}
-	s.sawUnseen(r, g)
+	s.sawUnseen(now, r, g)
 	busy := g.server.outstanding + g.server.orphans + g.server.foreign
 	g.server.limiter.Done(now, d, busy)
 	g.server.progress = now
@@ -244,9 +245,9 @@
 }
 
 // sawUnseen acknowledges a grant whose end came before its acknowledgement.
-func (s *Scheduler) sawUnseen(r *router, g *grant) {
+func (s *Scheduler) sawUnseen(now time.Duration, r *router, g *grant) {
 	if g.seen {
 		return
 	}
-	s.acknowledge(r, g.id)
+	s.acknowledge(now, r, g.id)
 }
