Keep a caller's short deadline and a stranger's cell from doing harm

Cause: an attempt ended by its caller's deadline was told as the server's failure, so one team's short deadlines could have a good server set aside; grants for an unknown cell made a record of it; refusals told callers the fleet's addresses; several keys in one request counted as the first. Ruled out: never telling a failure at a deadline, which would hide a server that stalls: beyond StallTimeout it is still one.

--- a/core/entry/cell.go
+++ b/core/entry/cell.go
@@ -124,8 +124,8 @@
 // Grants hands a scheduler's grants to the requests that wait, and notes the others to be returned.
 func (r *Room) Grants(now time.Duration, from string, clock int64, g fleet.Grants) []Verdict {
 	r.init()
-	c := r.cell(g.Cell)
-	if c.scheduler == "" || from != c.scheduler {
+	c := r.cells[g.Cell]
+	if c == nil || c.scheduler == "" || from != c.scheduler {
 		r.Unused.Foreign += int64(len(g.Grants))
 		return nil
 	}
@@ -209,11 +209,11 @@
 // Finish ends a grant in use and tells the scheduler what it cost; an unknown grant is ignored.
 func (r *Room) Finish(now time.Duration, id fleet.Cell, done fleet.Done) {
 	r.init()
-	c := r.cell(id)
-	a := c.running[done.Grant]
-	if a == nil {
+	c := r.cells[id]
+	if c == nil || c.running[done.Grant] == nil {
 		return
 	}
+	a := c.running[done.Grant]
 	delete(c.running, done.Grant)
 	a.queue.running--
 	r.forget(a.queue)
@@ -227,7 +227,10 @@
 // Progress notes the cost so far of a grant in use.
 func (r *Room) Progress(now time.Duration, id fleet.Cell, grant uint64, cost int64) {
 	r.init()
-	c := r.cell(id)
+	c := r.cells[id]
+	if c == nil {
+		return
+	}
 	if a := c.running[grant]; a != nil && cost > a.cost {
 		a.cost = cost
 		if !c.grew {
--- a/core/entry/room.go
+++ b/core/entry/room.go
@@ -25,6 +25,9 @@
 	DefaultRetryAfter     = time.Second
 )
 
+// retryAfterLimit bounds the mean of the advice to come back: a pace seen once says little about later.
+const retryAfterLimit = 30 * time.Second
+
 // Unused counts the grants that were received and not used, by cause.
 type Unused struct {
 	Lapsed    int64 // received later than their lifetime
@@ -129,7 +132,7 @@
 
 // refuse makes a refusal whose advice is spread so that callers do not come back as one.
 func (r *Room) refuse(now time.Duration, u *queue, w *waiter, reason fleet.Reason) Verdict {
-	mean := max(r.Settings.RetryAfter, u.pace.estimate(now, u.waiting))
+	mean := min(max(r.Settings.RetryAfter, u.pace.estimate(now, u.waiting)), max(r.Settings.RetryAfter, retryAfterLimit))
 	return Verdict{
 		Request:    w.request.ID,
 		Reason:     reason,
@@ -168,6 +171,9 @@
 	for w := r.deadlines.first(); w != nil && w.request.Deadline <= now; w = r.deadlines.first() {
 		verdicts = append(verdicts, r.giveUp(now, w, fleet.ReasonDeadlinePassed))
 	}
+	if r.allServed() {
+		return verdicts
+	}
 	for _, u := range r.sorted() {
 		if u.waiting == 0 || r.served(u.key.product) {
 			continue
@@ -179,6 +185,15 @@
 	return verdicts
 }
 
+func (r *Room) allServed() bool {
+	for id := range r.cells {
+		if !r.served(id.Product) {
+			return false
+		}
+	}
+	return true
+}
+
 func (r *Room) giveUp(now time.Duration, w *waiter, reason fleet.Reason) Verdict {
 	v := r.refuse(now, w.queue, w, reason)
 	r.remove(w)
--- a/core/entry/room_test.go
+++ b/core/entry/room_test.go
@@ -169,6 +169,10 @@
 			from: "router-3", grants: []fleet.Grants{grant(1, "joiners")},
 			want: []string{}, unused: Unused{Foreign: 1},
 		},
+		"for a cell that is not known": {
+			from: scheduler, grants: []fleet.Grants{{Cell: fleet.Cell{Product: "teak"}, Grants: []fleet.Grant{{ID: 1, Team: "joiners"}}}},
+			want: []string{}, unused: Unused{Foreign: 1},
+		},
 		"twice": {
 			from: scheduler, grants: []fleet.Grants{grant(2, "joiners"), grant(2, "joiners"), grant(1, "joiners")},
 			want: []string{"a granted"}, unused: Unused{Duplicate: 2},
--- a/router/front/call.go
+++ b/router/front/call.go
@@ -9,6 +9,7 @@
 	"mangolug.org/core/fleet"
 	"mangolug.org/core/report"
 	"mangolug.org/core/rule"
+	"mangolug.org/router/back"
 )
 
 // Advice to callers when the waiting room gives none.
@@ -67,6 +68,13 @@
 	return &Refusal{Reason: reason, NotRun: notRun, Message: message, RetryAfter: comeBack()}
 }
 
+// failure refuses a request after a failed attempt.
+func (c *call) failure(reason fleet.Reason, failed *back.ServerError) *Refusal {
+	e := c.turnDown(reason, "the last try ended as "+failed.Reason.String())
+	e.detail = failed.Error()
+	return e
+}
+
 // comeBack spreads the advice so that callers that were refused together don't return together.
 func comeBack() time.Duration {
 	return retryAfterLeast + rand.N(retryAfterSpread)
@@ -76,9 +84,13 @@
 func (c *call) refuse(e *Refusal) {
 	f := c.front
 	f.count("refused." + e.Reason.String())
-	c.note("refused", e.Reason, "", e.Message)
+	detail := e.Message
+	if e.detail != "" {
+		detail = e.detail
+	}
+	c.note("refused", e.Reason, "", detail)
 	if f.Log != nil {
-		f.Log.Info("refused", "request", c.id, "reason", e.Reason, "notRun", e.NotRun, "message", e.Message)
+		f.Log.Info("refused", "request", c.id, "reason", e.Reason, "notRun", e.NotRun, "detail", detail)
 	}
 	if c.written {
 		return
--- a/router/front/front_test.go
+++ b/router/front/front_test.go
@@ -170,6 +170,17 @@
 		"key of another form": {
 			answers: []string{plainBody}, call: once, header: http.Header{"Idempotency-Key": {"walnut"}}, status: 400, want: "keyInvalid unknown",
 		},
+		"two keys": {
+			answers: []string{plainBody}, call: once, header: http.Header{"Idempotency-Key": {aKey, aKey}}, status: 400, want: "keyInvalid unknown",
+		},
+		"no answer before the deadline": {
+			answers: []string{hang}, call: get, header: http.Header{"X-Request-Timeout": {"100"}}, status: 504,
+			want: "deadlinePassed unknown", ends: []string{"1 cancelled"}, sends: 1,
+		},
+		"once, no answer before the deadline": {
+			answers: []string{hang}, call: once, header: http.Header{"X-Request-Timeout": {"100"}}, status: 502,
+			want: "outcomeUnknown unknown", ends: []string{"1 cancelled"}, sends: 1,
+		},
 		"a key on a call that may be repeated": {
 			answers: []string{plainBody}, call: get, header: key, script: []fleet.Reason{fleet.ReasonQueueFull}, status: 429, want: "queueFull notRun",
 		},
--- a/router/front/pass.go
+++ b/router/front/pass.go
@@ -98,8 +98,7 @@
 	if c.front.Clock() >= c.deadline {
 		reason = fleet.ReasonDeadlinePassed
 	}
-	failed := &back.ServerError{Server: t.verdict.Grant.Server, Reason: reason, Sent: true, Err: err}
-	refusal := c.turnDown(reason, failed.Error())
+	refusal := c.failure(reason, &back.ServerError{Server: t.verdict.Grant.Server, Reason: reason, Sent: true, Err: err})
 	text, err := json.Marshal(refusal.body(c.id))
 	if err != nil {
 		return refusal
@@ -197,7 +196,7 @@
 		}
 		if err != nil {
 			c.sent = true
-			e := c.turnDown(fleet.ReasonStreamBroken, t.broken(err).Error())
+			e := c.failure(fleet.ReasonStreamBroken, t.broken(err))
 			e.abort = true
 			return e
 		}
--- a/router/front/read.go
+++ b/router/front/read.go
@@ -45,7 +45,7 @@
 	if err := c.readDeadline(); err != nil {
 		return err
 	}
-	c.key = c.request.Header.Get(headerKey)
+	c.key = strings.Join(c.request.Header.Values(headerKey), ",") // several keys make none that is valid
 	if p := c.request.URL.Path; p == pathCompletions || p == pathChat {
 		if err := c.readBody(); err != nil {
 			return err
--- a/router/front/refuse.go
+++ b/router/front/refuse.go
@@ -20,7 +20,8 @@
 	Message    string
 	Shared     bool // the limit that was met is the router's, not the team's
 
-	abort bool // the answer has begun and can only be shown to be broken by cutting the connection
+	detail string // for operators; callers are not told of the fleet's inside
+	abort  bool   // the answer has begun and can only be shown to be broken by cutting the connection
 }
 
 // Error gives the reason and the message.
--- a/router/front/run.go
+++ b/router/front/run.go
@@ -147,14 +147,12 @@
 	c.tries++
 	switch {
 	case c.once && c.sent:
-		return c.turnDown(fleet.ReasonOutcomeUnknown, detail)
-	case c.once:
-		// One attempt only: the caller decides whether to try again.
-		return c.turnDown(failed.Reason, detail)
-	case c.tries >= c.front.Settings.Attempts:
-		return c.turnDown(failed.Reason, detail)
+		return c.failure(fleet.ReasonOutcomeUnknown, failed)
+	case c.once, c.tries >= c.front.Settings.Attempts:
+		// A call that may not be repeated has one attempt: its caller decides whether to try again.
+		return c.failure(failed.Reason, failed)
 	case !c.front.budget.take():
-		return c.turnDown(fleet.ReasonRetryBudget, detail)
+		return c.failure(fleet.ReasonRetryBudget, failed)
 	}
 	c.front.count("retried." + failed.Reason.String())
 	c.note("retried", failed.Reason, failed.Server, detail)
--- a/router/front/try.go
+++ b/router/front/try.go
@@ -41,6 +41,9 @@
 		return fleet.OutcomeOverloaded
 	case errors.Is(ctx.Err(), context.Canceled):
 		return fleet.OutcomeCancelled
+	case ctx.Err() != nil && t.call.front.Clock()-t.begun < t.call.front.Settings.StallTimeout:
+		// A caller's short deadline says nothing of the server.
+		return fleet.OutcomeCancelled
 	case failed.Reason == fleet.ReasonConnectFailed:
 		return fleet.OutcomeUnreached
 	}
@@ -75,7 +78,7 @@
 }
 
 // broken is the error of an answer that did not come whole.
-func (t *try) broken(err error) error {
+func (t *try) broken(err error) *back.ServerError {
 	return &back.ServerError{Server: t.verdict.Grant.Server, Reason: fleet.ReasonStreamBroken, Sent: true, Err: err}
 }
 
