--- a/router/front/middle.go
+++ b/router/front/middle.go
@@ -37,8 +37,10 @@
 			c.team = c.rules.TeamsByKey[sha256.Sum256([]byte(key))]
 		}
 		if c.team == nil {
-			// The connection is closed so that the server does not read the body to reuse it.
-			c.writer.Header().Set("Connection", "close")
+			if c.request.ContentLength != 0 {
+				// The connection is closed so that the server does not read the body to reuse it.
+				c.writer.Header().Set("Connection", "close")
+			}
 			return nil, c.turnDown(fleet.ReasonUnauthorized, "the bearer key is missing or wrong")
 		}
 		return next(ctx, request)
