--- a/router/back/client.go
+++ b/router/back/client.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -172,18 +171,21 @@
 	}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
-		return nil, failure(a.Server, g.seal(), err)
+		return nil, g.failure(a.Server, err)
 	}
 	return accept(&a, response)
 }
 
 // failure names what went wrong before an answer's header came.
-func failure(server string, sent bool, err error) *ServerError {
+//
+// The gate is asked, not the error: net/http may give the error of its reader when its writer was refused.
+func (g *gate) failure(server string, err error) *ServerError {
+	sent, lapsed := g.seal()
 	e := &ServerError{Server: server, Sent: sent, NotRun: !sent, Err: err}
 	switch {
 	case sent:
 		e.Reason = fleet.ReasonServerFailed
-	case errors.Is(err, errLapsed):
+	case lapsed:
 		e.Reason = fleet.ReasonGrantExpired
 	default:
 		e.Reason = fleet.ReasonConnectFailed
--- a/router/back/client_test.go
+++ b/router/back/client_test.go
@@ -252,7 +252,7 @@
 			if err := tt.steps(tt.gate); err == nil {
 				t.Error("the write was permitted")
 			}
-			if got := tt.gate.seal(); got != tt.sent {
+			if got, _ := tt.gate.seal(); got != tt.sent {
 				t.Errorf("sent %v, want %v", got, tt.sent)
 			}
 		})
@@ -334,3 +334,25 @@
 		t.Error("no error")
 	}
 }
+
+func TestFailureIsNamedByTheGate(t *testing.T) {
+	// net/http may give its reader's error when the gate refused its writer.
+	other := errors.New("read: use of closed network connection")
+	tests := map[string]struct {
+		gate gate
+		want ServerError
+	}{
+		"nothing written": {gate{}, ServerError{Reason: fleet.ReasonConnectFailed, NotRun: true}},
+		"lapsed":          {gate{lapse: true}, ServerError{Reason: fleet.ReasonGrantExpired, NotRun: true}},
+		"written":         {gate{begun: true}, ServerError{Reason: fleet.ReasonServerFailed, Sent: true}},
+		"lapsed on a second connection": {
+			gate{begun: true, lapse: true}, ServerError{Reason: fleet.ReasonServerFailed, Sent: true},
+		},
+	}
+	for name := range tests {
+		t.Run(name, func(t *testing.T) {
+			tt := tests[name]
+			checkError(t, tt.gate.failure("desk-1", other), &tt.want)
+		})
+	}
+}
--- a/router/back/conn.go
+++ b/router/back/conn.go
@@ -20,7 +20,7 @@
 	conn   *conn
 	sealed bool
 	begun  bool
-	refuse error
+	lapse  bool // a write was refused because the grant had lapsed
 }
 
 // pass permits a write on a connection, or says why not.
@@ -30,24 +30,24 @@
 	switch {
 	case g.sealed:
 		return errSealed
-	case g.refuse != nil:
-		return g.refuse
+	case g.lapse:
+		return errLapsed
 	case g.once && g.begun && g.conn != c:
 		return errSealed
 	case g.conn != c && g.lapsed != nil && g.lapsed():
-		g.refuse = errLapsed
+		g.lapse = true
 		return errLapsed
 	}
 	g.begun, g.conn = true, c
 	return nil
 }
 
-// seal ends all writing and tells whether any was begun.
-func (g *gate) seal() bool {
+// seal ends all writing and tells whether any was begun, and whether one was refused by a lapse.
+func (g *gate) seal() (begun, lapsed bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.sealed = true
-	return g.begun
+	return g.begun, g.lapse
 }
 
 // conn asks the gate of the attempt that uses it before each write.
