--- a/router/back/client_test.go
+++ b/router/back/client_test.go
@@ -339,19 +339,18 @@
 	// net/http may give its reader's error when the gate refused its writer.
 	other := errors.New("read: use of closed network connection")
 	tests := map[string]struct {
-		gate gate
+		gate *gate
 		want ServerError
 	}{
-		"nothing written": {gate{}, ServerError{Reason: fleet.ReasonConnectFailed, NotRun: true}},
-		"lapsed":          {gate{lapse: true}, ServerError{Reason: fleet.ReasonGrantExpired, NotRun: true}},
-		"written":         {gate{begun: true}, ServerError{Reason: fleet.ReasonServerFailed, Sent: true}},
+		"nothing written": {&gate{}, ServerError{Reason: fleet.ReasonConnectFailed, NotRun: true}},
+		"lapsed":          {&gate{lapse: true}, ServerError{Reason: fleet.ReasonGrantExpired, NotRun: true}},
+		"written":         {&gate{begun: true}, ServerError{Reason: fleet.ReasonServerFailed, Sent: true}},
 		"lapsed on a second connection": {
-			gate{begun: true, lapse: true}, ServerError{Reason: fleet.ReasonServerFailed, Sent: true},
+			&gate{begun: true, lapse: true}, ServerError{Reason: fleet.ReasonServerFailed, Sent: true},
 		},
 	}
-	for name := range tests {
+	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			tt := tests[name]
 			checkError(t, tt.gate.failure("desk-1", other), &tt.want)
 		})
 	}
