Test the keeper of the configuration

Cause: versions must never fall, and a bad file must cost nothing twice. Ruled out: one remembered refusal, which kept a good version below a newer bad one from being fetched. Before: untested. Conclusion: versions only rise.

--- /dev/null
+++ b/core/conf/keeper_test.go
@@ -0,0 +1,229 @@
+package conf
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// text gives a sound rule file that differs by version.
+func text(version uint64) []byte {
+	return fmt.Appendf(nil, "dataCentre clew in # version %d\n", version)
+}
+
+// bad gives a file that is refused whole.
+func bad(version uint64) []byte {
+	return fmt.Appendf(nil, "datacentre clew in # version %d\n", version)
+}
+
+type offered struct {
+	version uint64
+	text    []byte
+	want    Result
+}
+
+func TestOffer(t *testing.T) {
+	tests := map[string]struct {
+		offers  []offered
+		version uint64
+		refused uint64
+		why     string
+	}{
+		"first":             {offers: []offered{{3, text(3), ResultAccepted}}, version: 3},
+		"version 0":         {offers: []offered{{0, text(0), ResultOld}}},
+		"rising":            {offers: []offered{{3, text(3), ResultAccepted}, {4, text(4), ResultAccepted}}, version: 4},
+		"older after newer": {offers: []offered{{4, text(4), ResultAccepted}, {3, text(3), ResultOld}}, version: 4},
+		"same":              {offers: []offered{{4, text(4), ResultAccepted}, {4, text(4), ResultSame}}, version: 4},
+		"same version, other text": {
+			offers: []offered{{4, text(4), ResultAccepted}, {4, text(5), ResultConflict}}, version: 4,
+		},
+		"bad between two good": {
+			offers:  []offered{{4, text(4), ResultAccepted}, {5, bad(5), ResultRefused}, {6, text(6), ResultAccepted}},
+			version: 6,
+		},
+		"bad first": {offers: []offered{{5, bad(5), ResultRefused}}, refused: 5, why: "unknownWord"},
+		"bad again": {
+			offers:  []offered{{4, text(4), ResultAccepted}, {5, bad(5), ResultRefused}, {5, bad(5), ResultRefused}},
+			version: 4, refused: 5, why: "unknownWord",
+		},
+		"refused version with other text": {
+			offers:  []offered{{4, text(4), ResultAccepted}, {5, bad(5), ResultRefused}, {5, text(5), ResultConflict}},
+			version: 4, refused: 5,
+		},
+		"good below a refused one": {
+			offers:  []offered{{4, text(4), ResultAccepted}, {6, bad(6), ResultRefused}, {5, text(5), ResultAccepted}},
+			version: 5, refused: 6,
+		},
+		"too large": {
+			offers:  []offered{{4, []byte(strings.Repeat("#", MaxText+1)), ResultRefused}},
+			refused: 4, why: "bytes",
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var k Keeper
+			for i, o := range tt.offers {
+				if got := k.Offer(0, o.version, o.text, ""); got != o.want {
+					t.Errorf("offer %d: %v, want %v", i, got, o.want)
+				}
+			}
+			refused, why := k.Refused()
+			if k.Version() != tt.version || refused != tt.refused || !strings.Contains(why, tt.why) {
+				t.Errorf("in force %d, refused %d: %s", k.Version(), refused, why)
+			}
+			if c := k.Current(); c != nil && c.Digest != digest(c.Text) {
+				t.Errorf("digest %s does not fit the text", c.Digest)
+			}
+		})
+	}
+}
+
+// TestVersionsOnlyRise offers versions in any order, with loss and duplication, good and bad.
+func TestVersionsOnlyRise(t *testing.T) {
+	for seed := range uint64(50) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		var k Keeper
+		var newest, last uint64
+		for range 200 {
+			version := 1 + r.Uint64N(40)
+			good := version%5 != 0
+			offer := bad(version)
+			if good {
+				offer = text(version)
+				newest = max(newest, version)
+			}
+			k.Offer(0, version, offer, "")
+			if k.Version() < last || k.Version() != newest {
+				t.Fatalf("seed %d: %d in force after %d, newest good one offered %d", seed, k.Version(), last, newest)
+			}
+			last = k.Version()
+		}
+	}
+}
+
+// TestRefusedIsNotParsedAgain counts what a refused text costs when it is offered again.
+func TestRefusedIsNotParsedAgain(t *testing.T) {
+	var k Keeper
+	large := []byte(strings.Repeat("team a share 0 key x\n", 20000))
+	k.Offer(0, 7, large, "")
+	allocs := testing.AllocsPerRun(3, func() { k.Offer(0, 7, large, "") })
+	if allocs > 10 {
+		t.Errorf("%v allocations for a text that was refused before", allocs)
+	}
+	if k.Counts.Refused < 2 {
+		t.Errorf("counts %+v", k.Counts)
+	}
+	k.Heard(0, "r2", 7)
+	if peer, version, ok := k.Want(0); ok {
+		t.Errorf("asks %s for the refused version %d", peer, version)
+	}
+}
+
+func TestIndexes(t *testing.T) {
+	var k Keeper
+	k.Offer(0, 1, []byte("dataCentre clew out # a\ndataCentre bertra in # a\nproduct pool model # a\n"+
+		"server p-1 product pool dataCentre clew address 127.0.0.1:1 limit 2 # a\n"+
+		"team farm share 3 key sha256:"+strings.Repeat("ab", 32)+" # a\n"), "platform")
+	c := k.Current()
+	if c == nil {
+		t.Fatal("refused")
+	}
+	var key [32]byte
+	for i := range key {
+		key[i] = 0xab
+	}
+	if diff := cmp.Diff(map[string]bool{"clew": true}, c.Out); diff != "" {
+		t.Errorf("out: %s", diff)
+	}
+	if c.TeamsByKey[key] == nil || c.TeamsByKey[key] != c.Teams["farm"] || len(c.Servers["pool"]) != 1 || c.Products["pool"] == nil {
+		t.Errorf("indexes incomplete: %+v", c)
+	}
+}
+
+func TestWant(t *testing.T) {
+	const ms = time.Millisecond
+	k := Keeper{Self: "r1"}
+	k.Offer(0, 3, text(3), "")
+	k.Heard(0, "r2", 3)
+	if _, _, ok := k.Want(0); ok {
+		t.Fatal("asks though nothing is newer")
+	}
+	k.Heard(0, "r2", 5)
+	k.Heard(0, "r3", 5)
+	k.Heard(0, "r4", 4)
+	first, version, ok := k.Want(0)
+	if !ok || version != 5 || first == "r4" {
+		t.Fatalf("asks %q for %d", first, version)
+	}
+	if peer, _, again := k.Want(AskTimeout - ms); again {
+		t.Fatalf("asks %s while the first question is open", peer)
+	}
+	second, _, ok := k.Want(AskTimeout)
+	if !ok || second == first || second == "r4" {
+		t.Fatalf("after no answer asks %q, before %q", second, first)
+	}
+	k.Gone(second)
+	third, version, ok := k.Want(AskTimeout + ms)
+	if !ok || third != "r4" || version != 4 {
+		t.Fatalf("with the others silent asks %q for %d", third, version)
+	}
+	if got := k.Offer(AskTimeout+2*ms, 5, text(5), third); got != ResultAccepted {
+		t.Fatalf("answer %v", got)
+	}
+	if peer, _, ok := k.Want(time.Minute); ok {
+		t.Fatalf("asks %s with the newest in force", peer)
+	}
+}
+
+// TestAskersSpread requires that routers do not all ask the same of the peers that have a version.
+func TestAskersSpread(t *testing.T) {
+	asked := map[string]int{}
+	for i := range 90 {
+		k := Keeper{Self: fmt.Sprintf("asker-%d", i)}
+		for j := range 3 {
+			k.Heard(0, fmt.Sprintf("r%d", j), 8)
+		}
+		peer, _, _ := k.Want(0)
+		asked[peer]++
+	}
+	for peer, n := range asked {
+		if n > 60 || len(asked) != 3 {
+			t.Errorf("%s is asked by %d of 90; all: %v", peer, n, asked)
+		}
+	}
+}
+
+func TestSettled(t *testing.T) {
+	tests := map[string]struct {
+		prepare func(k *Keeper)
+		now     time.Duration
+		want    bool
+	}{
+		"nothing in force":       {prepare: func(k *Keeper) { k.current = nil; k.AskedPlatform() }, now: time.Hour},
+		"platform not asked":     {prepare: func(k *Keeper) { k.Heard(0, "r2", 3) }},
+		"platform and peers":     {prepare: func(k *Keeper) { k.AskedPlatform(); k.Heard(0, "r2", 3) }, want: true},
+		"a peer is silent":       {prepare: func(k *Keeper) { k.AskedPlatform() }},
+		"a peer stays silent":    {prepare: func(k *Keeper) { k.AskedPlatform() }, now: SettleLimit, want: true},
+		"a peer has a newer one": {prepare: func(k *Keeper) { k.AskedPlatform(); k.Heard(0, "r2", 4) }, now: time.Hour},
+		"a peer has one refused here": {
+			prepare: func(k *Keeper) { k.AskedPlatform(); k.Offer(0, 4, bad(4), ""); k.Heard(0, "r2", 4) }, want: true,
+		},
+		"the peer with a newer one is gone": {
+			prepare: func(k *Keeper) { k.AskedPlatform(); k.Heard(0, "r2", 4); k.Gone("r2") }, now: SettleLimit, want: true,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			k := Keeper{Self: "r1"}
+			k.Offer(0, 3, text(3), "")
+			tt.prepare(&k)
+			if got := k.Settled(tt.now, []string{"r1", "r2"}); got != tt.want {
+				t.Errorf("settled %v", got)
+			}
+		})
+	}
+}
