--- /dev/null
+++ b/core/sched/server.go
@@ -0,0 +1,296 @@
+package sched
+
+import (
+	"time"
+
+	"mangolug.org/core/fleet"
+	"mangolug.org/core/limit"
+	"mangolug.org/core/rule"
+)
+
+// orphanReports is the number of load reports that must agree before orphans are freed.
+const orphanReports = 3
+
+// server is one backend server and what runs on it.
+type server struct {
+	rule        rule.Server
+	limiter     limit.Limiter
+	present     bool // in the configuration
+	dropped     bool // neither configured nor in use
+	stopped     fleet.Reason
+	settled     bool // the whole part may be used
+	allowed     int  // until settled, what may be used
+	grewAt      time.Duration
+	sample      sample
+	outstanding int // grants in the hands of live routers
+	orphans     int // grants of routers that were lost
+	orphanedAt  time.Duration
+	lost        int // orphans, those included that reports freed and that may yet be heard of
+	foreign     int // reported load that no grant explains
+	spare       [orphanReports]int
+	spares      int // reports since the last orphan
+	recent      peak
+	progress    time.Duration // last sign that requests move on
+
+	touched  bool
+	room     int     // requests that it still takes
+	fraction float64 // of its usable limit that is in use
+	held     fleet.Reason
+	heldTill time.Duration
+}
+
+// sample is a load report kept until what ended before it was measured is known.
+type sample struct {
+	measured time.Duration
+	load     int // requests in service and waiting
+	kept     bool
+}
+
+// peak keeps the highest count over the last one to two periods.
+type peak struct {
+	began           time.Duration
+	before, current int
+}
+
+func (p *peak) note(now, period time.Duration, count int) {
+	switch {
+	case now >= p.began+2*period:
+		p.began, p.before, p.current = now, count, count
+	case now >= p.began+period:
+		p.began, p.before, p.current = now, p.current, count
+	}
+	p.current = max(p.current, count)
+}
+
+func (p *peak) highest() int { return max(p.before, p.current) }
+
+func (s *Scheduler) configure(now time.Duration, v *server, r rule.Server, out, leaving map[string]bool) {
+	if v.rule.Name == "" || v.rule.Address != r.Address {
+		v.progress = now
+		v.grewAt, v.settled = now, s.lent >= s.fleet
+	}
+	v.rule, v.present = r, true
+	v.limiter.Ceiling = r.Limit
+	v.stopped = fleet.ReasonNone
+	switch {
+	case out[r.DataCentre]:
+		v.stopped = fleet.ReasonDataCentreOut
+	case leaving[r.Name]:
+		v.stopped = fleet.ReasonServerLeaving
+	}
+}
+
+func (s *Scheduler) server(name string) *server {
+	v := s.servers[name]
+	if v == nil {
+		v = &server{}
+		s.servers[name] = v
+	}
+	return v
+}
+
+// touch marks a server whose room is to be worked out again.
+func (s *Scheduler) touch(v *server) {
+	if !v.touched && !v.dropped {
+		v.touched = true
+		s.dirty = append(s.dirty, v)
+	}
+}
+
+// use counts a change of the grants outstanding on a server.
+func (s *Scheduler) use(now time.Duration, v *server, change int) {
+	v.recent.note(now, s.Settings.ReportLag, v.outstanding)
+	if v.outstanding == 0 {
+		v.progress = now
+	}
+	v.outstanding += change
+	v.recent.note(now, s.Settings.ReportLag, v.outstanding)
+	s.touch(v)
+}
+
+// Load takes in a server's own report.
+func (s *Scheduler) Load(now time.Duration, l fleet.Load) {
+	s.prepare()
+	v := s.servers[l.Server]
+	if v == nil {
+		return
+	}
+	v.limiter.Load(now, l)
+	s.keep(v, now-time.Duration(l.Age)*time.Millisecond, l.Running+l.Waiting)
+	v.recent.note(now, s.Settings.ReportLag, v.outstanding)
+	v.foreign = max(0, l.Running+l.Waiting-v.recent.highest())
+	before := v.orphans
+	v.freeOrphans(now, l)
+	if v.orphans < before {
+		s.forgetLost()
+	}
+	s.touch(v)
+}
+
+// keep holds the report that tells soonest about the time after the part grew.
+func (s *Scheduler) keep(v *server, measured time.Duration, load int) {
+	if !v.settled && !v.sample.kept && measured >= v.grewAt+transit {
+		v.sample = sample{measured: measured, load: load, kept: true}
+		s.review = min(s.review, measured+transit)
+	}
+}
+
+// settleServer lets more of the part be used as far as a report shows that others left it.
+func (s *Scheduler) settleServer(now time.Duration, v *server) {
+	if v.settled {
+		v.sample.kept = false
+		return
+	}
+	if now >= v.grewAt+s.Settings.Settle {
+		v.settled = true
+		return
+	}
+	if !v.sample.kept || now < v.sample.measured+transit {
+		return
+	}
+	v.sample.kept = false
+	if v.sample.measured < v.grewAt+transit {
+		return
+	}
+	others := max(0, v.sample.load-s.surelyRan(v))
+	v.allowed = max(v.allowed, v.limiter.Bound()-others)
+	v.settled = v.allowed >= s.part(v.limiter.Bound())
+}
+
+// surelyRan counts the grants that a server had begun and not ended when its sample was measured.
+func (s *Scheduler) surelyRan(v *server) int {
+	n := 0
+	for _, g := range s.grants {
+		if g.server == v && g.seen && g.seenAt <= v.sample.measured {
+			n++
+		}
+	}
+	return n
+}
+
+// freeOrphans drops orphans that several reports in a row, measured since, leave no room for.
+func (v *server) freeOrphans(now time.Duration, l fleet.Load) {
+	measured := now - time.Duration(l.Age)*time.Millisecond
+	if v.orphans == 0 || measured <= v.orphanedAt {
+		return
+	}
+	v.spare[v.spares%orphanReports] = v.foreign
+	v.spares++
+	if v.spares < orphanReports {
+		return
+	}
+	most := 0
+	for _, n := range v.spare {
+		most = max(most, n)
+	}
+	v.orphans = min(v.orphans, most)
+}
+
+// orphan turns a grant into load that only its server's reports, or news of it, can free.
+func (s *Scheduler) orphan(now time.Duration, g *grant) {
+	v := g.server
+	v.limiter.Lost()
+	s.release(now, g, g.charged)
+	v.orphans++
+	v.lost++
+	v.orphanedAt, v.spares = now, 0
+	s.lost[g.id] = v
+}
+
+// found takes a grant back from the orphans.
+func (s *Scheduler) found(id uint64) {
+	v := s.lost[id]
+	if v == nil {
+		return
+	}
+	delete(s.lost, id)
+	v.lost--
+	v.orphans = min(v.orphans, v.lost)
+	s.touch(v)
+}
+
+// forgetLost drops the IDs of orphans that were freed.
+func (s *Scheduler) forgetLost() {
+	for id, v := range s.lost {
+		if v.orphans == 0 {
+			delete(s.lost, id)
+			v.lost = 0
+		}
+	}
+}
+
+// LoadFailed notes that a server's report could not be read.
+func (s *Scheduler) LoadFailed(_ time.Duration, name string) {
+	s.prepare()
+	v := s.servers[name]
+	if v == nil {
+		return
+	}
+	v.limiter.LoadFailed()
+	s.touch(v)
+}
+
+// reviewServers looks at what changes without an event.
+func (s *Scheduler) reviewServers(now time.Duration) {
+	if now >= s.review {
+		s.review = now + reviewPeriod
+		for _, v := range s.listed {
+			if v.outstanding > 0 && now >= v.progress+s.Settings.StallLimit {
+				v.limiter.Stall(now)
+				v.progress = now
+			}
+			s.settleServer(now, v)
+			s.touch(v)
+		}
+	}
+	for _, v := range s.dirty {
+		v.touched = false
+		if !v.dropped {
+			s.workOut(now, v)
+		}
+	}
+	s.dirty = s.dirty[:0]
+}
+
+// workOut works out how many more requests a server takes now.
+func (s *Scheduler) workOut(now time.Duration, v *server) {
+	s.room -= v.room
+	v.room, v.fraction = 0, 1
+	v.held, v.heldTill = s.whyHeld(now, v)
+	if v.heldTill > now {
+		s.review = min(s.review, v.heldTill)
+	}
+	if v.held != fleet.ReasonNone {
+		return
+	}
+	usable := s.usable(v)
+	free := usable - v.outstanding - v.orphans
+	if v.limiter.Probing() {
+		free = min(free, 1)
+	}
+	if free <= 0 {
+		return
+	}
+	v.room = free
+	v.fraction = float64(v.outstanding+v.orphans) / float64(usable)
+	s.room += v.room
+}
+
+// usable gives how many grants may be outstanding on a server, orphans included.
+func (s *Scheduler) usable(v *server) int {
+	beside := max(0, v.foreign-v.orphans)
+	return min(s.allowed(v), v.limiter.Limit()-beside)
+}
+
+func (s *Scheduler) whyHeld(now time.Duration, v *server) (fleet.Reason, time.Duration) {
+	if !v.present {
+		return fleet.ReasonNoServer, 0
+	}
+	if v.stopped != fleet.ReasonNone {
+		return v.stopped, 0
+	}
+	if !v.settled && s.allowed(v) == 0 && s.part(v.limiter.Bound()) > 0 {
+		return fleet.ReasonNotReady, v.grewAt + s.Settings.Settle
+	}
+	return v.limiter.Held(now)
+}
--- /dev/null
+++ b/router/loop/loop.go
@@ -0,0 +1,169 @@
+package loop
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"mangolug.org/core/conf"
+	"mangolug.org/core/entry"
+	"mangolug.org/core/fleet"
+	"mangolug.org/core/node"
+	"mangolug.org/core/trace"
+)
+
+const (
+	// inboxLength is how many events may wait for the loop.
+	inboxLength = 4096
+	// batchLimit is how many waiting events are handled in one step.
+	batchLimit = 256
+	// shortestRest is the least time between two steps that no event asked for.
+	shortestRest = time.Millisecond
+)
+
+// Loop owns the control state; set the exported fields, call Init and then Run.
+type Loop struct {
+	Start node.Start
+	Began time.Time // start of the monotonic clock
+
+	Send     func(peer string, m *fleet.Message)                                   // queues a message for a peer
+	SetPeers func(addresses map[string]string)                                     // opens links to the listed peers
+	LoadOf   func(ctx context.Context, server, address string) (fleet.Load, error) // asks a backend server
+	Trace    *trace.Writer                                                         // nil records nothing
+	Log      *log.Logger                                                           // nil logs nothing
+	Metrics  metrics.Registry                                                      // nil uses the default registry
+
+	inbox chan input
+	ended chan struct{} // closed when Run has returned
+	ask   atomic.Uint64
+
+	state   node.Node
+	events  []node.Event
+	waiting map[string]chan entry.Verdict // by request
+	asked   map[uint64]chan fleet.KeyAnswer
+	polls   map[fleet.Cell]context.CancelFunc
+
+	current  atomic.Pointer[conf.InForce]
+	ready    atomic.Int32 // a fleet.Reason
+	draining atomic.Bool
+	reader   atomic.Bool
+	urgent   atomic.Bool
+	newest   atomic.Uint64
+}
+
+// Init makes the loop ready to take events.
+func (l *Loop) Init() {
+	l.inbox = make(chan input, inboxLength)
+	l.ended = make(chan struct{})
+	l.waiting = map[string]chan entry.Verdict{}
+	l.asked = map[uint64]chan fleet.KeyAnswer{}
+	l.polls = map[fleet.Cell]context.CancelFunc{}
+	l.ready.Store(int32(fleet.ReasonNotReady))
+	l.state.Start = l.Start
+	l.state.Count = func(name string) { l.counter(name).Inc(1) }
+}
+
+// Now gives the time since the process began.
+func (l *Loop) Now() time.Duration { return time.Since(l.Began) }
+
+// Run handles events until the context ends.
+func (l *Loop) Run(ctx context.Context) error {
+	defer close(l.ended)
+	if l.Trace != nil {
+		if err := l.Trace.Begin(trace.Header{Start: l.Start}); err != nil {
+			return err
+		}
+	}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		var batch []input
+		select {
+		case <-ctx.Done():
+			return nil
+		case i := <-l.inbox:
+			batch = l.gather(i)
+		case <-timer.C:
+		}
+		l.step(ctx, batch)
+		timer.Reset(max(l.state.Rest(), shortestRest))
+	}
+}
+
+// gather takes what else waits in the inbox, so that one step handles all of it.
+func (l *Loop) gather(first input) []input {
+	batch := []input{first}
+	for len(batch) < batchLimit {
+		select {
+		case i := <-l.inbox:
+			batch = append(batch, i)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// step hands a batch of events to the control state and carries out the effects.
+func (l *Loop) step(ctx context.Context, batch []input) {
+	l.events = l.events[:0]
+	for i := range batch {
+		if batch[i].query == nil {
+			l.register(&batch[i])
+			l.events = append(l.events, batch[i].event)
+		}
+	}
+	now, wall := l.Now(), time.Now()
+	effects := l.state.Step(now, wall, l.events)
+	l.record(now, wall, effects)
+	for i := range effects {
+		l.carryOut(ctx, &effects[i])
+	}
+	l.publish()
+	for i := range batch {
+		l.settle(&batch[i])
+	}
+}
+
+func (l *Loop) record(now time.Duration, wall time.Time, effects []node.Effect) {
+	if l.Trace == nil {
+		return
+	}
+	err := l.Trace.Add(&trace.Step{Now: now, Wall: wall.UnixNano(), Events: l.events, Effects: effects})
+	if err != nil {
+		l.Trace = nil
+		if l.Log != nil {
+			l.Log.Warn("trace ended", "error", err)
+		}
+	}
+}
+
+// publish makes known what other goroutines read without asking.
+func (l *Loop) publish() {
+	l.current.Store(l.state.InForce())
+	l.ready.Store(int32(l.state.Ready()))
+	l.reader.Store(l.state.Reader())
+	l.urgent.Store(l.state.Urgent())
+	l.newest.Store(l.state.Newest())
+}
+
+// post hands an input to the loop; it says false when the loop has ended.
+func (l *Loop) post(i input) bool {
+	select {
+	case l.inbox <- i:
+		return true
+	case <-l.ended:
+		return false
+	}
+}
+
+func (l *Loop) counter(name string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(name, l.Metrics)
+}
+
+// errEnded is returned to who asks a loop that has ended.
+var errEnded = errors.New("the control loop has ended")
