--- a/router/plat/watcher.go
+++ b/router/plat/watcher.go
@@ -29,6 +29,9 @@
 // answerLimit is how long the platform may take to answer beyond the wait that it was asked for.
 const answerLimit = 3 * time.Second
 
+// retryAfterLimit bounds the pause that the platform may ask for.
+const retryAfterLimit = 30 * time.Second
+
 // rolePoll is how often a router that does not watch looks whether it has become a reader.
 const rolePoll = 250 * time.Millisecond
 
@@ -192,7 +195,7 @@
 	d = d/2 + time.Duration(b.random()*float64(d)/2)
 	var status *StatusError
 	if errors.As(err, &status) {
-		d = max(d, status.RetryAfter+time.Duration(b.random()*float64(b.first)))
+		d = max(d, min(status.RetryAfter, retryAfterLimit)+time.Duration(b.random()*float64(b.first)))
 	}
 	return d
 }
--- /dev/null
+++ b/router/plat/watcher_test.go
@@ -0,0 +1,252 @@
+package plat
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+	"mangolug.org/core/conf"
+	"mangolug.org/core/fleet"
+)
+
+// deadline bounds every wait for a condition.
+const deadline = 10 * time.Second
+
+// quick are times that keep the tests short.
+var quick = Times{
+	Wait: 20 * time.Millisecond, ListPeriod: time.Millisecond, SlowPeriod: time.Hour,
+	RulesPeriod: time.Hour, Backoff: time.Millisecond, BackoffLimit: 4 * time.Millisecond,
+}
+
+// platform is a small configuration service that tests change at will.
+type platform struct {
+	mutex   sync.Mutex
+	version uint64
+	status  int // answered instead, if set
+	vms     string
+	watches int // reads of the rules
+	lists   int // reads of the list
+}
+
+func (p *platform) set(change func(p *platform)) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	change(p)
+}
+
+func (p *platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	rules := r.URL.Path == "/v1/config/rules"
+	if rules {
+		p.watches++
+	} else {
+		p.lists++
+	}
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	switch {
+	case p.status != 0:
+		w.WriteHeader(p.status)
+	case !rules:
+		_, _ = fmt.Fprintf(w, `{"vms":[%s]}`, p.vms)
+	case p.version <= after:
+		w.WriteHeader(http.StatusNotModified)
+	default:
+		w.Header().Set("Config-Version", strconv.FormatUint(p.version, 10))
+		_, _ = fmt.Fprintf(w, "dataCentre clew in # version %d\n", p.version)
+	}
+}
+
+// watched is a running watcher with what it gave.
+type watched struct {
+	platform *platform
+	offers   chan uint64
+	list     atomic.Pointer[[]fleet.VM] // the newest
+	failures chan error
+	asked    atomic.Int64
+}
+
+func watch(t *testing.T, p *platform, change func(w *Watcher)) *watched {
+	t.Helper()
+	got := &watched{
+		platform: p, offers: make(chan uint64, 1000), failures: make(chan error, 1000),
+	}
+	w := &Watcher{
+		Client: serve(t, p.ServeHTTP), Times: quick,
+		Offer:  func(version uint64, _ []byte) { got.offers <- version },
+		List:   func(vms []fleet.VM) { got.list.Store(&vms) },
+		Failed: func(err error) { keepError(got.failures, err) },
+		Asked:  func() { got.asked.Add(1) },
+	}
+	if change != nil {
+		change(w)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- w.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Errorf("run ended with %v", err)
+		}
+	})
+	return got
+}
+
+func keepError(failures chan error, err error) {
+	select {
+	case failures <- err:
+	default:
+	}
+}
+
+func (w *watched) expectOffer(t *testing.T, want uint64) {
+	t.Helper()
+	select {
+	case got := <-w.offers:
+		if got != want {
+			t.Fatalf("offered %d, want %d", got, want)
+		}
+	case <-time.After(deadline):
+		t.Fatalf("version %d not offered", want)
+	}
+}
+
+func (w *watched) expectFailure(t *testing.T, status int) {
+	t.Helper()
+	select {
+	case err := <-w.failures:
+		var s *StatusError
+		if !errors.As(err, &s) || s.Status != status {
+			t.Fatalf("failure %v", err)
+		}
+	case <-time.After(deadline):
+		t.Fatal("no failure")
+	}
+}
+
+func TestWatchGoesThroughOutages(t *testing.T) {
+	p := &platform{version: 3}
+	w := watch(t, p, nil)
+	w.expectOffer(t, 3)
+	p.set(func(p *platform) { p.status = http.StatusServiceUnavailable })
+	w.expectFailure(t, http.StatusServiceUnavailable)
+	p.set(func(p *platform) { p.status, p.version = 0, 4 })
+	w.expectOffer(t, 4)
+	p.set(func(p *platform) { p.version = 2 }) // stale: asked for what is after 4, it has nothing
+	p.set(func(p *platform) { p.status = http.StatusTooManyRequests })
+	for len(w.failures) > 0 {
+		<-w.failures
+	}
+	w.expectFailure(t, http.StatusTooManyRequests)
+	p.set(func(p *platform) { p.status, p.version = 0, 5 })
+	w.expectOffer(t, 5)
+	if w.asked.Load() != 1 {
+		t.Errorf("told %d times that the platform was asked", w.asked.Load())
+	}
+}
+
+// TestOldVersionNeverReachesForce serves an older version after a newer one to a watcher that has forgotten, as after a restart.
+func TestOldVersionNeverReachesForce(t *testing.T) {
+	var k conf.Keeper
+	k.Offer(0, 9, []byte("dataCentre clew in # version 9\n"), "r2")
+	results := make(chan conf.Result, 10)
+	watch(t, &platform{version: 5}, func(w *Watcher) {
+		w.Offer = func(version uint64, text []byte) { results <- k.Offer(0, version, text, "") }
+	})
+	select {
+	case r := <-results:
+		if r != conf.ResultOld || k.Version() != 9 {
+			t.Errorf("%v, %d in force", r, k.Version())
+		}
+	case <-time.After(deadline):
+		t.Error("nothing offered")
+	}
+}
+
+func TestAskedAlsoWhenDown(t *testing.T) {
+	w := watch(t, &platform{status: http.StatusInternalServerError}, nil)
+	w.expectFailure(t, http.StatusInternalServerError)
+	await(t, "told that the platform was asked", func() bool { return w.asked.Load() == 1 })
+}
+
+// TestOnlyReadersWatch requires one read of a router that is no reader, and a watch as soon as it becomes one.
+func TestOnlyReadersWatch(t *testing.T) {
+	var reader atomic.Bool
+	p := &platform{version: 3}
+	w := watch(t, p, func(w *Watcher) { w.Reader, w.Urgent = reader.Load, func() bool { return false } })
+	w.expectOffer(t, 3)
+	await(t, "list read", func() bool { return w.list.Load() != nil })
+	p.set(func(p *platform) {
+		if p.watches != 1 || p.lists != 1 {
+			t.Errorf("%d reads of the rules, %d of the list", p.watches, p.lists)
+		}
+		p.version = 4
+	})
+	reader.Store(true)
+	w.expectOffer(t, 4)
+}
+
+func TestListFollowsThePlatform(t *testing.T) {
+	p := &platform{vms: `{"name":"pool-1","state":"live"}`}
+	w := watch(t, p, nil)
+	await(t, "live", w.shows(fleet.VMLive))
+	p.set(func(p *platform) { p.vms = `{"name":"pool-1","state":"leaving"}` })
+	await(t, "leaving", w.shows(fleet.VMLeaving))
+}
+
+// shows gives a condition: the newest list has one VM in this state.
+func (w *watched) shows(state fleet.VMState) func() bool {
+	return func() bool {
+		vms := w.list.Load()
+		return vms != nil && len(*vms) == 1 && (*vms)[0].State == state
+	}
+}
+
+func TestBackoff(t *testing.T) {
+	tests := map[string]struct {
+		random float64
+		err    error
+		want   []time.Duration
+	}{
+		"least jitter": {err: errors.New("down"), want: []time.Duration{50, 100, 200, 250, 250}},
+		"most jitter":  {random: 1, err: errors.New("down"), want: []time.Duration{100, 200, 400, 500, 500}},
+		"platform says when": {
+			err: &StatusError{Status: 429, RetryAfter: 300}, want: []time.Duration{300, 300, 300, 300, 300},
+		},
+		"platform says too long": {
+			err: &StatusError{Status: 429, RetryAfter: time.Hour}, want: []time.Duration{retryAfterLimit},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := backoff{first: 100, limit: 500, random: func() float64 { return tt.random }}
+			var got []time.Duration
+			for range tt.want {
+				got = append(got, b.next(tt.err))
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// await waits until a condition holds.
+func await(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	end := time.Now().Add(deadline)
+	for !done() {
+		if time.Now().After(end) {
+			t.Fatalf("not in time: %s", what)
+		}
+		pause(t.Context(), time.Millisecond)
+	}
+}
