Count a trial's slots, service and waiting as the measures need them

Cause: the first trials counted slots of a data centre out of service, the flooding team among the small ones, and service after the load's end; each run waited seconds for what was open at the end.

Ruled out: a shorter warm-up, as limits take some 5 s to be learnt from the floor and utilisation then shows the start rather than the policy.

Conclusion: hanging up at the end shows servers with more open than their limit, which waiting for the open requests does not; a slot whose caller hangs up is given again before the server has noticed.

--- a/loader/drive/caller.go
+++ b/loader/drive/caller.go
@@ -62,10 +62,13 @@
 // do sends the request, reads its answer and counts its end.
 func (c *call) do(ctx context.Context) {
 	timeout := time.Duration(c.load.TimeoutMillis) * time.Millisecond
-	ctx, cancel := context.WithTimeout(ctx, timeout+requestGrace)
+	limited, cancel := context.WithTimeout(ctx, timeout+requestGrace)
 	defer cancel()
 	c.count.Begin()
-	end := c.exchange(ctx)
+	end := c.exchange(limited)
+	if end.Outcome != tally.OutcomeAnswered && ctx.Err() != nil {
+		end = tally.End{Outcome: tally.OutcomeCut}
+	}
 	end.Total = time.Since(c.planned)
 	c.count.End(end, c.begun)
 }
--- a/loader/drive/run.go
+++ b/loader/drive/run.go
@@ -44,7 +44,11 @@
 		defer close(sampled)
 		s.collect(sampling)
 	}()
-	r.loads(ctx)
+	sending := ctx
+	if p.CutAtEnd {
+		sending = sampling
+	}
+	r.loads(sending)
 	<-sampled
 	return r.result(s), nil
 }
@@ -141,8 +145,10 @@
 	if r.plan.WindowMillis > 0 {
 		window = time.Duration(r.plan.WindowMillis) * time.Millisecond
 	}
-	for _, c := range r.counts {
-		result.Teams = append(result.Teams, c.Report())
+	for i, c := range r.counts {
+		t := c.Report()
+		t.Steady = s.series[i].Served()
+		result.Teams = append(result.Teams, t)
 	}
 	for _, name := range r.products() {
 		result.Products = append(result.Products, s.product(name, int(window/samplePeriod)))
--- a/loader/drive/run_test.go
+++ b/loader/drive/run_test.go
@@ -65,6 +65,19 @@
 	}
 }
 
+func TestCutAtEnd(t *testing.T) {
+	p := planFor(newRouter(t))
+	p.CutAtEnd, p.Servers, p.Loads = true, nil, p.Loads[:1]
+	p.Loads[0].AnswerTokens = plan.Range{Min: 4000, Max: 4000}
+	result, err := Run(context.Background(), p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if cut := result.Teams[0].Ends["cut"]; cut != 3 || result.Requests != 3 {
+		t.Errorf("%d of %d requests were cut, want all of 3: %v", cut, result.Requests, result.Teams[0].Ends)
+	}
+}
+
 func TestMakerRepeatsItself(t *testing.T) {
 	p := planFor("127.0.0.1:1")
 	one, two := newMaker(p, &p.Loads[1], 1, 0), newMaker(p, &p.Loads[1], 1, 0)
--- a/loader/drive/sample.go
+++ b/loader/drive/sample.go
@@ -69,11 +69,14 @@
 		return
 	}
 	room := make(map[string]int)
+	at := time.Since(s.run.start).Milliseconds()
 	for i, v := range s.run.plan.Servers {
-		room[v.Product] += v.Limit - reports[i].Running
+		if v.InService(at) {
+			room[v.Product] += v.Limit - reports[i].Running
+		}
 	}
 	for i, v := range s.run.plan.Servers {
-		s.count(v, reports[i], waiting[v.Product] > room[v.Product])
+		s.count(v, reports[i], v.InService(at) && waiting[v.Product] > room[v.Product])
 	}
 }
 
--- a/loader/plan/plan.go
+++ b/loader/plan/plan.go
@@ -16,6 +16,7 @@
 	Name           string   `json:"name"`
 	Seed           uint64   `json:"seed"`
 	DurationMillis int64    `json:"durationMillis"`
+	CutAtEnd       bool     `json:"cutAtEnd"`     // hang up on what is open when the duration is over, rather than wait for it
 	WarmupMillis   int64    `json:"warmupMillis"` // at the start, left out of the fairness gap and of utilisation
 	WindowMillis   int64    `json:"windowMillis"` // length of a window of the fairness gap; 0 for 1000
 	Targets        []Target `json:"targets"`
@@ -37,6 +38,14 @@
 	Address string `json:"address"` // loopback ip:port
 	Product string `json:"product"`
 	Limit   int    `json:"limit"` // its ceiling in the rule file
+
+	OutMillis  int64 `json:"outMillis"`  // when it goes out of service, 0 for never; its slots do not count meanwhile
+	BackMillis int64 `json:"backMillis"` // when it is back
+}
+
+// InService says whether the server is in service so many milliseconds after the start.
+func (s *Server) InService(millis int64) bool {
+	return s.OutMillis == 0 || millis < s.OutMillis || millis >= s.BackMillis
 }
 
 // Range is a span of whole numbers, both ends included.
--- a/loader/tally/gap.go
+++ b/loader/tally/gap.go
@@ -18,6 +18,14 @@
 	Points []Point
 }
 
+// Served gives the cost units from the first sample to the last.
+func (s *Series) Served() int64 {
+	if len(s.Points) == 0 {
+		return 0
+	}
+	return s.Points[len(s.Points)-1].Service - s.Points[0].Service
+}
+
 // Gap is the service gap of the pair of teams that differ most.
 type Gap struct {
 	Window   float64 `json:"window"`   // largest over windows of fixed length, in cost units over share
--- a/loader/tally/load.go
+++ b/loader/tally/load.go
@@ -20,6 +20,7 @@
 	OutcomeFailed                  // failed
 	OutcomeTimedOut                // timedOut
 	OutcomeNotWhole                // notWhole
+	OutcomeCut                     // cut
 )
 
 // End is the end of one request.
@@ -48,7 +49,7 @@
 	waiting    int // open, and no byte has come yet
 	minWaiting int // since the last sample
 	service    int64
-	ends       [OutcomeNotWhole + 1]int64
+	ends       [OutcomeCut + 1]int64
 	reasons    map[string]int64
 	total      *hdrhistogram.Histogram
 	firstByte  *hdrhistogram.Histogram
--- a/loader/tally/outcome_string.go
+++ b/loader/tally/outcome_string.go
@@ -14,11 +14,12 @@
 	_ = x[OutcomeFailed-3]
 	_ = x[OutcomeTimedOut-4]
 	_ = x[OutcomeNotWhole-5]
+	_ = x[OutcomeCut-6]
 }
 
-const _Outcome_name = "answeredrefusedunknownfailedtimedOutnotWhole"
+const _Outcome_name = "answeredrefusedunknownfailedtimedOutnotWholecut"
 
-var _Outcome_index = [...]uint8{0, 8, 15, 22, 28, 36, 44}
+var _Outcome_index = [...]uint8{0, 8, 15, 22, 28, 36, 44, 47}
 
 func (i Outcome) String() string {
 	idx := int(i) - 0
--- a/loader/tally/result.go
+++ b/loader/tally/result.go
@@ -40,6 +40,7 @@
 	Ends      map[string]int64 `json:"ends"` // by outcome
 	Reasons   map[string]int64 `json:"reasons"`
 	Service   int64            `json:"service"` // cost units
+	Steady    int64            `json:"steady"`  // cost units between warm-up and end of the load
 	Total     Spread           `json:"total"`
 	FirstByte Spread           `json:"firstByte"`
 	Between   Spread           `json:"between"`
--- a/stage/demo/demo.go
+++ b/stage/demo/demo.go
@@ -19,13 +19,14 @@
 	"mangolug.org/stage/works"
 )
 
-const warmup = 2 * time.Second
+// warmup lets limits be learnt, and lasts longer than a key's home waits before it runs keys.
+const warmup = 6 * time.Second
 
 // Options are what a run needs.
 type Options struct {
 	Context context.Context `no-flag:"yes"`
 	Streams *stream.Streams `no-flag:"yes"`
-	Length  time.Duration   `long:"length" env:"MANGOLUG_DEMO_LENGTH" default:"8s" description:"how long each user's load lasts"`
+	Length  time.Duration   `long:"length" env:"MANGOLUG_DEMO_LENGTH" default:"12s" description:"how long each user's load lasts"`
 	Seed    uint64          `long:"seed" env:"MANGOLUG_DEMO_SEED" default:"1" description:"seed of the load"`
 	JSON    bool            `long:"json" description:"write the results as JSON"`
 }
@@ -78,7 +79,7 @@
 	all := &table.Table{Kind: "demo", Header: []string{
 		"USER", "REQUESTS", "ANSWERED WHOLE", "REFUSED", "OTHER", "FAIRNESS GAP", "OVER MEAN", "UTILISATION", "CONTROL BYTES/S A ROUTER", "OVER LIMIT", "RUN TWICE",
 	}}
-	teams := &table.Table{Kind: "team", Header: []string{"USER", "TEAM", "PRODUCT", "SHARE", "REQUESTS", "ANSWERED", "SERVICE", "SERVICE/SHARE", "FIRST BYTE P95"}}
+	teams := &table.Table{Kind: "team", Header: []string{"USER", "TEAM", "PRODUCT", "SHARE", "REQUESTS", "ANSWERED", "SERVICE, STEADY", "OVER SHARE", "FIRST BYTE P95"}}
 	reasons := &table.Table{Kind: "reason", Header: []string{"USER", "OUTCOME AND REASON", "COUNT"}}
 	for i, r := range results {
 		f := r.Figures(sites[i].Model)
@@ -89,7 +90,7 @@
 		for _, t := range r.Load.Teams {
 			wait := time.Duration(t.FirstByte.P95) * time.Microsecond
 			teams.Add(r.User, t.Team, t.Product, strconv.Itoa(t.Share), count(t.Requests), count(t.Ends[tally.OutcomeAnswered.String()]),
-				count(t.Service), count(t.Service/int64(t.Share)), wait.Round(time.Millisecond).String())
+				count(t.Steady), count(t.Steady/int64(t.Share)), wait.Round(time.Millisecond).String())
 		}
 		for _, name := range names(r.Load.Reasons) {
 			reasons.Add(r.User, name, count(r.Load.Reasons[name]))
--- a/stage/gauge/gauge.go
+++ b/stage/gauge/gauge.go
@@ -24,11 +24,12 @@
 	Cases    []string        `long:"case" default:"balanced" default:"skewed" default:"flooded" default:"centreOut" description:"how requests spread; may be given more than once"`
 	Policies []string        `long:"policy" default:"fair" default:"leastLoaded" default:"alone" description:"policy of the routers; may be given more than once"`
 	Runs     int             `long:"runs" default:"5" description:"runs of each"`
-	Length   time.Duration   `long:"length" default:"10s" description:"how long a run's load lasts"`
-	Warmup   time.Duration   `long:"warmup" default:"3s" description:"left out at a run's start"`
+	Length   time.Duration   `long:"length" default:"11s" description:"how long a run's load lasts"`
+	Warmup   time.Duration   `long:"warmup" default:"5s" description:"left out at a run's start"`
 	Seed     uint64          `long:"seed" default:"1" description:"seed of the first run; the next ones count up"`
 	Out      string          `long:"out" value-name:"FILE" description:"also write every run's figures to this file as JSON"`
 	Plots    string          `long:"plots" value-name:"FOLDER" description:"also draw plots into this folder"`
+	Wait     bool            `long:"wait" description:"wait for what is open at the end, rather than hang up"`
 	JSON     bool            `long:"json" description:"write the spreads as JSON"`
 }
 
@@ -116,7 +117,7 @@
 func (o *Options) one(site local.Site, c works.Case, programs string, run int, row *Row) {
 	r, err := trial.Run(o.Context, trial.Settings{
 		Site: site, Programs: programs, Policy: row.Policy,
-		Load: works.Load{Case: c, Seed: o.Seed + uint64(run), Length: o.Length, Warmup: o.Warmup},
+		Load: works.Load{Case: c, Seed: o.Seed + uint64(run), Length: o.Length, Warmup: o.Warmup, Cut: !o.Wait},
 	})
 	if err != nil {
 		row.Failed++
--- a/stage/gauge/page.go
+++ b/stage/gauge/page.go
@@ -34,8 +34,8 @@
 	for _, m := range measures {
 		b.WriteString(" " + m.name + " |")
 	}
-	b.WriteString(" over limit | not whole | run twice |\n|---|---|---|---|")
-	b.WriteString(strings.Repeat("---|", len(measures)+3) + "\n")
+	b.WriteString(" servers over limit | not answered | not whole | run twice |\n|---|---|---|---|")
+	b.WriteString(strings.Repeat("---|", len(measures)+4) + "\n")
 	for _, r := range rows {
 		b.WriteString(line(r))
 	}
@@ -54,10 +54,13 @@
 		s := trial.SpreadOf(r.Runs, m.figure)
 		fmt.Fprintf(&b, " "+m.format+" ("+m.format+" to "+m.format+") |", s.Median, s.Least, s.Most)
 	}
-	over, broken, twice := 0, int64(0), 0
+	var sum trial.Figures
 	for _, f := range r.Runs {
-		over, broken, twice = over+f.OverLimit, broken+f.NotWhole, twice+f.RunTwice
+		sum.OverLimit += f.OverLimit
+		sum.Lost += f.Lost
+		sum.NotWhole += f.NotWhole
+		sum.RunTwice += f.RunTwice
 	}
-	fmt.Fprintf(&b, " %d | %d | %d |\n", over, broken, twice)
+	fmt.Fprintf(&b, " %d | %d | %d | %d |\n", sum.OverLimit, sum.Lost, sum.NotWhole, sum.RunTwice)
 	return b.String()
 }
