--- a/core/sched/team.go
+++ b/core/sched/team.go
@@ -32,6 +32,9 @@
 	basis   int64
 	basisAt time.Duration
 	seen    bool
+	seenAt  time.Duration // when it was known to be seen
+
+	doubtful bool // sent before a full demand that did not know it: it may be lost
 }
 
 // expectation is a team that is likely to ask again at once.
@@ -178,6 +181,7 @@
 	if g == nil || g.router != r {
 		g = s.adopt(now, r, p)
 	}
+	g.doubtful = false
 	if p.Cost <= g.used {
 		return
 	}
@@ -192,9 +196,9 @@
 	if old := s.grants[p.Grant]; old != nil {
 		s.release(now, old, old.charged)
 	}
-	g := &grant{id: p.Grant, team: s.team(p.Team), router: r, server: s.server(p.Server), seen: true}
+	g := &grant{id: p.Grant, team: s.team(p.Team), router: r, server: s.server(p.Server), seen: true, seenAt: now}
 	g.charged, g.used = p.Cost, p.Cost
-	g.server.found(g.id)
+	s.found(g.id)
 	s.hold(now, g)
 	return g
 }
@@ -224,9 +228,10 @@
 func (s *Scheduler) done(now time.Duration, r *router, d fleet.Done) {
 	g := s.grants[d.Grant]
 	if g == nil || g.router != r {
+		s.found(d.Grant)
 		return
 	}
-	s.sawUnseen(r, g)
+	s.sawUnseen(now, r, g)
 	busy := g.server.outstanding + g.server.orphans + g.server.foreign
 	g.server.limiter.Done(now, d, busy)
 	g.server.progress = now
@@ -240,9 +245,9 @@
 }
 
 // sawUnseen acknowledges a grant whose end came before its acknowledgement.
-func (s *Scheduler) sawUnseen(r *router, g *grant) {
+func (s *Scheduler) sawUnseen(now time.Duration, r *router, g *grant) {
 	if g.seen {
 		return
 	}
-	s.acknowledge(r, g.id)
+	s.acknowledge(now, r, g.id)
 }
