Follow the core's messages in the slopes, and drop a stopped run's figures

Cause: messages moved into the core, and a key's end now names its question; a measure that was interrupted counted its last run as one without any service.

Before and after: an interrupted run showed a gap of 0.0 and a utilisation of 0.000; now it gives no figures.

--- a/stage/gauge/gauge.go
+++ b/stage/gauge/gauge.go
@@ -24,7 +24,7 @@
 	Cases    []string        `long:"case" default:"balanced" default:"skewed" default:"flooded" default:"centreOut" description:"how requests spread; may be given more than once"`
 	Policies []string        `long:"policy" default:"fair" default:"leastLoaded" default:"alone" description:"policy of the routers; may be given more than once"`
 	Runs     int             `long:"runs" default:"5" description:"runs of each"`
-	Length   time.Duration   `long:"length" default:"11s" description:"how long a run's load lasts"`
+	Length   time.Duration   `long:"length" default:"10s" description:"how long a run's load lasts"`
 	Warmup   time.Duration   `long:"warmup" default:"5s" description:"left out at a run's start"`
 	Seed     uint64          `long:"seed" default:"1" description:"seed of the first run; the next ones count up"`
 	Out      string          `long:"out" value-name:"FILE" description:"also write every run's figures to this file as JSON"`
@@ -119,6 +119,9 @@
 		Site: site, Programs: programs, Policy: row.Policy,
 		Load: works.Load{Case: c, Seed: o.Seed + uint64(run), Length: o.Length, Warmup: o.Warmup, Cut: !o.Wait},
 	})
+	if o.Context.Err() != nil {
+		return // stopped in its midst
+	}
 	if err != nil {
 		row.Failed++
 		o.say("%s %s %s, run %d: %v", row.User, row.Case, row.Policy, run+1, err)
--- a/stage/growth/keys.go
+++ b/stage/growth/keys.go
@@ -51,8 +51,8 @@
 		if a.Verdict == fleet.KeyRun {
 			allowed++
 		}
-		h.home.Close(h.now, fleet.KeyClose{
-			Team: "skippers", Key: key, Outcome: fleet.KeyAnswered,
+		h.home.Close(h.now, "router-1", fleet.KeyClose{
+			Ticket: h.made, Team: "skippers", Key: key, Outcome: fleet.KeyAnswered,
 			Answer: fleet.Answer{Status: 200, ContentType: "application/json", Body: make([]byte, 200)},
 		})
 	}
--- a/stage/growth/wire.go
+++ b/stage/growth/wire.go
@@ -8,7 +8,7 @@
 )
 
 // size gives the bytes of a message between routers, before the transport's own.
-func size(m *wire.Message) float64 {
+func size(m *fleet.Message) float64 {
 	m.Incarnation, m.Stamp, m.Echo, m.Echoed = 1<<31, 3_600_000, 3_600_000, 1<<31
 	return float64(proto.Size(wire.Encode(m)))
 }
@@ -21,7 +21,7 @@
 	return []Series{
 		vary(Series{Role: role, Quantity: "bytes of a heartbeat", Factor: "routers", Fixed: "all live"},
 			[]int{9, 60, 235, 470}, func(n int) float64 {
-				return size(&wire.Message{Heartbeat: &fleet.Heartbeat{View: make([]uint32, n), ViewAge: 3_600_000, ConfigVersion: 1700}})
+				return size(&fleet.Message{Heartbeat: &fleet.Heartbeat{View: make([]uint32, n), ViewAge: 3_600_000, ConfigVersion: 1700}})
 			}),
 		vary(Series{Role: role, Quantity: "bytes of a demand", Factor: "teams that changed", Fixed: "no ends"},
 			[]int{1, 5, 20, 80}, func(n int) float64 {
@@ -29,7 +29,7 @@
 				for i := range n {
 					d.Waiting = append(d.Waiting, fleet.TeamDemand{Team: teamName(i), Waiting: 3, Estimate: 400, OldestWait: 900})
 				}
-				return size(&wire.Message{Demand: d})
+				return size(&fleet.Message{Demand: d})
 			}),
 		vary(Series{Role: role, Quantity: "bytes of a demand", Factor: "requests that ended", Fixed: "no team changed"},
 			[]int{1, 5, 20, 80}, func(n int) float64 {
@@ -37,7 +37,7 @@
 				for range n {
 					d.Done = append(d.Done, fleet.Done{Grant: grant, Outcome: fleet.OutcomeCompleted, Cost: 400, FirstByte: 300_000, Service: 15_000_000})
 				}
-				return size(&wire.Message{Demand: d})
+				return size(&fleet.Message{Demand: d})
 			}),
 		vary(Series{Role: role, Quantity: "bytes of a demand", Factor: "streams whose cost so far is told", Fixed: "no team changed"},
 			[]int{1, 5, 20, 80}, func(n int) float64 {
@@ -45,7 +45,7 @@
 				for i := range n {
 					d.Running = append(d.Running, fleet.Running{Grant: grant, Team: teamName(i), Server: "engine-100", Cost: 400})
 				}
-				return size(&wire.Message{Demand: d})
+				return size(&fleet.Message{Demand: d})
 			}),
 		vary(Series{Role: role, Quantity: "bytes of grants", Factor: "grants in one message", Fixed: "one router"},
 			[]int{1, 5, 20, 80}, func(n int) float64 {
@@ -53,7 +53,7 @@
 				for i := range n {
 					g.Grants = append(g.Grants, fleet.Grant{ID: grant, Team: teamName(i), Server: "engine-100", Address: "10.0.100.100:9000"})
 				}
-				return size(&wire.Message{Grants: g})
+				return size(&fleet.Message{Grants: g})
 			}),
 	}
 }
