--- a/stage/trial/trial.go
+++ b/stage/trial/trial.go
@@ -36,6 +36,7 @@
 	Case    string        `json:"case"`
 	Policy  string        `json:"policy"`
 	Seed    uint64        `json:"seed"`
+	Flooder string        `json:"flooder,omitempty"` // team whose flood is no part of the others' waiting times
 	Load    *tally.Result `json:"load"`
 	Routers []Router      `json:"routers"`
 	Servers []Server      `json:"servers"`
@@ -77,52 +78,75 @@
 }
 
 func observe(ctx context.Context, s Settings, f *local.Fleet) (*Result, error) {
-	before, err := spent(f)
+	steer, stop := context.WithCancel(ctx)
+	defer stop()
+	steered := make(chan error, 1)
+	var load *tally.Result
+	routers, err := Spend(f, func() error {
+		go func() { steered <- operate(steer, s.Load, f) }()
+		var err error
+		load, err = drive.Run(ctx, s.Load.Plan(f))
+		stop()
+		if steerErr := <-steered; err == nil {
+			err = steerErr
+		}
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
-	begin := time.Now()
-	steer, stop := context.WithCancel(ctx)
-	steered := make(chan error, 1)
-	go func() { steered <- operate(steer, s.Load, f) }()
-	load, err := drive.Run(ctx, s.Load.Plan(f))
-	took := time.Since(begin)
-	stop()
-	if steerErr := <-steered; err == nil {
-		err = steerErr
+	r := &Result{
+		User: s.Site.Name, Case: s.Load.Case.String(), Policy: s.Policy, Seed: s.Load.Seed, Load: load, Routers: routers,
 	}
+	if s.Load.Case == works.Flooded {
+		r.Flooder = works.Flooder(s.Site)
+	}
+	return r, r.readRecords(f)
+}
+
+// Spend gives what each router of a fleet spent while run ran.
+func Spend(f *local.Fleet, run func() error) ([]Router, error) {
+	before, err := spent(f)
 	if err != nil {
 		return nil, err
 	}
+	begin := time.Now()
+	if err := run(); err != nil {
+		return nil, err
+	}
+	took := time.Since(begin)
 	after, err := spent(f)
 	if err != nil {
 		return nil, err
 	}
-	r := &Result{
-		User: s.Site.Name, Case: s.Load.Case.String(), Policy: s.Policy, Seed: s.Load.Seed,
-		Load: load, Routers: difference(f, before, after, took),
-	}
-	return r, r.readRecords(f)
+	return difference(f, before, after, took), nil
 }
 
-// operate takes the first data centre out of service for the middle third of the load.
+// operate takes the first data centre out of service and brings it back.
 func operate(ctx context.Context, l works.Load, f *local.Fleet) error {
 	if l.Case != works.CentreOut {
 		return nil
 	}
-	for _, text := range []string{f.Rules(f.Site.DataCentres[0]), f.Rules()} {
+	begin := time.Now()
+	for _, step := range []publication{{l.Out(), f.Rules(f.Site.DataCentres[0])}, {l.Back(), f.Rules()}} {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(l.Length / 3):
+		case <-time.After(step.at - time.Since(begin)):
 		}
-		if _, err := f.Publish(text, ""); err != nil {
+		if _, err := f.Publish(step.text, ""); err != nil {
 			return errors.Wrap(err, "publish rules")
 		}
 	}
 	return nil
 }
 
+// publication is a rule file to publish at a time after the load's start.
+type publication struct {
+	at   time.Duration
+	text string
+}
+
 // expense is what a router had spent at one time.
 type expense struct {
 	control int64
