--- a/core/sched/world_test.go
+++ b/core/sched/world_test.go
@@ -25,6 +25,7 @@
 	delay      time.Duration // one way, at most
 	loadPeriod time.Duration
 	loadLag    time.Duration
+	unheard    bool // load reports are lost
 	stated     bool // servers say what they bear
 	delisted   bool // the platform's list drops lost routers at once
 	checks     []func(w *world)
@@ -352,6 +353,9 @@
 		}
 		for len(v.reports) > 0 && v.reports[0].due <= w.now {
 			for _, s := range w.schedulers {
+				if w.unheard {
+					continue
+				}
 				s.Load(w.now, v.reports[0].load)
 			}
 			v.reports = v.reports[1:]
