Start newcomers at the start tag, warm what comes back, take over quickly

Cause: a team that became backlogged began at the least level of the others after their charge, so it lost ties and waited one grant more; servers of a data centre that came back got their whole learnt limit at once; a scheduler that took over looked at its reports one period late. Ruled out: crediting idle teams.

--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -37,6 +37,7 @@
 	statedAt time.Duration
 	epoch    uint64
 	heard    bool
+	found    int // limit taken over from another scheduler's requests, until the first report
 	missed   int // failed reads of the load in a row
 	queued   int // reports of waiting requests in a row
 
@@ -197,6 +198,8 @@
 	switch {
 	case !l.heard && r.Waiting == 0:
 		l.learnt = max(l.learnt, min(r.Running, l.Ceiling))
+	case !l.heard && l.learnt == l.found:
+		l.learnt = floor
 	case l.heard && r.Epoch != l.epoch:
 		l.turnedCold()
 	}
@@ -236,5 +239,20 @@
 	}
 }
 
+// Found notes requests in flight that another scheduler granted, which the server is taken
+// to bear until its first report.
+func (l *Limiter) Found(busy int) {
+	if !l.heard {
+		l.learnt = max(l.learnt, min(busy, l.Ceiling))
+		l.found = l.learnt
+	}
+}
+
+// Resume warms a server that took no work for a while, beginning with the requests it still runs.
+func (l *Limiter) Resume(busy int) {
+	l.learnt = max(floor, min(busy, l.Limit()))
+	l.credit = 0
+}
+
 // LoadFailed notes that the server's report could not be read.
 func (l *Limiter) LoadFailed() { l.missed++ }
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -77,9 +77,9 @@
 	fleet   int // listed routers
 
 	teams    map[string]*team
-	backlog  queue // teams with waiting requests, least level first
-	idle     queue // teams without, that are still ahead of the rest
-	level    float64
+	backlog  queue   // teams with waiting requests, least level first
+	idle     queue   // teams without, that are still ahead of the rest
+	level    float64 // of the team served last, before its charge; it never falls
 	grants   map[uint64]*grant
 	lost     map[uint64]*server // orphans
 	memory   memory
--- a/core/sched/server.go
+++ b/core/sched/server.go
@@ -71,13 +71,17 @@
 	}
 	v.rule, v.present = r, true
 	v.limiter.Ceiling = r.Limit
-	v.stopped = fleet.ReasonNone
+	stopped := fleet.ReasonNone
 	switch {
 	case out[r.DataCentre]:
-		v.stopped = fleet.ReasonDataCentreOut
+		stopped = fleet.ReasonDataCentreOut
 	case leaving[r.Name]:
-		v.stopped = fleet.ReasonServerLeaving
+		stopped = fleet.ReasonServerLeaving
 	}
+	if v.stopped != fleet.ReasonNone && stopped == fleet.ReasonNone {
+		v.limiter.Resume(v.outstanding + v.orphans)
+	}
+	v.stopped = stopped
 }
 
 func (s *Scheduler) server(name string) *server {
@@ -145,7 +149,11 @@
 		v.settled = true
 		return
 	}
-	if !v.sample.kept || now < v.sample.measured+transit {
+	if !v.sample.kept {
+		return
+	}
+	if due := v.sample.measured + transit; now < due {
+		s.review = min(s.review, due)
 		return
 	}
 	v.sample.kept = false
--- a/core/sched/status.go
+++ b/core/sched/status.go
@@ -16,8 +16,12 @@
 	for _, v := range s.listed {
 		c.Servers = append(c.Servers, s.serverStatus(v))
 	}
+	least := s.level
+	if n := s.backlog.top(); n != nil {
+		least = n.team.level
+	}
 	for _, t := range s.teams {
-		c.Teams = append(c.Teams, s.teamStatus(t))
+		c.Teams = append(c.Teams, s.teamStatus(t, least))
 	}
 	sort.Slice(c.Teams, func(i, j int) bool { return c.Teams[i].Name < c.Teams[j].Name })
 	return c
@@ -35,7 +39,7 @@
 	}
 }
 
-func (s *Scheduler) teamStatus(t *team) report.Team {
+func (s *Scheduler) teamStatus(t *team, least float64) report.Team {
 	waiting := 0
 	for _, r := range s.byName {
 		if e := r.entries[t.name]; e != nil {
@@ -44,6 +48,6 @@
 	}
 	return report.Team{
 		Name: t.name, Share: int(t.share), Waiting: waiting, Running: t.running,
-		Service: t.service, Level: t.level - s.floorLevel(),
+		Service: t.service, Level: t.level - least,
 	}
 }
--- a/core/sched/team.go
+++ b/core/sched/team.go
@@ -92,7 +92,7 @@
 			s.idle.remove(&t.node)
 		}
 		t.backlog = true
-		t.level = max(t.level, s.floorLevel())
+		t.level = max(t.level, s.level) // idleness earns no credit
 		t.key = s.teamKey(t)
 		s.backlog.push(&t.node)
 	case waits:
@@ -105,15 +105,6 @@
 	}
 }
 
-// floorLevel is where a team that becomes backlogged starts at least.
-func (s *Scheduler) floorLevel() float64 {
-	n := s.backlog.top()
-	if n == nil {
-		return s.level
-	}
-	return max(s.level, n.team.level)
-}
-
 func (s *Scheduler) teamKey(t *team) float64 {
 	if s.Settings.Policy == LeastLoaded {
 		return t.queue.top().key
@@ -200,6 +191,7 @@
 	g.charged, g.used = p.Cost, p.Cost
 	s.found(g.id)
 	s.hold(now, g)
+	g.server.limiter.Found(g.server.outstanding)
 	return g
 }
 
--- a/core/sched/world_test.go
+++ b/core/sched/world_test.go
@@ -27,16 +27,23 @@
 	loadLag    time.Duration
 	unheard    bool // load reports are lost
 	stated     bool // servers say what they bear
+	later      []fakeCall
 	delisted   bool // the platform's list drops lost routers at once
 	checks     []func(w *world)
 	idle, busy int // free and used slots, summed over ticks in which work waits
 }
 
+type fakeCall struct {
+	due  time.Duration
+	team *fakeTeam
+}
+
 type fakeTeam struct {
 	name     string
 	share    int
 	cost     int64   // mean cost, in ticks of service
 	hint     float64 // hint over true cost
+	callers  int     // callers at the first router that ask again after thinking
 	keep     int     // requests to keep waiting at each router; 0 for none
 	at       []int   // the routers that it asks, by place; none for all
 	used     int64   // cost units served, as the servers know
@@ -181,6 +188,7 @@
 		w.arrive(i, r)
 		w.send(r)
 	}
+	w.askAgain()
 	w.report()
 	for i, s := range w.schedulers {
 		w.decide(i, s)
@@ -211,6 +219,9 @@
 	delete(r.running, id)
 	q.server.running--
 	q.team.finished++
+	if q.team.callers > 0 {
+		w.later = append(w.later, fakeCall{due: w.now + think, team: q.team})
+	}
 	r.done = append(r.done, fleet.Done{Grant: id, Outcome: outcome, Cost: q.used, FirstByte: 1000, Service: q.used * 1000})
 }
 
@@ -225,6 +236,16 @@
 	}
 }
 
+// think is the time from a caller's answer to its next request: there and back to the router.
+const think = 6 * time.Millisecond
+
+func (w *world) askAgain() {
+	for len(w.later) > 0 && w.later[0].due <= w.now {
+		w.ask(w.routers[0], w.later[0].team)
+		w.later = w.later[1:]
+	}
+}
+
 func (w *world) ask(r *fakeRouter, m *fakeTeam) *fakeRequest {
 	cost := 1 + m.cost/2 + w.rng.Int64N(m.cost)
 	m.mostCost = max(m.mostCost, cost)
