Let a peer's claim of a newer configuration lapse when it falls silent

Cause: a starting router that heard a newer version from a peer that then died stayed unready until the platform's list dropped the peer. Ruled out: forgetting a peer when it stops being live, as a starting router has none live yet. Before: Settled stayed false for as long as the list lagged. Conclusion: a silent peer's word holds a start back for ClaimLife at most.

--- a/core/conf/peers.go
+++ b/core/conf/peers.go
@@ -12,6 +12,8 @@
 	AskTimeout = 500 * time.Millisecond
 	// AskPause is how long a peer that failed to give what it claimed is passed over.
 	AskPause = 2 * time.Second
+	// ClaimLife is how long a peer's word on its version counts.
+	ClaimLife = 2 * time.Second
 	// SettleLimit is how long after the first question a router waits for peers that say nothing.
 	SettleLimit = 3 * time.Second
 )
@@ -19,9 +21,13 @@
 // claim is what a peer's heartbeat said last.
 type claim struct {
 	version uint64
+	heard   time.Duration
 	shunned time.Duration // not asked before this time
 }
 
+// stale reports whether the peer has said nothing for too long to be counted on.
+func (c claim) stale(now time.Duration) bool { return now-c.heard > ClaimLife }
+
 // ask is the question under way.
 type ask struct {
 	peer    string // empty for none
@@ -30,12 +36,12 @@
 }
 
 // Heard takes the version in force at a peer from its heartbeat.
-func (k *Keeper) Heard(_ time.Duration, peer string, version uint64) {
+func (k *Keeper) Heard(now time.Duration, peer string, version uint64) {
 	if k.claims == nil {
 		k.claims = map[string]claim{}
 	}
 	c := k.claims[peer]
-	c.version = version
+	c.version, c.heard = version, now
 	k.claims[peer] = c
 }
 
@@ -68,7 +74,7 @@
 func (k *Keeper) choose(now time.Duration) (peer string, version uint64) {
 	var rank uint64
 	for p, c := range k.claims {
-		if !k.news(c.version) || c.version < version || c.shunned > now {
+		if !k.news(c.version) || c.version < version || c.shunned > now || c.stale(now) {
 			continue
 		}
 		r := k.rank(p, c.version)
@@ -121,7 +127,7 @@
 		return false
 	}
 	for _, c := range k.claims {
-		if k.news(c.version) {
+		if k.news(c.version) && !c.stale(now) {
 			return false
 		}
 	}
