Word a change of rules as a sentence

Cause: the command line printed the enum's name and quoted values, which are not the operators' terms. Ruled out: wording it in the command, as the command and the fleet should say the same. Before: 'teamShareChanged lahore-workshops: "40" -> "30"'. Conclusion: JSON keeps the enum's names.

--- a/core/rule/diff.go
+++ b/core/rule/diff.go
@@ -49,11 +49,6 @@
 	Comment string `json:"comment"`       // who asked: of the new line, or of the old if the thing is gone
 }
 
-// String gives the change on one line.
-func (c Change) String() string {
-	return fmt.Sprintf("%s %s: %q -> %q # %s", c.What, c.Name, c.Old, c.New, c.Comment)
-}
-
 // Diff lists the changes from an older file to a newer one, data centres first and by name; either may be nil.
 func Diff(old, latest *File) []Change {
 	if old == nil {
--- a/core/rule/diff_test.go
+++ b/core/rule/diff_test.go
@@ -66,6 +66,29 @@
 	}
 }
 
+func TestChangeString(t *testing.T) {
+	tests := map[string]Change{
+		"data centre lahore taken out of service  # Asma":                   {WhatDataCentreTakenOut, "lahore", "in", "out", "Asma"},
+		"team farm: share 3 -> 4  # Maeve":                                  {WhatTeamShareChanged, "farm", "3", "4", "Maeve"},
+		"team farm key changed  # Maeve":                                    {WhatTeamKeyChanged, "farm", digestA, "sha256:bb", "Maeve"},
+		"team boats added: share 1  # Maeve":                                {WhatTeamAdded, "boats", "", "share 1", "Maeve"},
+		"backend server p-1 removed, was: pool in clew  # Orla":             {WhatServerRemoved, "p-1", "pool in clew", "", "Orla"},
+		"product log: non-idempotent calls none -> POST /landings  # Maeve": {WhatNonIdempotentChanged, "log", "", "POST /landings", "Maeve"},
+	}
+	for want, c := range tests {
+		t.Run(want, func(t *testing.T) {
+			if diff := cmp.Diff(want, c.String()); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+	for w := WhatDataCentreAdded; w <= WhatCommentChanged; w++ {
+		if phrases[w].subject == "" {
+			t.Errorf("%v has no words", w)
+		}
+	}
+}
+
 func TestDiffFromNothing(t *testing.T) {
 	want := []Change{{WhatDataCentreAdded, "clew", "", "in", "Orla"}}
 	if diff := cmp.Diff(want, Diff(nil, mustParse(t, "dataCentre clew in # Orla"))); diff != "" {
