Measure cost reports, heartbeats read, and resident memory

Cause: at the two-year size the reports of running streams and the heartbeats read could bind before decisions do; the slopes lacked both.

--- a/stage/growth/growth_test.go
+++ b/stage/growth/growth_test.go
@@ -47,3 +47,15 @@
 		t.Errorf("%d keys are recorded, with %d bytes of answers", n, bytes)
 	}
 }
+
+func TestStreamsFillTheEngines(t *testing.T) {
+	d := newScheduled(10, 3)
+	d.warm(10 * serverLimit)
+	running := 0
+	for _, list := range d.start() {
+		running += len(list)
+	}
+	if running != 10*serverLimit {
+		t.Errorf("%d streams run, want %d", running, 10*serverLimit)
+	}
+}
--- a/stage/growth/member.go
+++ b/stage/growth/member.go
@@ -61,7 +61,7 @@
 			f := newFleetView(n)
 			return nanos(20, f.beat)
 		}),
-		vary(Series{Role: role, Quantity: "ns to work out a duty's lenders", Factor: "routers", Fixed: "all live"}, sizes, func(n int) float64 {
+		vary(Series{Role: role, Quantity: "ns to ask for a duty's lenders", Factor: "routers", Fixed: "all live, no view changed"}, sizes, func(n int) float64 {
 			f := newFleetView(n)
 			return nanos(20, func(times int) {
 				for range times {
--- a/stage/growth/sched.go
+++ b/stage/growth/sched.go
@@ -92,6 +92,43 @@
 	return ends
 }
 
+// warm raises the learnt limits by serving requests, and leaves the servers free.
+func (d *scheduled) warm(slots int) {
+	d.backlog(377)
+	d.decide(slots * 20)
+	d.now += step
+	for i := range d.routers {
+		d.take(i, nil, false)
+	}
+}
+
+// start grants as many requests as the servers take, and gives the reports of their costs by router.
+func (d *scheduled) start() map[string][]fleet.Running {
+	running := make(map[string][]fleet.Running)
+	for _, b := range d.s.Next(d.now) {
+		for _, g := range b.Grants.Grants {
+			running[b.To] = append(running[b.To], fleet.Running{Grant: g.ID, Team: g.Team, Server: g.Server})
+		}
+	}
+	return running
+}
+
+// report tells a larger cost of every running request, until the given number is told.
+func (d *scheduled) report(running map[string][]fleet.Running, reports int) {
+	for reports > 0 {
+		d.now += step
+		for _, name := range d.routers {
+			list := running[name]
+			for i := range list {
+				list[i].Cost++
+			}
+			d.seq++
+			d.s.Take(d.now, name, "killary", d.now.Milliseconds(), fleet.Demand{Seq: d.seq, SeenTerm: 1, Seen: ^uint64(0), Running: list})
+			reports -= len(list)
+		}
+	}
+}
+
 // known serves each team once, so that only what is learnt of it stays.
 func (d *scheduled) known(teams int) {
 	for i := range teams {
@@ -131,6 +168,20 @@
 			[]int{10, 50, 100, 250}, func(n int) float64 { return decision(377, n, 9) }),
 		vary(Series{Role: role, Quantity: "ns a decision", Factor: "routers", Fixed: "377 teams backlogged, 100 engines"},
 			[]int{9, 60, 235, 470}, func(n int) float64 { return decision(377, 100, n) }),
+		vary(Series{Role: role, Quantity: "ns a report of a stream's cost so far", Factor: "streams running", Fixed: "377 teams backlogged, 9 routers"},
+			[]int{160, 800, 3200, 8640}, func(n int) float64 {
+				d := newScheduled(n/serverLimit, 9)
+				d.warm(n)
+				running := d.start()
+				return nanos(events, func(reports int) { d.report(running, reports) })
+			}),
+		vary(Series{Role: role, Quantity: "heap bytes", Factor: "streams running", Fixed: "377 teams backlogged, 9 routers, their engines included"},
+			[]int{160, 800, 3200, 8640}, func(n int) float64 {
+				return state(func(d *scheduled) {
+					d.warm(n)
+					d.start()
+				}, n/serverLimit, 9)
+			}),
 		vary(Series{Role: role, Quantity: "heap bytes", Factor: "teams backlogged", Fixed: "10 engines, 9 routers"},
 			[]int{100, 400, 1600, 4900}, func(n int) float64 { return state(func(d *scheduled) { d.backlog(n) }, 10, 9) }),
 		vary(Series{Role: role, Quantity: "heap bytes", Factor: "teams known", Fixed: "10 engines, 9 routers"},
--- a/stage/growth/wire.go
+++ b/stage/growth/wire.go
@@ -19,6 +19,18 @@
 	cell := fleet.Cell{Product: "mangolug-pool"}
 	const term, grant = uint64(1_800_000_000_000) << 8, uint64(1_800_000_000_000) << 22
 	return []Series{
+		vary(Series{Role: role, Quantity: "ns to read a heartbeat", Factor: "routers", Fixed: "all live"},
+			[]int{9, 60, 235, 470}, func(n int) float64 {
+				text, _ := proto.Marshal(wire.Encode(&fleet.Message{Heartbeat: &fleet.Heartbeat{View: make([]uint32, n), ViewAge: 3_600_000}}))
+				return nanos(5000, func(times int) {
+					for range times {
+						e := &wire.Envelope{}
+						if proto.Unmarshal(text, e) == nil {
+							_, _ = wire.Decode(e)
+						}
+					}
+				})
+			}),
 		vary(Series{Role: role, Quantity: "bytes of a heartbeat", Factor: "routers", Fixed: "all live"},
 			[]int{9, 60, 235, 470}, func(n int) float64 {
 				return size(&fleet.Message{Heartbeat: &fleet.Heartbeat{View: make([]uint32, n), ViewAge: 3_600_000, ConfigVersion: 1700}})
--- a/stage/steps/steps.go
+++ b/stage/steps/steps.go
@@ -37,6 +37,7 @@
 type point struct {
 	control   float64 // bytes a second
 	processor float64 // microseconds a second
+	resident  float64 // bytes
 }
 
 // All measures every factor.
@@ -54,16 +55,20 @@
 	} {
 		control := growth.Series{Role: "router", Quantity: "control bytes a second", Factor: factor.name, Fixed: factor.fixed}
 		processor := growth.Series{Role: "router", Quantity: "microseconds of processor a second", Factor: factor.name, Fixed: factor.fixed}
+		resident := growth.Series{Role: "router", Quantity: "resident bytes", Factor: factor.name, Fixed: factor.fixed}
 		for _, n := range factor.values {
 			p, err := factor.measure(n)
 			if err != nil {
 				return nil, errors.Wrapf(err, "%s: %d", factor.name, n)
 			}
 			control.Points = append(control.Points, growth.Point{X: float64(n), Y: p.control})
+			resident.Points = append(resident.Points, growth.Point{X: float64(n), Y: p.resident})
 			processor.Points = append(processor.Points, growth.Point{X: float64(n), Y: p.processor})
 		}
-		control.Line, processor.Line = growth.Fit(control.Points), growth.Fit(processor.Points)
-		all = append(all, control, processor)
+		for _, s := range []*growth.Series{&control, &processor, &resident} {
+			s.Line = growth.Fit(s.Points)
+			all = append(all, *s)
+		}
 	}
 	return all, nil
 }
@@ -113,6 +118,7 @@
 	var p point
 	for _, v := range spent {
 		p.control += v.ControlBytes / float64(len(spent))
+		p.resident += float64(v.Resident) / float64(len(spent))
 		p.processor += v.Processor * float64(time.Second/time.Microsecond) / float64(len(spent))
 	}
 	return p, nil
