Hold the measured gap against its bound

Cause: the gap is to stay within a formula; the measures gave the gap but not the formula's value in the same run.

Ruled out: a bound from the largest request of any team, which says nothing of the pair that differs.

Before and after: no bound was shown; now each pair's gap over any time is divided by 3 times the service over share that both had in flight, as seen by the callers.

--- a/loader/drive/caller.go
+++ b/loader/drive/caller.go
@@ -69,7 +69,7 @@
 	if end.Outcome != tally.OutcomeAnswered && ctx.Err() != nil {
 		end = tally.End{Outcome: tally.OutcomeCut}
 	}
-	end.Total = time.Since(c.planned)
+	end.Total, end.Cost = time.Since(c.planned), c.served
 	c.count.End(end, c.begun)
 }
 
--- a/loader/drive/sample.go
+++ b/loader/drive/sample.go
@@ -130,6 +130,7 @@
 	var series []tally.Series
 	for i, c := range s.run.counts {
 		if c.Product == name {
+			s.series[i].InFlight = c.InFlight()
 			series = append(series, s.series[i])
 			p.Service += c.Report().Service
 		}
--- a/loader/tally/gap.go
+++ b/loader/tally/gap.go
@@ -13,9 +13,10 @@
 
 // Series is one load's points, one a sample.
 type Series struct {
-	Team   string
-	Share  int
-	Points []Point
+	Team     string
+	Share    int
+	InFlight float64 // most service that its requests had in flight at once, in cost units over share
+	Points   []Point
 }
 
 // Served gives the cost units from the first sample to the last.
@@ -33,9 +34,13 @@
 	Relative float64 `json:"relative"` // Window over the mean service of the pair in that window
 	TeamA    string  `json:"teamA"`    // of the largest window
 	TeamB    string  `json:"teamB"`
+	OfBound  float64 `json:"ofBound"` // largest part of its bound that a pair's gap over any interval reached
 	Windows  int     `json:"windows"` // pairs of windows compared
 }
 
+// boundFactor times the service that a pair may have in flight bounds its gap.
+const boundFactor = 3
+
 // GapOf works out the service gap |a/shareA - b/shareB| of backlogged pairs.
 //
 // A pair counts over an interval only if both were backlogged all through it
@@ -79,6 +84,9 @@
 		}
 	}
 	g.Any = max(g.Any, high-low)
+	if bound := boundFactor * (a.InFlight + b.InFlight); bound > 0 {
+		g.OfBound = max(g.OfBound, (high-low)/bound)
+	}
 }
 
 func (g *Gap) window(a, b *Series, from, to int) {
--- a/loader/tally/gap_test.go
+++ b/loader/tally/gap_test.go
@@ -14,6 +14,11 @@
 	return s
 }
 
+func inFlight(service float64, s Series) Series {
+	s.InFlight = service
+	return s
+}
+
 func TestGapOf(t *testing.T) {
 	tests := map[string]struct {
 		series []Series
@@ -30,6 +35,10 @@
 			series: []Series{line("a", 1, 5, 0, 10, 20), line("b", 1, 5, 0, 0, 0)},
 			want:   Gap{Window: 10, Any: 20, Relative: 2, TeamA: "a", TeamB: "b", Windows: 2},
 		},
+		"in flight": {
+			series: []Series{inFlight(2, line("a", 1, 5, 0, 10, 20)), inFlight(3, line("b", 1, 5, 0, 10, 17))},
+			want:   Gap{Window: 3, Any: 3, Relative: 3 / 8.5, OfBound: 0.2, TeamA: "a", TeamB: "b", Windows: 2},
+		},
 		"swinging": {
 			series: []Series{line("a", 1, 5, 0, 10, 10), line("b", 1, 5, 0, 0, 10)},
 			want:   Gap{Window: 10, Any: 10, Relative: 2, TeamA: "a", TeamB: "b", Windows: 2},
--- a/loader/tally/load.go
+++ b/loader/tally/load.go
@@ -25,6 +25,7 @@
 
 // End is the end of one request.
 type End struct {
+	Cost    int64 // cost units of an answered request
 	Outcome Outcome
 	Reason  string        // of a refusal or failure
 	Total   time.Duration // from its planned arrival
@@ -48,6 +49,9 @@
 	open       int
 	waiting    int // open, and no byte has come yet
 	minWaiting int // since the last sample
+	running    int // open, and a byte has come
+	mostRun    int // most that ran at once
+	mostCost   int64
 	service    int64
 	ends       [OutcomeCut + 1]int64
 	reasons    map[string]int64
@@ -70,6 +74,8 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.stopWaiting()
+	l.running++
+	l.mostRun = max(l.mostRun, l.running)
 	record(&l.firstByte, after)
 }
 
@@ -92,9 +98,12 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.open--
-	if !begun {
+	if begun {
+		l.running--
+	} else {
 		l.stopWaiting()
 	}
+	l.mostCost = max(l.mostCost, e.Cost)
 	l.ends[e.Outcome]++
 	if e.Outcome == OutcomeAnswered {
 		record(&l.total, e.Total)
@@ -123,6 +132,13 @@
 	return l.service, least
 }
 
+// InFlight gives the most service that its requests had in flight at once, in cost units over share.
+func (l *Load) InFlight() float64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return float64(l.mostRun) * float64(l.mostCost) / float64(l.Share)
+}
+
 func (l *Load) stopWaiting() {
 	l.waiting--
 	l.minWaiting = min(l.minWaiting, l.waiting)
--- a/stage/gauge/page.go
+++ b/stage/gauge/page.go
@@ -19,6 +19,7 @@
 var measures = []measure{
 	{"gap, 1 s", "%.1f", func(f trial.Figures) float64 { return f.Gap }},
 	{"gap, any time", "%.1f", func(f trial.Figures) float64 { return f.GapAny }},
+	{"part of bound", "%.2f", func(f trial.Figures) float64 { return f.OfBound }},
 	{"gap over mean", "%.2f", func(f trial.Figures) float64 { return f.Relative }},
 	{"utilisation, %", "%.1f", func(f trial.Figures) float64 { return 100 * f.Utilisation }},
 	{"first byte p95, small teams, s", "%.2f", func(f trial.Figures) float64 { return f.Small }},
--- a/stage/trial/figures.go
+++ b/stage/trial/figures.go
@@ -12,6 +12,7 @@
 type Figures struct {
 	Gap          float64 `json:"gap"`          // largest in a window of 1 s, cost units over share
 	GapAny       float64 `json:"gapAny"`       // largest over any time, cost units over share
+	OfBound      float64 `json:"ofBound"`      // largest part of its bound that a pair's gap over any time reached
 	Relative     float64 `json:"relative"`     // Gap over the pair's mean service in that window
 	Utilisation  float64 `json:"utilisation"`  // busy slots over slots while work waits
 	Small        float64 `json:"small"`        // seconds to the first byte, worst p95 of the small teams
@@ -30,7 +31,8 @@
 	f := Figures{NotWhole: r.Load.NotWhole, RunTwice: r.RunTwice}
 	for _, p := range r.Load.Products {
 		if p.Product == model {
-			f.Gap, f.GapAny, f.Relative, f.Utilisation = p.Gap.Window, p.Gap.Any, p.Gap.Relative, p.Utilisation
+			f.Gap, f.GapAny, f.OfBound = p.Gap.Window, p.Gap.Any, p.Gap.OfBound
+			f.Relative, f.Utilisation = p.Gap.Relative, p.Utilisation
 		}
 	}
 	for _, t := range r.Load.Teams {
