Run the demonstration by both users' example rule files

Cause: the demonstration had teams of its own, so that the example files were parsed by tests only; and a shell could not complete explain.

Before and after: shares, teams, data centres and limits came from the program; now they come from examples/*.rules.

--- a/mangoctl/expl/expl.go
+++ b/mangoctl/expl/expl.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
 
 	"mangolug.org/core/report"
 	"mangolug.org/mangoctl/admin"
@@ -16,11 +19,25 @@
 	Routers []string        `long:"router" env:"MANGOLUG_ROUTER" env-delim:"," value-name:"IP:PORT" required:"yes" description:"admin address of a router; its peers are asked too"`
 	JSON    bool            `long:"json" description:"write the routers' answers as JSON"`
 	Args    struct {
-		What string `positional-arg-name:"WHAT" choice:"request" choice:"team" description:"request or team"`
-		Name string `positional-arg-name:"NAME" description:"the request's ID, or the team's name"`
+		What Subject `positional-arg-name:"WHAT" description:"request or team"`
+		Name string  `positional-arg-name:"NAME" description:"the request's ID, or the team's name"`
 	} `positional-args:"yes" required:"yes"`
 }
 
+// Subject is what is to be explained: request or team.
+type Subject string
+
+// Complete gives the subjects that begin with the text, for a shell.
+func (s *Subject) Complete(text string) []flags.Completion {
+	var list []flags.Completion
+	for _, name := range []string{"request", "team"} {
+		if strings.HasPrefix(name, text) {
+			list = append(list, flags.Completion{Item: name})
+		}
+	}
+	return list
+}
+
 // RequestAnswer is what one router knows of a request.
 type RequestAnswer struct {
 	Router      string             `json:"router"`
--- a/stage/demo/demo.go
+++ b/stage/demo/demo.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
 	"sort"
 	"strconv"
 	"strings"
@@ -52,23 +53,42 @@
 	if err := local.Build(o.Context, programs); err != nil {
 		return err
 	}
+	sites, results, err := o.runBoth(programs)
+	if err != nil {
+		return err
+	}
+	if o.JSON {
+		return o.Streams.WriteJSON(results)
+	}
+	return o.write(sites, results)
+}
+
+// runBoth runs both users, one after the other, by their example rule files.
+func (o *Options) runBoth(programs string) ([]local.Site, []*trial.Result, error) {
+	root, err := local.Root()
+	if err != nil {
+		return nil, nil, err
+	}
+	var sites []local.Site
 	var results []*trial.Result
-	sites := []local.Site{local.Chenab(), local.Carraig()}
-	for _, site := range sites {
-		o.say("%s: %d routers, %d engines and %d plain services in %s; load for %v",
-			site.Name, trial.Routers, trial.Engines, trial.Desks, strings.Join(site.DataCentres, ", "), o.Length)
+	for _, base := range []local.Site{local.Chenab(), local.Carraig()} {
+		rules := filepath.Join(root, "examples", base.Name+".rules")
+		site, size, err := works.ReadSite(base, rules)
+		if err != nil {
+			return nil, nil, err
+		}
+		o.say("%s: %d routers, %d engines, %d plain services and %d teams in %s, by examples/%s; load for %v",
+			site.Name, trial.Routers, size.Engines, size.Desks, len(site.Teams), strings.Join(site.DataCentres, ", "), filepath.Base(rules), o.Length)
 		r, err := trial.Run(o.Context, trial.Settings{
-			Site: site, Programs: programs, Load: works.Load{Case: works.Balanced, Seed: o.Seed, Length: o.Length, Warmup: warmup},
+			Site: site, Size: size, Programs: programs,
+			Load: works.Load{Case: works.Balanced, Seed: o.Seed, Length: o.Length, Warmup: warmup},
 		})
 		if err != nil {
-			return errors.Wrap(err, site.Name)
+			return nil, nil, errors.Wrap(err, site.Name)
 		}
-		results = append(results, r)
+		sites, results = append(sites, site), append(results, r)
 	}
-	if o.JSON {
-		return o.Streams.WriteJSON(results)
-	}
-	return o.write(sites, results)
+	return sites, results, nil
 }
 
 func (o *Options) say(format string, words ...any) {
--- a/stage/trial/trial.go
+++ b/stage/trial/trial.go
@@ -13,20 +13,18 @@
 	"mangolug.org/stage/works"
 )
 
-// Sizes of both users today.
-const (
-	Routers     = 9
-	Engines     = 10
-	Desks       = 3
-	EngineLimit = 8
-	DeskLimit   = 16
-)
+// Routers is how many routers both users have today.
+const Routers = 9
+
+// today is the size of both users today.
+var today = works.Size{Engines: 10, Desks: 3, EngineLimit: 8, DeskLimit: 16}
 
 // Settings say what to run.
 type Settings struct {
 	Site     local.Site
-	Programs string // folder that local.Build filled
-	Policy   string // of the routers; empty for their default
+	Size     works.Size // zero for today's
+	Programs string     // folder that local.Build filled
+	Policy   string     // of the routers; empty for their default
 	Load     works.Load
 }
 
@@ -62,9 +60,13 @@
 
 // Run starts a fleet, puts the load on it and stops it.
 func Run(ctx context.Context, s Settings) (*Result, error) {
+	size := s.Size
+	if size == (works.Size{}) {
+		size = today
+	}
 	fleet := local.Settings{
-		Site: s.Site, Programs: s.Programs, Routers: Routers, Engines: Engines, Desks: Desks,
-		EngineLimit: EngineLimit, DeskLimit: DeskLimit, EngineArgs: []string{"--token-time", "20ms"},
+		Site: s.Site, Programs: s.Programs, Routers: Routers, Engines: size.Engines, Desks: size.Desks,
+		EngineLimit: size.EngineLimit, DeskLimit: size.DeskLimit, EngineArgs: []string{"--token-time", "20ms"},
 	}
 	if s.Policy != "" {
 		fleet.RouterArgs = []string{"--policy", s.Policy}
