Prove the promises with real processes

Cause: the promises were tested in parts only. Each now has a test that starts a fleet, brings a failure about under load, and holds every answer against the servers' records. Ruled out: a client that keeps connections, since Go's repeats a call with an Idempotency-Key by itself and would hide who sent it twice; counting a refusal by its text; one process for each server. Before and after: there were no such tests.

--- /dev/null
+++ b/stage/proof/centre_test.go
@@ -0,0 +1,117 @@
+package proof
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"mangolug.org/stage/local"
+)
+
+const outLimit = 3 * time.Second // until a data centre that is out, or a server that leaves, gets no new work
+
+// runsSince gives the runs that a server took after a time.
+func runsSince(t *testing.T, f *local.Fleet, s local.Server, at time.Time) int {
+	t.Helper()
+	count := 0
+	if s.Product == f.Site.Model {
+		all, err := s.EngineRecord()
+		must(t, err)
+		for _, run := range all.Runs {
+			if run.ArrivedAt > at.UnixMilli() {
+				count++
+			}
+		}
+		return count
+	}
+	all, err := s.DeskRecord()
+	must(t, err)
+	for _, run := range all.Runs {
+		if run.StartedAt > at.UnixMilli() {
+			count++
+		}
+	}
+	return count
+}
+
+// inForce waits until every running router has a version in force.
+func inForce(t *testing.T, f *local.Fleet, limit time.Duration, version uint64) {
+	t.Helper()
+	within(t, limit, func() error {
+		for _, r := range f.Routers {
+			if !r.Running() {
+				continue
+			}
+			status, err := r.Status()
+			if err != nil {
+				return err
+			}
+			if status.ConfigVersion != version {
+				return fmt.Errorf("%s has version %d in force, not %d", r.Name, status.ConfigVersion, version)
+			}
+		}
+		return nil
+	})
+}
+
+func TestDataCentreOutAndBack(t *testing.T) {
+	f := start(t, settings(local.Carraig()))
+	out := f.Site.DataCentres[0]
+	settled(t, f)
+	l := startLoad(t, f, 12, 6, 30)
+	l.waitFor(t, 10*time.Second, 30, answered)
+	version, err := f.Publish(f.Rules(out), "")
+	must(t, err)
+	quiet := time.Now().Add(outLimit)
+	elapse(t, outLimit)
+	l.waitFor(t, 10*time.Second, 60, answered)
+	for _, s := range f.Servers {
+		if ran := runsSince(t, f, s, quiet); s.DataCentre == out && ran > 0 {
+			t.Errorf("%s in %s took %d requests later than %v after the rule", s.Name, out, ran, outLimit)
+		}
+	}
+	inForce(t, f, 0, version)
+	back := time.Now()
+	_, err = f.Publish(f.Rules(), "")
+	must(t, err)
+	within(t, 10*time.Second, func() error {
+		for _, s := range f.Servers {
+			if runsSince(t, f, s, back) == 0 {
+				return fmt.Errorf("%s has no work again", s.Name)
+			}
+		}
+		return nil
+	})
+	results := l.stop()
+	check(t, f, results)
+	checkLimits(t, f)
+	for _, r := range results {
+		if end := ending(r); end != "answered" {
+			t.Errorf("a caller saw %s: %s %v", end, r.answer.body, r.answer.broken)
+		}
+	}
+}
+
+func TestLeavingServer(t *testing.T) {
+	f := start(t, settings(local.Chenab()))
+	leaving := []local.Server{f.ServersOf(f.Site.Model)[0], f.ServersOf(f.Site.Plain)[0]}
+	settled(t, f)
+	l := startLoad(t, f, 12, 6, 30)
+	l.waitFor(t, 10*time.Second, 30, answered)
+	must(t, f.PublishVMs(f.VMs(leaving[0].Name, leaving[1].Name)))
+	quiet := time.Now().Add(outLimit)
+	elapse(t, outLimit)
+	l.waitFor(t, 10*time.Second, 60, answered)
+	for _, s := range leaving {
+		if ran := runsSince(t, f, s, quiet); ran > 0 {
+			t.Errorf("%s took %d requests later than %v after the list said that it leaves", s.Name, ran, outLimit)
+		}
+	}
+	results := l.stop()
+	check(t, f, results)
+	for _, r := range results {
+		if end := ending(r); end != "answered" {
+			t.Errorf("a caller saw %s: %s %v", end, r.answer.body, r.answer.broken)
+		}
+	}
+}
--- /dev/null
+++ b/stage/proof/doc.go
@@ -0,0 +1,2 @@
+// Package proof holds the tests of the promises, run with real processes.
+package proof
--- /dev/null
+++ b/stage/proof/limit_test.go
@@ -0,0 +1,123 @@
+package proof
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	proxy "mangolug.org/faults/fault"
+	"mangolug.org/stage/local"
+)
+
+// checkLimits holds the most requests that each server ever had against its limit.
+func checkLimits(t *testing.T, f *local.Fleet) {
+	t.Helper()
+	for _, s := range f.ServersOf(f.Site.Model) {
+		all, err := s.EngineRecord()
+		must(t, err)
+		if all.PeakOpen > s.Limit {
+			t.Errorf("%s had %d requests at once, its limit is %d", s.Name, all.PeakOpen, s.Limit)
+		}
+		if all.Falls > 0 {
+			t.Errorf("%s fell over %d times", s.Name, all.Falls)
+		}
+	}
+	for _, s := range f.ServersOf(f.Site.Plain) {
+		all, err := s.DeskRecord()
+		must(t, err)
+		if all.PeakOpen > s.Limit {
+			t.Errorf("%s had %d calls at once, its limit is %d", s.Name, all.PeakOpen, s.Limit)
+		}
+	}
+}
+
+// scheduler gives the router that schedules a product, as the routers state it.
+func scheduler(t *testing.T, f *local.Fleet, product string) *local.Router {
+	t.Helper()
+	var found *local.Router
+	within(t, 5*time.Second, func() error {
+		for _, r := range f.Routers {
+			if !r.Running() {
+				continue
+			}
+			status, err := r.Status()
+			if err != nil {
+				return err
+			}
+			for _, c := range status.Cells {
+				if c.Cell == product+"/0" {
+					found = r
+					return nil
+				}
+			}
+		}
+		return fmt.Errorf("no router schedules %s", product)
+	})
+	return found
+}
+
+func TestLimitsThroughSchedulerLoss(t *testing.T) {
+	for name, tt := range map[string]fault{"killed": killed(), "frozen": frozen()} {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, settings(local.Carraig()))
+			settled(t, f)
+			l := startLoad(t, f, 30, 6, 40)
+			l.waitFor(t, 10*time.Second, 30, answered)
+			r := scheduler(t, f, f.Site.Model)
+			must(t, tt.strike(r))
+			l.waitFor(t, 10*time.Second, 30, answered)
+			must(t, tt.mend(r))
+			must(t, f.WaitReady(readyLimit))
+			l.waitFor(t, 10*time.Second, 30, answered)
+			check(t, f, l.stop())
+			checkLimits(t, f)
+		})
+	}
+}
+
+// split holds all that passes between one router and the others.
+func split(f *local.Fleet, alone *local.Router) {
+	for _, r := range f.Routers {
+		if r == alone {
+			f.Faults.Set(proxy.Rule{Link: r.Name, HoldRequests: true, HoldAnswers: true})
+			continue
+		}
+		f.Faults.Set(proxy.Rule{Link: r.Name, Source: alone.IP, HoldRequests: true, HoldAnswers: true})
+	}
+}
+
+// Both sides of a partition go on, and neither they nor the rejoined fleet overload a server or run a key twice.
+func TestPartitionAndRejoin(t *testing.T) {
+	s := settings(local.Chenab())
+	s.PeerFaults = true
+	f := start(t, s)
+	settled(t, f)
+	l := startLoad(t, f, 24, 9, 30)
+	l.waitFor(t, 10*time.Second, 24, answered)
+	alone := scheduler(t, f, f.Site.Model)
+	split(f, alone)
+	for _, side := range [][]*local.Router{{alone}, f.Routers} {
+		l.waitFor(t, 10*time.Second, 6, func(r result) bool {
+			return answered(r) && r.completion != nil && time.Since(r.at) < 5*time.Second && slices.Contains(side, r.call.router)
+		})
+	}
+	elapse(t, pastLeases)
+	f.Faults.Clear("")
+	must(t, f.WaitReady(readyLimit))
+	l.waitFor(t, 10*time.Second, 24, answered)
+	check(t, f, l.stop())
+	checkLimits(t, f)
+}
+
+// Engines that turn cold without warning, and engines that start cold, get no more than they bear.
+func TestColdEngines(t *testing.T) {
+	s := settings(local.Chenab())
+	s.EngineLimit = 8
+	s.EngineArgs = append(s.EngineArgs, "--cold", "--cold-limit", "2", "--warm-after", "2")
+	f := start(t, s)
+	l := startLoad(t, f, 30, 0, 20)
+	l.waitFor(t, 15*time.Second, 100, answered)
+	check(t, f, l.stop())
+	checkLimits(t, f)
+}
