End what still runs at a stop's time limit with true answers

Cause: requests open at the drain limit were cut without a word, and a team's refusals by reason, which explain promises, were counted nowhere. Ruled out: cancelling the server's contexts, which reads as a caller that went away.

--- a/router/admin/server_test.go
+++ b/router/admin/server_test.go
@@ -48,6 +48,9 @@
 			}
 		})
 	}
+	if got := stories.Refusals("carpenters")["queueFull"]; got != 1 {
+		t.Errorf("%d refusals of the team, want 1", got)
+	}
 	if got := stories.Troubled("carpenters", 5); len(got) != 1 {
 		t.Errorf("%d troubled stories, want 1", len(got))
 	}
--- a/router/admin/stories.go
+++ b/router/admin/stories.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -11,6 +12,8 @@
 const (
 	// storyLimit is how many of the latest requests are remembered.
 	storyLimit = 4096
+	// teamLimit is how many teams' refusals are counted.
+	teamLimit = 4096
 	// stepLimit is how many steps of one request are remembered.
 	stepLimit = 24
 )
@@ -21,6 +24,7 @@
 	stories map[string]*story
 	order   [storyLimit]string
 	next    int
+	refused map[string]map[string]int64 // by team and reason
 }
 
 type story struct {
@@ -43,6 +47,9 @@
 		t.explanation.Product = product
 	}
 	step.AtMillis = (now - t.began).Milliseconds()
+	if step.What == "refused" && t.explanation.Team != "" {
+		s.countRefusal(t.explanation.Team, step.Reason)
+	}
 	if len(t.explanation.Steps) < stepLimit {
 		t.explanation.Steps = append(t.explanation.Steps, step)
 	} else {
@@ -50,6 +57,28 @@
 	}
 }
 
+func (s *Stories) countRefusal(team string, reason fleet.Reason) {
+	if s.refused == nil {
+		s.refused = map[string]map[string]int64{}
+	}
+	if s.refused[team] == nil {
+		if len(s.refused) >= teamLimit {
+			return
+		}
+		s.refused[team] = map[string]int64{}
+	}
+	s.refused[team][reason.String()]++
+}
+
+// Refusals gives a team's refusals by reason since the router started.
+func (s *Stories) Refusals(team string) map[string]int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	counts := map[string]int64{}
+	maps.Copy(counts, s.refused[team])
+	return counts
+}
+
 func (s *Stories) begin(now time.Duration, request string) *story {
 	if s.stories == nil {
 		s.stories = map[string]*story{}
--- a/router/boot/router.go
+++ b/router/boot/router.go
@@ -181,6 +181,7 @@
 		Team: func(ctx context.Context, team string) (*report.TeamExplanation, error) {
 			t, err := r.loop.Team(ctx, team)
 			if err == nil {
+				t.Refusals = r.stories.Refusals(team)
 				t.Recent = r.stories.Troubled(team, recentStories)
 			}
 			return t, err
--- a/router/boot/stop.go
+++ b/router/boot/stop.go
@@ -50,6 +50,7 @@
 
 // cut ends the requests that still run, each with a true answer as far as there is time.
 func (r *Router) cut(callers *http.Server) {
+	r.front.Stop()
 	last, cancel := context.WithTimeout(context.Background(), lastAnswers)
 	defer cancel()
 	if callers.Shutdown(last) != nil {
--- a/router/front/front.go
+++ b/router/front/front.go
@@ -50,10 +50,13 @@
 	open     openCount
 	budget   budget
 	habits   habits
+	stopping context.Context // ends with Stop
+	stop     context.CancelFunc
 }
 
 func (f *Front) init() {
 	f.Settings.fill()
+	f.stopping, f.stop = context.WithCancel(context.Background())
 	f.endpoint = endpoint.Chain(f.readiness, f.authentication, f.bound)(f.serve)
 	if f.Client == nil {
 		f.Client = &back.Client{}
@@ -71,6 +74,12 @@
 	}
 }
 
+// Stop ends all requests that are still open, each with a true last answer.
+func (f *Front) Stop() {
+	f.once.Do(f.init)
+	f.stop()
+}
+
 // ServeHTTP serves one request of a caller.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.once.Do(f.init)
--- a/router/front/middle.go
+++ b/router/front/middle.go
@@ -67,6 +67,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.deadline-c.arrived)
 	defer cancel()
+	defer context.AfterFunc(f.stopping, cancel)()
 	c.note("arrived", fleet.ReasonNone, "", "")
 	if c.keyed() {
 		return nil, c.runKeyed(ctx)
--- a/router/front/pass.go
+++ b/router/front/pass.go
@@ -95,7 +95,10 @@
 		return t.callerLost(c.request.Context().Err())
 	}
 	reason := fleet.ReasonStreamBroken
-	if c.front.Clock() >= c.deadline {
+	switch {
+	case c.front.stopping.Err() != nil:
+		reason = fleet.ReasonStopped
+	case c.front.Clock() >= c.deadline:
 		reason = fleet.ReasonDeadlinePassed
 	}
 	refusal := c.failure(reason, &back.ServerError{Server: t.verdict.Grant.Server, Reason: reason, Sent: true, Err: err})
--- a/router/front/run.go
+++ b/router/front/run.go
@@ -124,6 +124,9 @@
 
 // over refuses a request whose time is up or whose caller has gone.
 func (c *call) over(ctx context.Context) *Refusal {
+	if c.front.stopping.Err() != nil {
+		return c.turnDown(fleet.ReasonStopped, "this router stops")
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return c.turnDown(fleet.ReasonDeadlinePassed, "")
 	}
@@ -172,6 +175,7 @@
 	}
 	send, cancel := context.WithCancel(send)
 	defer cancel()
+	defer context.AfterFunc(f.stopping, cancel)()
 	t.cancel = cancel
 	done := fleet.Done{Grant: v.Grant.ID, Outcome: fleet.OutcomeFailed}
 	defer func() {
--- a/router/loop/outside.go
+++ b/router/loop/outside.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"strings"
 
 	"github.com/pkg/errors"
-	"github.com/rcrowley/go-metrics"
 
 	"mangolug.org/core/fleet"
 	"mangolug.org/core/node"
@@ -61,11 +59,7 @@
 func (l *Loop) Team(ctx context.Context, team string) (*report.TeamExplanation, error) {
 	var t *report.TeamExplanation
 	err := l.query(ctx, func(n *node.Node) { t = n.Team(team) })
-	if err != nil {
-		return nil, err
-	}
-	t.Refusals = l.refusals(team)
-	return t, nil
+	return t, err
 }
 
 // query calls a function with the control state between two steps.
@@ -83,21 +77,3 @@
 		return errors.Wrap(ctx.Err(), "ask the control loop")
 	}
 }
-
-// refusals gives the refusals of a team by reason, from the counters that the callers' interface keeps.
-func (l *Loop) refusals(team string) map[string]int64 {
-	prefix := "teamRefused." + team + "."
-	found := map[string]int64{}
-	registry := l.Metrics
-	if registry == nil {
-		registry = metrics.DefaultRegistry
-	}
-	registry.Each(func(name string, m interface{}) {
-		if reason, ok := strings.CutPrefix(name, prefix); ok {
-			if c, isCounter := m.(metrics.Counter); isCounter {
-				found[reason] = c.Count()
-			}
-		}
-	})
-	return found
-}
--- a/router/peers/links.go
+++ b/router/peers/links.go
@@ -147,6 +147,7 @@
 		case <-o.reopen:
 			return errors.New("peer does not keep up")
 		case e := <-o.outbox:
+			l.count(e)
 			if err := stream.Send(e); err != nil {
 				return errors.Wrap(err, "send")
 			}
