Hand duties over once all former holders have taken the new view

Cause: a duty that fell to a joining router rested for a whole lease, since its former holder might not have heard of the change. Ruled out: a promise of the former holder that it acts no more, which served planned stops only and, if it may be withdrawn, is unsound when routers disagree for long. Before: up to 850 ms unheld on a join; drained duties moved by a release. Conclusion: only a holder that can't answer makes the others wait. The sender must send a beat's stamp and echo as Tick gave them.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -24,7 +24,7 @@
 // Heartbeat is sent to peers every period and at once when the sender's view changes.
 type Heartbeat struct {
 	View          []uint32 `json:"view,omitempty"`          // hashes of the routers that the sender regards as live, ascending
-	ViewAge       int64    `json:"viewAge,omitempty"`       // milliseconds since the sender's view last changed
+	ViewAge       int64    `json:"viewAge,omitempty"`       // milliseconds for which no earlier view of the sender can have been acted on
 	ConfigVersion uint64   `json:"configVersion,omitempty"` // version in force at the sender; 0 for none
 	Draining      bool     `json:"draining,omitempty"`      // the sender is stopping and takes no duty
 	ViewSeq       uint64   `json:"viewSeq,omitempty"`       // counts the changes of the view in the sender's incarnation
--- a/core/member/beat.go
+++ b/core/member/beat.go
@@ -42,11 +42,11 @@
 		return
 	}
 	p := m.peer(from)
-	if p.incarnation != incarnation {
+	if !p.heardEver || p.incarnation != incarnation {
 		if p.heardEver && incarnation < p.incarnation && now-p.heard <= fleet.SilenceLimit {
 			return // a late message of an incarnation that is gone
 		}
-		p.restart(incarnation)
+		p.restart(now, incarnation)
 	}
 	if stamp < p.stamp {
 		return
@@ -54,27 +54,23 @@
 	if echo > m.Clock(now) || echo < m.oldestStamp {
 		echo = 0
 	}
+	view := m.intern(h.View)
+	p.answer = p.answer || !slices.Equal(p.views.latest(), view)
 	p.stamp, p.echo = stamp, echo
-	p.views = p.views.take(now, stamp, m.intern(h.View), h.ViewAge)
+	p.views = p.views.take(now, stamp, view, h.ViewAge)
 	p.draining, p.version = h.Draining, h.ConfigVersion
-	p.released = releases(h, p.hash)
 	p.heard, p.heardEver = now, true
 	if echo > 0 {
+		p.acked = max(p.acked, echo)
 		p.confirmed = max(p.confirmed, time.Duration(echo)*time.Millisecond)
 	}
 }
 
-// releases reports whether a heartbeat's sender acts on no duty: it drains and names others for all.
-func releases(h fleet.Heartbeat, sender uint32) bool {
-	return h.Draining && len(h.View) > 0 && !slices.Contains(h.View, sender)
-}
-
-// restart forgets what an earlier incarnation of the peer said.
-func (p *peer) restart(incarnation uint64) {
-	p.incarnation = incarnation
-	p.stamp, p.echo = 0, 0
+// restart forgets what an earlier incarnation of the peer said and took.
+func (p *peer) restart(now time.Duration, incarnation uint64) {
+	p.incarnation, p.begun = incarnation, now
+	p.stamp, p.echo, p.acked = 0, 0, 0
 	p.views = nil
-	p.released = false
 	p.sentEver = false
 }
 
@@ -91,36 +87,42 @@
 	}
 	old := m.heartbeat(now)
 	changed := m.renew(now)
-	urgent := m.told != m.ConfigVersion || m.toldDrain != m.draining
+	urgent := m.becameSole(now) || m.told != m.ConfigVersion || m.toldDrain != m.draining
 	m.told, m.toldDrain = m.ConfigVersion, m.draining
 	latest := m.heartbeat(now)
-	m.release(now, latest)
 	var beats []Beat
 	for _, name := range m.listed() {
 		p, found := m.peers[name]
-		if !found || name == m.Self {
-			continue
-		}
-		if !changed && !urgent && p.sentEver && now-p.sent < fleet.HeartbeatPeriod {
+		if !found || name == m.Self || !changed && !urgent && !p.due(now) {
 			continue
 		}
 		beat := Beat{To: name, Stamp: m.Clock(now), Echo: p.stamp, EchoOf: p.incarnation, Heartbeat: latest}
 		if changed && len(m.views) > 1 {
 			ending := beat
-			ending.Heartbeat = old
+			ending.Stamp, ending.Heartbeat = beat.Stamp-1, old // an echo of beat.Stamp then proves the new view's receipt
 			beats = append(beats, ending)
 		}
 		beats = append(beats, beat)
-		p.sent, p.sentEver = now, true
+		p.sent, p.sentEver, p.answer = now, true, false
+		m.lastStamp = beat.Stamp
 	}
 	return beats
 }
 
+// due reports whether the peer waits for a heartbeat.
+func (p *peer) due(now time.Duration) bool {
+	return !p.sentEver || p.answer || now-p.sent >= fleet.HeartbeatPeriod
+}
+
 // heartbeat gives what this router tells its peers.
 func (m *Members) heartbeat(now time.Duration) fleet.Heartbeat {
 	h := fleet.Heartbeat{View: m.views.latest(), ConfigVersion: m.ConfigVersion, Draining: m.draining}
 	if n := len(m.views); n > 0 {
-		h.ViewAge = (now - m.views[n-1].since).Milliseconds()
+		age := now - m.views[n-1].since
+		if m.sole {
+			age = max(age, lendAge)
+		}
+		h.ViewAge = age.Milliseconds()
 	}
 	return h
 }
@@ -130,6 +132,7 @@
 	for name, p := range m.peers {
 		if !m.isListed(name) && now-p.heard > m.listLag() {
 			delete(m.peers, name)
+			delete(m.byHash, p.hash)
 		}
 	}
 }
--- a/core/member/lend.go
+++ b/core/member/lend.go
@@ -10,52 +10,23 @@
 // Lenders gives the listed routers, ascending, whose leased views name this router for a duty, and how many routers are or lately were listed.
 func (m *Members) Lenders(now time.Duration, duty string) (lenders []string, listed int) {
 	m.step(now)
-	listed = m.recentlyListed()
-	if m.idle(now) {
-		return nil, listed
-	}
 	r := ranking{seed: hashText(duty)}
 	self := Hash(m.Self)
-	released := func(router uint32) bool { return m.isReleased(now, router) }
 	for _, name := range m.listed() {
-		views := m.views
+		views, sole := m.views, m.sole
 		if name != m.Self {
 			p := m.peers[name]
 			if !m.echoed(now, p) {
 				continue
 			}
-			views = p.views
+			views, sole = p.views, false
 		}
-		since, ok := views.named(&r, self, released)
-		if ok && (m.ignoreAge || now-since >= lendAge) {
+		since, ok := views.named(&r, self)
+		if ok && (m.ignoreAge || sole || now-since >= lendAge) {
 			lenders = append(lenders, name)
 		}
 	}
-	return lenders, listed
-}
-
-// release notes whether the heartbeat about to be sent says that this router acts on no duty.
-func (m *Members) release(now time.Duration, h fleet.Heartbeat) {
-	m.released = releases(h, Hash(m.Self))
-	if m.released {
-		m.releasedAt = now
-	}
-}
-
-// idle reports whether this router may act on no duty: it said so less than a lease ago, or has just started and an earlier incarnation may have.
-func (m *Members) idle(now time.Duration) bool {
-	return m.released || now < lendAge || m.releasedAt > 0 && now-m.releasedAt < lendAge
-}
-
-// isReleased reports whether a router has lately said that it acts on no duty, so that its successor need not wait for its leases.
-func (m *Members) isReleased(now time.Duration, router uint32) bool {
-	for _, name := range m.listed() {
-		p, found := m.peers[name]
-		if found && p.released && p.hash == router && name != m.Self {
-			return m.echoed(now, p)
-		}
-	}
-	return false
+	return lenders, m.recentlyListed()
 }
 
 // Holds reports whether this router is a duty's only holder: a majority of each recent list lends itself.
--- a/core/member/lend_test.go
+++ b/core/member/lend_test.go
@@ -53,8 +53,9 @@
 		"message out of order": {
 			heard: []heard{{at: 19900 * ms, incarnation: 5, stamp: 70001, echo: 19890, view: without, age: 0}, first}, at: 20010 * ms,
 		},
-		"woke after the echoed stamp":  {heard: []heard{first}, woke: 20005 * ms, at: 20010 * ms},
-		"woke before the echoed stamp": {heard: []heard{first}, woke: 19980 * ms, at: 20010 * ms, want: true},
+		"woke after the echoed stamp":     {heard: []heard{first}, woke: 20005 * ms, at: 20010 * ms},
+		"echo of a stamp before the wake": {heard: []heard{first}, woke: 19995 * ms, at: 20010 * ms},
+		"woke before the echoed stamp":    {heard: []heard{first}, woke: 19980 * ms, at: 20010 * ms, want: true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/core/member/members.go
+++ b/core/member/members.go
@@ -40,6 +40,7 @@
 	vms      map[string]fleet.VM
 	lists    []list // the current list last, before it those replaced within ListLag
 	peers    map[string]*peer
+	byHash   map[uint32]*peer
 	views    history // of this router's own view
 	interned [][]uint32
 	draining bool
@@ -52,9 +53,10 @@
 	wallOffset  time.Duration // wall clock less monotonic clock
 	woke        time.Duration
 	wokeEver    bool
-	oldestStamp int64 // echoes of stamps before it count for nothing
-	released    bool  // told peers that it acts on no duty
-	releasedAt  time.Duration
+	oldestStamp int64         // echoes of stamps before it count for nothing
+	historyFrom time.Duration // since when views knows all own views
+	sole        bool          // no router counts this one under an earlier view
+	lastStamp   int64         // of the newest heartbeat sent
 
 	ignoreAge bool // a weakened rule, set by tests alone
 }
@@ -70,11 +72,13 @@
 	name        string
 	hash        uint32
 	incarnation uint64
-	stamp       int64 // newest received
-	echo        int64 // own stamp that the newest heartbeat echoed; 0 for none
+	begun       time.Duration // first heartbeat of this incarnation
+	stamp       int64         // newest received
+	echo        int64         // own stamp that the newest heartbeat echoed; 0 for none
+	acked       int64         // newest own stamp known to have been taken by this incarnation
+	answer      bool          // its view changed, so it waits for an echo
 	views       history
 	draining    bool
-	released    bool // its newest heartbeat says that it acts on no duty
 	version     uint64
 
 	heard     time.Duration // newest heartbeat
@@ -126,10 +130,10 @@
 		return p
 	}
 	if m.peers == nil {
-		m.peers = map[string]*peer{}
+		m.peers, m.byHash = map[string]*peer{}, map[uint32]*peer{}
 	}
 	p := &peer{name: name, hash: Hash(name)}
-	m.peers[name] = p
+	m.peers[name], m.byHash[p.hash] = p, p
 	return p
 }
 
--- a/core/member/property_test.go
+++ b/core/member/property_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -97,6 +98,48 @@
 	}
 }
 
+// TestJoinMovesAtOnce requires that duties which fall to a new or returning router are unheld for a few message delays only.
+func TestJoinMovesAtOnce(t *testing.T) {
+	for seed := range uint64(6) {
+		d := newDriver(t, seed, 9)
+		joiner := d.nodes[seed]
+		joiner.dead = true
+		d.run(4 * time.Second)
+		moving := movingDuties(d, joiner.name)
+		d.start(joiner)
+		unheld := map[string]time.Duration{}
+		for end := d.now + 4*time.Second; d.now < end; d.run(step) {
+			d.mustHold()
+			for _, duty := range moving {
+				if d.holder(duty) == "" {
+					unheld[duty] += step
+				}
+			}
+		}
+		for _, duty := range moving {
+			if d.holder(duty) != joiner.name || unheld[duty] > 200*time.Millisecond {
+				t.Errorf("seed %d: %s is held by %q, was unheld for %v", seed, duty, d.holder(duty), unheld[duty])
+			}
+		}
+	}
+}
+
+// movingDuties names duties that fall to a router when it joins.
+func movingDuties(d *driver, joiner string) []string {
+	var all []uint32
+	for _, n := range d.nodes {
+		all = append(all, Hash(n.name))
+	}
+	var moving []string
+	for i := 0; len(moving) < 5; i++ {
+		duty := fmt.Sprintf("moving/%d", i)
+		if w, _ := Winner(all, duty); w == Hash(joiner) {
+			moving = append(moving, duty)
+		}
+	}
+	return moving
+}
+
 func TestAllDrainingStillHold(t *testing.T) {
 	d := newDriver(t, 1, 3)
 	d.await("settled", 3*time.Second, d.settled)
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -89,11 +89,11 @@
 	return w, ok
 }
 
-// named gives since when a router's views have named one holder without a gap; views that named a released router count as naming the holder.
-func (h history) named(r *ranking, holder uint32, released func(router uint32) bool) (since time.Duration, ok bool) {
+// named gives since when a router's views have named one holder for a duty without a gap.
+func (h history) named(r *ranking, holder uint32) (since time.Duration, ok bool) {
 	for i := len(h) - 1; i >= 0; i-- {
 		w, found := r.of(h[i].view)
-		if !found || w != holder && (!ok || !released(w)) {
+		if !found || w != holder {
 			break
 		}
 		since, ok = h[i].since, true
@@ -153,12 +153,52 @@
 	return view
 }
 
-// renew recomputes the own view and reports whether it changed.
+// renew recomputes the own view and reports whether it changed; a change waits while a heartbeat bears the present stamp.
 func (m *Members) renew(now time.Duration) bool {
 	view := m.intern(m.view())
-	if len(m.views) > 0 && slices.Equal(m.views.latest(), view) || len(m.views) == 0 && len(view) == 0 {
+	begin := m.Clock(now)
+	if slices.Equal(m.views.latest(), view) || len(m.views) > 0 && m.lastStamp >= begin {
 		return false
 	}
-	m.views = m.views.add(epoch{view: view, since: now, adjoins: len(m.views) > 0}, now)
+	if len(m.views) == 0 || len(m.views) == historyLimit {
+		m.historyFrom = now
+	}
+	m.views = m.views.add(epoch{view: view, since: now, adjoins: len(m.views) > 0, begin: begin}, now)
+	m.sole = false
+	return true
+}
+
+// becameSole reports whether it has just become known that no router counts this one under an earlier view.
+func (m *Members) becameSole(now time.Duration) bool {
+	if m.sole || !m.allAcked(now) {
+		return false
+	}
+	m.sole = true
+	return true
+}
+
+// allAcked reports whether every router that an earlier view may have named has taken the present view, or can no longer count the earlier one.
+func (m *Members) allAcked(now time.Duration) bool {
+	last := len(m.views) - 1
+	if last < 0 || now-m.historyFrom < lendAge {
+		return false
+	}
+	self := Hash(m.Self)
+	for i, e := range m.views[:last] {
+		if now-m.views[i+1].since >= lendAge {
+			continue
+		}
+		for _, router := range e.view {
+			if router != self && !m.acked(router, &m.views[last]) {
+				return false
+			}
+		}
+	}
 	return true
 }
+
+// acked reports whether a router has taken a heartbeat with the present view, in an incarnation that it had before.
+func (m *Members) acked(router uint32, present *epoch) bool {
+	p, found := m.byHash[router]
+	return found && p.begun <= present.since && p.acked >= present.begin
+}
--- a/core/member/wake.go
+++ b/core/member/wake.go
@@ -19,7 +19,8 @@
 	m.woke, m.wokeEver = now, true
 	m.oldestStamp = m.Clock(now)
 	if n := len(m.views); n > 0 {
-		m.views = history{{view: m.views[n-1].view, since: now}}
+		m.views = history{{view: m.views[n-1].view, since: now, begin: m.Clock(now)}}
+		m.historyFrom, m.sole = now, false
 	}
 	for _, p := range m.peers {
 		p.echo = 0
