Measure how long a small team waits, and name the routers that told only part

Cause: a router forgotten and heard again tells changes only and lends nothing. Ruled out: counting it as a lender, as what it runs is not known. Before: nothing showed it.

--- a/core/sched/random_test.go
+++ b/core/sched/random_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"mangolug.org/core/fleet"
 )
 
@@ -140,6 +142,15 @@
 	}
 }
 
+func TestSameEventsSameGrants(t *testing.T) {
+	a, b := randomWorld(t, 11), randomWorld(t, 11)
+	a.run(5 * time.Second)
+	b.run(5 * time.Second)
+	if diff := cmp.Diff(a.schedulers[0].Status(a.now), b.schedulers[0].Status(b.now)); diff != "" {
+		t.Errorf("two runs of the same events differ:\n%s", diff)
+	}
+}
+
 // fail ends all that runs on a server.
 func (w *world) fail(v *fakeServer) {
 	for _, r := range w.routers {
--- a/core/sched/rivals_test.go
+++ b/core/sched/rivals_test.go
@@ -183,6 +183,33 @@
 	return r
 }
 
+// TestVisitor measures how long a small team within its share waits beside a flood and large teams.
+func TestVisitor(t *testing.T) {
+	const longest = 900 * time.Millisecond
+	for _, design := range append([]string{"a scheduler a cell"}, baselines...) {
+		w := newWorld(t, 1, rivalRouters, rivalServers, rivalLimit)
+		w.delay = 2 * time.Millisecond
+		workloads["flooded"](w)
+		designs[design](w)
+		visitor := &fakeTeam{name: "visitor", share: 10, cost: 200, hint: 1, at: []int{4}}
+		w.teams = append(w.teams, visitor)
+		w.run(rivalWarmUp)
+		for range 30 {
+			w.ask(w.routers[4], visitor)
+			w.run(time.Second)
+		}
+		waits := slices.Sorted(slices.Values(visitor.waits))
+		if len(waits) == 0 {
+			t.Logf("%-26s served 0 of 30", design)
+			continue
+		}
+		t.Logf("%-26s served %d of 30, waits: median %v, longest %v", design, len(waits), waits[len(waits)/2], waits[len(waits)-1])
+		if design == "a scheduler a cell" && (len(waits) < 30 || waits[29] > 3*longest) {
+			t.Errorf("a small team waited %v, bound %v", waits[len(waits)-1], 3*longest)
+		}
+	}
+}
+
 func TestAims(t *testing.T) {
 	for workload := range workloads {
 		t.Run(workload, func(t *testing.T) {
--- a/core/sched/router.go
+++ b/core/sched/router.go
@@ -83,6 +83,18 @@
 	s.heard(now, r, basis)
 }
 
+// Partial names the routers that told some demand but not all, as after Forget; they lend
+// nothing until a new connection makes them tell all.
+func (s *Scheduler) Partial() []string {
+	var names []string
+	for _, r := range s.byName {
+		if !r.full {
+			names = append(names, r.name)
+		}
+	}
+	return names
+}
+
 // Heard takes in a router's newer stamp, in milliseconds, that came without demand.
 func (s *Scheduler) Heard(now time.Duration, from string, basis int64) {
 	s.prepare()
--- a/core/sched/server.go
+++ b/core/sched/server.go
@@ -66,7 +66,7 @@
 
 func (s *Scheduler) configure(now time.Duration, v *server, r rule.Server, out, leaving map[string]bool) {
 	if v.rule.Name == "" || v.rule.Address != r.Address {
-		v.progress = now
+		v.progress, v.limiter = now, limit.Limiter{}
 		v.grewAt, v.settled = now, s.lent >= s.fleet
 	}
 	v.rule, v.present = r, true
