--- a/router/front/try.go
+++ b/router/front/try.go
@@ -41,6 +41,9 @@
 		return fleet.OutcomeOverloaded
 	case errors.Is(ctx.Err(), context.Canceled):
 		return fleet.OutcomeCancelled
+	case t.late():
+		// A caller's short deadline says nothing of the server.
+		return fleet.OutcomeCancelled
 	case failed.Reason == fleet.ReasonConnectFailed:
 		return fleet.OutcomeUnreached
 	}
@@ -75,7 +78,7 @@
 }
 
 // broken is the error of an answer that did not come whole.
-func (t *try) broken(err error) error {
+func (t *try) broken(err error) *back.ServerError {
 	return &back.ServerError{Server: t.verdict.Grant.Server, Reason: fleet.ReasonStreamBroken, Sent: true, Err: err}
 }
 
@@ -90,3 +93,9 @@
 	t.call.sent = true
 	return t.call.turnDown(reason, fmt.Sprintf("the answer could not be delivered: %v", err))
 }
+
+// late reports an attempt that its caller's deadline ended before its server had stalled.
+func (t *try) late() bool {
+	now := t.call.front.Clock()
+	return now >= t.call.deadline && now-t.begun < t.call.front.Settings.StallTimeout
+}
--- a/stage/demo/demo.go
+++ b/stage/demo/demo.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
 	"sort"
 	"strconv"
 	"strings"
@@ -19,13 +20,14 @@
 	"mangolug.org/stage/works"
 )
 
-const warmup = 2 * time.Second
+// warmup lets limits be learnt, and lasts longer than a key's home waits before it runs keys.
+const warmup = 6 * time.Second
 
 // Options are what a run needs.
 type Options struct {
 	Context context.Context `no-flag:"yes"`
 	Streams *stream.Streams `no-flag:"yes"`
-	Length  time.Duration   `long:"length" env:"MANGOLUG_DEMO_LENGTH" default:"8s" description:"how long each user's load lasts"`
+	Length  time.Duration   `long:"length" env:"MANGOLUG_DEMO_LENGTH" default:"12s" description:"how long each user's load lasts"`
 	Seed    uint64          `long:"seed" env:"MANGOLUG_DEMO_SEED" default:"1" description:"seed of the load"`
 	JSON    bool            `long:"json" description:"write the results as JSON"`
 }
@@ -51,23 +53,42 @@
 	if err := local.Build(o.Context, programs); err != nil {
 		return err
 	}
+	sites, results, err := o.runBoth(programs)
+	if err != nil {
+		return err
+	}
+	if o.JSON {
+		return o.Streams.WriteJSON(results)
+	}
+	return o.write(sites, results)
+}
+
+// runBoth runs both users, one after the other, by their example rule files.
+func (o *Options) runBoth(programs string) ([]local.Site, []*trial.Result, error) {
+	root, err := local.Root()
+	if err != nil {
+		return nil, nil, err
+	}
+	var sites []local.Site
 	var results []*trial.Result
-	sites := []local.Site{local.Chenab(), local.Carraig()}
-	for _, site := range sites {
-		o.say("%s: %d routers, %d engines and %d plain services in %s; load for %v",
-			site.Name, trial.Routers, trial.Engines, trial.Desks, strings.Join(site.DataCentres, ", "), o.Length)
+	for _, base := range []local.Site{local.Chenab(), local.Carraig()} {
+		rules := filepath.Join(root, "examples", base.Name+".rules")
+		site, size, err := works.ReadSite(base, rules)
+		if err != nil {
+			return nil, nil, err
+		}
+		o.say("%s: %d routers, %d engines, %d plain services and %d teams in %s, by examples/%s; load for %v",
+			site.Name, trial.Routers, size.Engines, size.Desks, len(site.Teams), strings.Join(site.DataCentres, ", "), filepath.Base(rules), o.Length)
 		r, err := trial.Run(o.Context, trial.Settings{
-			Site: site, Programs: programs, Load: works.Load{Case: works.Balanced, Seed: o.Seed, Length: o.Length, Warmup: warmup},
+			Site: site, Size: size, Programs: programs,
+			Load: works.Load{Case: works.Balanced, Seed: o.Seed, Length: o.Length, Warmup: warmup},
 		})
 		if err != nil {
-			return errors.Wrap(err, site.Name)
+			return nil, nil, errors.Wrap(err, site.Name)
 		}
-		results = append(results, r)
+		sites, results = append(sites, site), append(results, r)
 	}
-	if o.JSON {
-		return o.Streams.WriteJSON(results)
-	}
-	return o.write(sites, results)
+	return sites, results, nil
 }
 
 func (o *Options) say(format string, words ...any) {
@@ -75,11 +96,11 @@
 }
 
 func (o *Options) write(sites []local.Site, results []*trial.Result) error {
-	all := &table.Table{Kind: "demo", Header: []string{
+	all := &table.Table{Kind: "demo", Title: "both users", Header: []string{
 		"USER", "REQUESTS", "ANSWERED WHOLE", "REFUSED", "OTHER", "FAIRNESS GAP", "OVER MEAN", "UTILISATION", "CONTROL BYTES/S A ROUTER", "OVER LIMIT", "RUN TWICE",
 	}}
-	teams := &table.Table{Kind: "team", Header: []string{"USER", "TEAM", "PRODUCT", "SHARE", "REQUESTS", "ANSWERED", "SERVICE", "SERVICE/SHARE", "FIRST BYTE P95"}}
-	reasons := &table.Table{Kind: "reason", Header: []string{"USER", "OUTCOME AND REASON", "COUNT"}}
+	teams := &table.Table{Kind: "team", Title: "teams", Header: []string{"USER", "TEAM", "PRODUCT", "SHARE", "REQUESTS", "ANSWERED", "SERVICE, STEADY", "OVER SHARE", "FIRST BYTE P95"}}
+	reasons := &table.Table{Kind: "reason", Title: "not answered", Header: []string{"USER", "OUTCOME AND REASON", "COUNT"}}
 	for i, r := range results {
 		f := r.Figures(sites[i].Model)
 		refused := ended(r.Load, tally.OutcomeRefused)
@@ -89,7 +110,7 @@
 		for _, t := range r.Load.Teams {
 			wait := time.Duration(t.FirstByte.P95) * time.Microsecond
 			teams.Add(r.User, t.Team, t.Product, strconv.Itoa(t.Share), count(t.Requests), count(t.Ends[tally.OutcomeAnswered.String()]),
-				count(t.Service), count(t.Service/int64(t.Share)), wait.Round(time.Millisecond).String())
+				count(t.Steady), count(t.Steady/int64(t.Share)), wait.Round(time.Millisecond).String())
 		}
 		for _, name := range names(r.Load.Reasons) {
 			reasons.Add(r.User, name, count(r.Load.Reasons[name]))
