--- a/stage/proof/trust_test.go
+++ b/stage/proof/trust_test.go
@@ -23,7 +23,7 @@
 	t.Cleanup(func() { _ = intruder.Kill() })
 	members := f.Routers[:2]
 	within(t, 5*time.Second, func() error { return liveAt(members, stranger.Name, false) })
-	l := startLoad(t, &local.Fleet{Settings: f.Settings, Routers: members, Servers: f.Servers}, 4, 4, 8)
+	l := startLoad(t, part(f, members...), 4, 4, 8)
 	elapse(t, 2*time.Second)
 	l.waitFor(t, 10*time.Second, 20, answered)
 	must(t, liveAt(members, stranger.Name, false))
