Give the stranger a secret of full length

Cause: the stranger's secret was shorter than a router accepts, so that it ended at once and the test showed nothing. Ruled out: a refusal by the peers; its log named the secret's length. Before and after: passed with no stranger; passes now with one that runs to the end, which the test checks. Conclusion: a router without the fleet's secret stays outside in this run.

--- a/stage/proof/trust_test.go
+++ b/stage/proof/trust_test.go
@@ -17,7 +17,7 @@
 	stranger := f.Routers[2]
 	must(t, stranger.Kill())
 	args := slices.Clone(stranger.Args)
-	args[slices.Index(args, "--secret")+1] = "not-the-secret"
+	args[slices.Index(args, "--secret")+1] = "not-the-secret-of-this-fleet"
 	intruder := &local.Process{Name: "stranger", Path: stranger.Path, Args: args, Log: stranger.Log}
 	must(t, intruder.Start())
 	t.Cleanup(func() { _ = intruder.Kill() })
@@ -27,6 +27,9 @@
 	elapse(t, 2*time.Second)
 	l.waitFor(t, 10*time.Second, 20, answered)
 	must(t, liveAt(members, stranger.Name, false))
+	if !intruder.Running() {
+		t.Error("the stranger has ended, so nothing was shown")
+	}
 	check(t, f, l.stop())
 }
 
