Let callers try a key for longer than a takeover lasts

Cause: with the guard of a key's new home taken out, TestAtMostOnce still passed: the callers had given a key up before its new home answered. Ruled out: a longer outage of the router, which changes nothing for the keys that were on their way when it was struck. Before and after: eight tries within half a second; now over three seconds. A wait that fails no longer keeps the checks from running.

--- a/stage/proof/load_test.go
+++ b/stage/proof/load_test.go
@@ -16,7 +16,8 @@
 const (
 	callTimeout  = 5 * time.Second           // that callers in the load give their requests
 	callPatience = callTimeout + time.Second // after which a caller goes away
-	retryPause   = 50 * time.Millisecond     // between two tries of a caller
+	retryPause   = 50 * time.Millisecond     // of a caller of the model
+	keyPause     = 400 * time.Millisecond    // of a caller with a key, whose tries together outlast a takeover
 	keyTries     = 8                         // of one key
 )
 
@@ -76,16 +77,19 @@
 	return count
 }
 
-// waitFor waits until so many more calls that fit have ended.
+// waitFor waits until so many more calls that fit have ended; when they have not in time the test fails but goes on, so that its checks still run.
 func (l *load) waitFor(t *testing.T, limit time.Duration, more int, fits func(result) bool) {
 	t.Helper()
 	before := l.count(fits)
-	within(t, limit, func() error {
+	err := local.Until(limit, func() error {
 		if got := l.count(fits) - before; got < more {
 			return fmt.Errorf("%d of %d calls ended", got, more)
 		}
 		return nil
 	})
+	if err != nil {
+		t.Error(err)
+	}
 }
 
 func answered(r result) bool { return r.answer.status == http.StatusOK && r.answer.broken == nil }
@@ -109,9 +113,9 @@
 	return a
 }
 
-func pause(ctx context.Context) {
+func pause(ctx context.Context, d time.Duration) {
 	select {
-	case <-time.After(retryPause):
+	case <-time.After(d):
 	case <-ctx.Done():
 	}
 }
@@ -122,7 +126,7 @@
 		c := words.call(l.fleet.Site, l.router(worker+n), l.team(worker))
 		c.timeout = callTimeout
 		if a := l.try(c, &words, true); a.status != http.StatusOK {
-			pause(ctx)
+			pause(ctx, retryPause)
 		}
 	}
 }
@@ -148,7 +152,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		pause(ctx)
+		pause(ctx, keyPause)
 	}
 }
 
