--- a/stage/proof/trust_test.go
+++ b/stage/proof/trust_test.go
@@ -17,16 +17,19 @@
 	stranger := f.Routers[2]
 	must(t, stranger.Kill())
 	args := slices.Clone(stranger.Args)
-	args[slices.Index(args, "--secret")+1] = "not-the-secret"
+	args[slices.Index(args, "--secret")+1] = "not-the-secret-of-this-fleet"
 	intruder := &local.Process{Name: "stranger", Path: stranger.Path, Args: args, Log: stranger.Log}
 	must(t, intruder.Start())
 	t.Cleanup(func() { _ = intruder.Kill() })
 	members := f.Routers[:2]
 	within(t, 5*time.Second, func() error { return liveAt(members, stranger.Name, false) })
-	l := startLoad(t, &local.Fleet{Settings: f.Settings, Routers: members, Servers: f.Servers}, 4, 4, 8)
+	l := startLoad(t, part(f, members...), 4, 4, 8)
 	elapse(t, 2*time.Second)
 	l.waitFor(t, 10*time.Second, 20, answered)
 	must(t, liveAt(members, stranger.Name, false))
+	if !intruder.Running() {
+		t.Error("the stranger has ended, so nothing was shown")
+	}
 	check(t, f, l.stop())
 }
 
