--- a/core/sched/server.go
+++ b/core/sched/server.go
@@ -272,7 +272,7 @@
 		return
 	}
 	usable := s.usable(v)
-	free := usable - v.outstanding
+	free := usable - v.outstanding - v.orphans
 	if v.limiter.Probing() {
 		free = min(free, 1)
 	}
@@ -280,14 +280,14 @@
 		return
 	}
 	v.room = free
-	v.fraction = float64(v.outstanding) / float64(usable)
+	v.fraction = float64(v.outstanding+v.orphans) / float64(usable)
 	s.room += v.room
 }
 
-// usable gives how many grants may be outstanding on a server. What lost routers run counts against the whole limit and not
-// against the own part: by now they lend their parts to another scheduler, which counts it there.
+// usable gives how many grants may be outstanding on a server, orphans included.
 func (s *Scheduler) usable(v *server) int {
-	return min(s.allowed(v), v.limiter.Limit()-max(v.foreign, v.orphans))
+	beside := max(0, v.foreign-v.orphans)
+	return min(s.allowed(v), v.limiter.Limit()-beside)
 }
 
 func (s *Scheduler) whyHeld(now time.Duration, v *server) (fleet.Reason, time.Duration) {
