Keep schedulers and routers that lost each other in step

Cause: three faults seen with real processes. A scheduler never heard its own router's clock, so that a demand held for 650 ms was parked for good (nothing served for 4.9 s behind a partition, once 30 s after a start). Routers that were lost kept their grants and demand for ever. A router that a scheduler had lost, without noticing it, never told all again. Before: TestPartitionAndRejoin fails (no answer within 10 s). Conclusion: the scheduler hears its own clock, forgets lost routers and asks those that come back, or told only part, for all.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -79,10 +79,11 @@
 
 // Grants answers a router's demand; Term orders schedulers of a cell and serves as fencing number.
 type Grants struct {
-	Cell   Cell    `json:"cell,omitempty"`
-	Term   uint64  `json:"term,omitempty"`
-	Basis  int64   `json:"basis,omitempty"` // receiver's own clock, in milliseconds, as last heard by the scheduler; unused grants lapse GrantLifetime after it
-	Grants []Grant `json:"grants,omitempty"`
+	Cell    Cell    `json:"cell,omitempty"`
+	Term    uint64  `json:"term,omitempty"`
+	Basis   int64   `json:"basis,omitempty"`   // receiver's own clock, in milliseconds, as last heard by the scheduler; unused grants lapse GrantLifetime after it
+	TellAll bool    `json:"tellAll,omitempty"` // the scheduler knows nothing or only part of the receiver's demand
+	Grants  []Grant `json:"grants,omitempty"`
 }
 
 // Load is a backend server's own report.
--- a/core/node/cells.go
+++ b/core/node/cells.go
@@ -110,6 +110,7 @@
 			lenders, listed = []string{n.Start.Self}, 1
 		}
 		c.lenders = len(lenders)
+		c.scheduler.Heard(n.now, n.Start.Self, n.members.Clock(n.now))
 		c.scheduler.Lend(n.now, lenders, listed)
 		n.poll(id, c)
 	}
@@ -151,6 +152,23 @@
 	return local
 }
 
+// askAll asks routers that told only part of their demand for all of it.
+func (n *Node) askAll() {
+	for _, id := range n.order {
+		for _, router := range n.cells[id].scheduler.Partial() {
+			n.askAllOf(id, router)
+		}
+	}
+}
+
+func (n *Node) askAllOf(id fleet.Cell, router string) {
+	if router == n.Start.Self {
+		n.room.Linked(n.now, router)
+		return
+	}
+	n.send(router, fleet.Message{Grants: &fleet.Grants{Cell: id, Term: n.cells[id].scheduler.Term, TellAll: true}})
+}
+
 // dropIdleCells ends schedulers that nobody has asked for a while.
 func (n *Node) dropIdleCells() {
 	dropped := false
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -136,6 +136,7 @@
 	n.expireOpens()
 	n.dropIdleCells()
 	n.noticePeers()
+	n.askAll()
 }
 
 // Rest gives the time after the last step by which the next is due.
@@ -163,7 +164,8 @@
 	n.lastStep = n.now
 }
 
-// noticePeers tells of routers that came or went.
+// noticePeers tells of routers that came or went. What a lost one asked for is forgotten, and it is asked for all when it is
+// heard again: it may not have noticed that it was lost.
 func (n *Node) noticePeers() {
 	if len(n.members.Live()) == len(n.live) && n.allLive() {
 		return
@@ -173,12 +175,16 @@
 		now[name] = true
 		if !n.live[name] && name != n.Start.Self {
 			n.notice(Notice{Kind: NoticePeerLive, From: name})
+			for _, id := range n.order {
+				n.askAllOf(id, name)
+			}
 		}
 	}
 	for _, name := range sorted(n.live) {
 		if !now[name] {
 			n.count("peerLost")
 			n.notice(Notice{Kind: NoticePeerLost, From: name})
+			n.forget(name)
 		}
 	}
 	n.live = now
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -33,6 +33,9 @@
 		c.asked = n.now
 		c.scheduler.Take(n.now, from, n.listed[from].DataCentre, m.Stamp, *m.Demand)
 	case m.Grants != nil:
+		if m.Grants.TellAll {
+			n.room.Linked(n.now, from)
+		}
 		n.deliver(n.room.Grants(n.now, from, n.members.Clock(n.now), *m.Grants))
 	case m.KeyOpen != nil:
 		answer := n.openHere(from, *m.KeyOpen)
--- a/router/front/keyed.go
+++ b/router/front/keyed.go
@@ -19,7 +19,9 @@
 // runKeyed sees a non-idempotent request with a key through; its home is asked first.
 func (c *call) runKeyed(ctx context.Context) error {
 	if _, ok := keys.Minted(c.key); !ok {
-		return c.turnDown(fleet.ReasonKeyInvalid, "the idempotency key must be a UUIDv7")
+		refusal := c.turnDown(fleet.ReasonKeyInvalid, "the idempotency key must be a UUIDv7")
+		refusal.NotRun = true // no router sends a request with such a key
+		return refusal
 	}
 	if done, err := c.openKey(ctx); done || err != nil {
 		return err
--- a/router/wire/convert.go
+++ b/router/wire/convert.go
@@ -71,7 +71,7 @@
 }
 
 func encodeGrants(g *fleet.Grants) *Grants {
-	w := &Grants{Cell: encodeCell(g.Cell), Term: g.Term, Basis: g.Basis}
+	w := &Grants{Cell: encodeCell(g.Cell), Term: g.Term, Basis: g.Basis, TellAll: g.TellAll}
 	for _, o := range g.Grants {
 		w.Grants = append(w.Grants, &Grant{Id: o.ID, Team: o.Team, Server: o.Server, Address: o.Address, Fencing: o.Fencing})
 	}
@@ -80,7 +80,7 @@
 
 func decodeGrants(w *Grants, c *checker) *fleet.Grants {
 	c.items("grants", len(w.GetGrants()))
-	g := &fleet.Grants{Cell: decodeCell(w.GetCell(), c), Term: w.GetTerm(), Basis: w.GetBasis()}
+	g := &fleet.Grants{Cell: decodeCell(w.GetCell(), c), Term: w.GetTerm(), Basis: w.GetBasis(), TellAll: w.GetTellAll()}
 	for _, o := range w.GetGrants() {
 		g.Grants = append(g.Grants, fleet.Grant{
 			ID: o.GetId(), Team: c.name("team", o.GetTeam()), Server: c.name("server", o.GetServer()),
