Say on Beat why its stamp and echo must travel with it

Cause: a caller that stamps a heartbeat anew makes an echo prove too much. Ruled out: hiding the stamp, as the caller owns the envelope. Before and after: go test -race passes in member, conf, rule and plat. Conclusion: the requirement stands where the caller reads it.

--- a/core/member/beat.go
+++ b/core/member/beat.go
@@ -7,7 +7,7 @@
 	"mangolug.org/core/fleet"
 )
 
-// Beat is a heartbeat to send; Stamp and Echo belong to it and must travel with it unchanged.
+// Beat is a heartbeat to send; its Stamp and Echo must travel with it unchanged, as leases and the handing over of duties rest on them.
 type Beat struct {
 	To        string
 	Stamp     int64  // this router's clock when the heartbeat was made, in milliseconds
--- a/core/member/wake.go
+++ b/core/member/wake.go
@@ -1,8 +1,6 @@
 package member
 
-import (
-	"time"
-)
+import "time"
 
 // Wall compares the wall clock with the monotonic one, before each step; when they part, the VM slept or its clock was set, and all leases are distrusted.
 func (m *Members) Wall(now, wall time.Duration) {
