Send heartbeats with the stamps that they were made with

Cause: the node stamped heartbeats afresh, so that the one that ends an old view and the one that begins the new had one stamp, and an echo could prove the receipt of the old alone; an echo could also carry a newer incarnation than its stamp. A list without any router closed all links. Ruled out: nothing else reads these stamps. After: stamps, echoes and their incarnations come from the beat; an empty list is counted and ignored. Conclusion: as the proof sketch in docs/design/membership.md needs.

--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -11,7 +11,7 @@
 func (n *Node) send(to string, m fleet.Message) {
 	m.Incarnation = n.Start.Incarnation
 	m.Stamp = n.members.Clock(n.now)
-	m.Echo, m.Echoed = n.members.Echo(to), n.seen[to]
+	m.Echo, m.Echoed = n.members.Echo(to), uint32(n.members.EchoOf(to))
 	n.do(Effect{Send: &Send{To: to, Message: m}})
 }
 
@@ -85,10 +85,12 @@
 	}
 }
 
-// beat sends the heartbeats that are due.
+// beat sends the heartbeats that are due, with the stamps that belong to them.
 func (n *Node) beat() {
 	for _, b := range n.members.Tick(n.now) {
-		n.send(b.To, fleet.Message{Heartbeat: &b.Heartbeat})
+		n.do(Effect{Send: &Send{To: b.To, Message: fleet.Message{
+			Incarnation: n.Start.Incarnation, Stamp: b.Stamp, Echo: b.Echo, Echoed: uint32(b.EchoOf), Heartbeat: &b.Heartbeat,
+		}}})
 	}
 }
 
@@ -108,6 +110,10 @@
 			leaving[v.Name] = true
 		}
 	}
+	if len(listed) == 0 {
+		n.count("list.empty") // a list without any router is a fault of the platform
+		return
+	}
 	n.do(Effect{Links: &Links{Addresses: addresses}})
 	for _, name := range n.listedNames() {
 		if _, still := listed[name]; !still {
