Drop a stream in which another answer's event appears

Cause: with pieces of two answers swapped on the wire, 2 of 47 streams looked whole and held another caller's events (seen by TestCrossedAnswers). Ruled out: trusting the header's attempt id alone, which comes once. Before: TestForeignEvents fails in all four cases. After: an event whose id differs from the answer's first, or that is no JSON, ends the stream with an error event. Conclusion: by the completions convention one answer has one id.

--- a/router/front/front_test.go
+++ b/router/front/front_test.go
@@ -278,6 +278,31 @@
 	}
 }
 
+func TestForeignEvents(t *testing.T) {
+	const mine, other, bad = "data: {\"id\":\"a\"}\n\n", "data: {\"id\":\"b\"}\n\n", "data: {\"id\":\n\n"
+	tests := map[string]struct {
+		parts  []string
+		passed string
+		reason string
+	}{
+		"another's event":        {[]string{mine, other, marker}, mine, "foreignAnswer"},
+		"another's end":          {[]string{mine, mine, other + marker}, mine + mine, "foreignAnswer"},
+		"an event without an id": {[]string{mine, one, marker}, mine, "foreignAnswer"},
+		"an event of two pieces": {[]string{mine, bad, marker}, mine, "streamBroken"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, sse+chunks(true, tt.parts...))
+			b.start(t)
+			_, text := b.ask(t, "POST", "/v1/chat/completions", modelBody, nil)
+			passed, refusal, _ := strings.Cut(text, "event: error\ndata: ")
+			if passed != tt.passed || !strings.HasPrefix(refusal, "{\"reason\":\""+tt.reason) {
+				t.Errorf("caller got %q, want %q and the reason %s", text, tt.passed, tt.reason)
+			}
+		})
+	}
+}
+
 func TestLongAnswerIsCutOff(t *testing.T) {
 	long := strings.Repeat("x", 100)
 	tests := map[string]struct {
--- a/router/front/pass.go
+++ b/router/front/pass.go
@@ -64,8 +64,10 @@
 			return t.cut(err)
 		}
 		stall.Reset(c.front.Settings.StallTimeout)
+		if err := t.tally(event); err != nil {
+			return t.cut(err)
+		}
 		t.first()
-		t.tally(event)
 		if !c.written {
 			c.begin(a, -1)
 		}
@@ -96,6 +98,8 @@
 	}
 	reason := fleet.ReasonStreamBroken
 	switch {
+	case errors.Is(err, errForeignEvent):
+		reason = fleet.ReasonForeignAnswer
 	case c.front.stopping.Err() != nil:
 		reason = fleet.ReasonStopped
 	case c.front.Clock() >= c.deadline:
@@ -113,21 +117,34 @@
 	return refusal
 }
 
-// tally counts an event's tokens.
-func (t *try) tally(event back.Event) {
-	if event.End {
-		return
-	}
-	t.chunks++
-	if !bytes.Contains(event.Data, []byte(`"usage"`)) {
-		return
+// errForeignEvent is an event of another stream within this one.
+var errForeignEvent = errors.New("an event of another answer came within this one")
+
+// tally counts an event's tokens and checks that it belongs to the answer: by the completions convention all events of one
+// answer carry one id.
+func (t *try) tally(event back.Event) error {
+	if event.End || len(event.Data) == 0 {
+		return nil
 	}
 	var chunk struct {
+		ID    string `json:"id"`
 		Usage *usage `json:"usage"`
 	}
-	if json.Unmarshal(event.Data, &chunk) == nil && chunk.Usage != nil {
+	if err := json.Unmarshal(event.Data, &chunk); err != nil {
+		return err
+	}
+	switch {
+	case t.answerID == "":
+		t.answerID = chunk.ID
+	case chunk.ID != t.answerID:
+		t.call.front.count("foreignEvents")
+		return errForeignEvent
+	}
+	t.chunks++
+	if chunk.Usage != nil {
 		t.usage = chunk.Usage
 	}
+	return nil
 }
 
 func (t *try) progress() {
--- a/router/front/try.go
+++ b/router/front/try.go
@@ -19,6 +19,7 @@
 	begun     time.Duration
 	cancel    context.CancelFunc
 	firstByte time.Duration
+	answerID  string // of the answer's first event
 	chunks    int64
 	usage     *usage
 	reported  time.Duration
