Exchange service instead of levels in the rival with counters

Cause: the rival averaged levels over routers that had none of the team's work, which spoiled it. Ruled out: an error in the scheduler.

--- a/core/sched/rivals_test.go
+++ b/core/sched/rivals_test.go
@@ -36,7 +36,7 @@
 	"each router alone": routersAlone,
 	"exchanged counters": func(w *world) {
 		routersAlone(w)
-		w.checks = append(w.checks, exchangeCounters)
+		w.checks = append(w.checks, exchangeCounters())
 	},
 	"a home router a team": func(w *world) {
 		routersAlone(w)
@@ -72,23 +72,34 @@
 	}
 }
 
-// exchangeCounters adds to each router's levels what the team was served at the others.
-func exchangeCounters(w *world) {
-	if w.now%exchange != 0 {
-		return
-	}
-	for _, m := range w.teams {
-		total := 0.0
-		for _, s := range w.schedulers {
-			if t := s.teams[m.name]; t != nil {
-				total += t.level
+// exchangeCounters gives a check that adds to each router's levels, every period, what the
+// team was served at the others since.
+func exchangeCounters() func(w *world) {
+	seen := map[*team]int64{}
+	return func(w *world) {
+		if w.now%exchange != 0 {
+			return
+		}
+		for _, m := range w.teams {
+			var here []*team
+			total := int64(0)
+			for _, s := range w.schedulers {
+				if t := s.teams[m.name]; t != nil && t.backlog {
+					here = append(here, t)
+					total += t.service - seen[t]
+				}
+			}
+			for _, t := range here {
+				t.level += float64(total-(t.service-seen[t])) / t.share
+				seen[t] = t.service
 			}
 		}
 		for _, s := range w.schedulers {
-			if t := s.teams[m.name]; t != nil && t.backlog {
-				t.level = total / float64(len(w.schedulers))
-				t.key = t.level
-				s.backlog.fix(&t.node)
+			for _, m := range w.teams {
+				if t := s.teams[m.name]; t != nil && t.backlog {
+					t.key = t.level
+					s.backlog.fix(&t.node)
+				}
 			}
 		}
 	}
