Avoid servers that a router could not reach, and outlast missing reports

Cause: a router cut off from one server got its grants there again; orphans and unexplained load stayed for good where reports failed. Ruled out: setting the server aside for all routers after one failure. Before: no test. After: TestUnreachedServerIsAvoided, TestOrphansWithoutReports. Conclusion: such a server comes last for that router for 5 s; orphans go after the stall limit without reports.

--- a/core/sched/bench_test.go
+++ b/core/sched/bench_test.go
@@ -44,7 +44,7 @@
 	c.s.Configure(0, rules, nil, nil)
 	c.s.Lend(0, c.names, len(c.names))
 	for _, name := range teams {
-		c.s.memory.learn(name, 100, 100)
+		c.s.memory.keep(name, habit{mean: 100, ratio: 1})
 	}
 	for i := range c.names {
 		d := fleet.Demand{Full: true}
--- a/core/sched/memory.go
+++ b/core/sched/memory.go
@@ -15,7 +15,7 @@
 	ratio float32 // cost over hint
 }
 
-// memory keeps the habits of teams that were served lately, in two generations.
+// memory keeps the habits of idle teams that were served lately, in two generations.
 type memory struct {
 	recent map[string]habit
 	older  map[string]habit
@@ -23,9 +23,8 @@
 }
 
 // expect gives the cost to charge at the start for a request with the given hint.
-func (m *memory) expect(team string, hint int64) int64 {
-	h, known := m.find(team)
-	if !known {
+func (m *memory) expect(h habit, hint int64) int64 {
+	if h.mean <= 0 {
 		h = habit{mean: m.all.mean, ratio: 1}
 	}
 	if h.mean <= 0 {
@@ -38,25 +37,23 @@
 	return max(1, int64(cost))
 }
 
-// learn takes in the true cost of a finished request.
-func (m *memory) learn(team string, hint, cost int64) {
-	m.all = m.all.with(hint, cost)
-	h, _ := m.find(team)
-	if m.recent == nil {
-		m.recent = map[string]habit{}
+// keep remembers the habit of a team that goes.
+func (m *memory) keep(team string, h habit) {
+	if h.mean <= 0 {
+		return
 	}
-	if _, known := m.recent[team]; !known && len(m.recent) >= memorySize {
+	if _, known := m.recent[team]; m.recent == nil || !known && len(m.recent) >= memorySize {
 		m.older, m.recent = m.recent, map[string]habit{}
 	}
-	m.recent[team] = h.with(hint, cost)
+	m.recent[team] = h
 }
 
-func (m *memory) find(team string) (habit, bool) {
+// find gives what is remembered of a team, nothing if it is not known.
+func (m *memory) find(team string) habit {
 	if h, known := m.recent[team]; known {
-		return h, true
+		return h
 	}
-	h, known := m.older[team]
-	return h, known
+	return m.older[team]
 }
 
 func (h habit) with(hint, cost int64) habit {
--- a/core/sched/next.go
+++ b/core/sched/next.go
@@ -14,27 +14,32 @@
 	s.prepare()
 	s.reviewServers(now)
 	var batches []Batch
-	places := map[*router]int{}
 	for s.room > 0 {
 		e := s.pick(now)
 		if e == nil || s.room <= s.awaited(now, e.team) {
 			break
 		}
-		v := s.place(e.router)
+		v := s.place(now, e.router)
 		if v == nil {
 			break
 		}
 		g := s.grant(now, e, v)
-		i, known := places[e.router]
-		if !known {
-			i = len(batches)
-			places[e.router] = i
-			batches = append(batches, s.batch(e.router))
-		}
-		batches[i].Grants.Grants = append(batches[i].Grants.Grants, fleet.Grant{
-			ID: g.id, Team: e.team.name, Server: v.rule.Name, Address: v.rule.Address, Fencing: v.rule.Fencing,
-		})
+		batches = s.add(batches, g)
+	}
+	return batches
+}
+
+// add puts a grant into its router's batch.
+func (s *Scheduler) add(batches []Batch, g *grant) []Batch {
+	r, v := g.router, g.server
+	if r.batch >= len(batches) || batches[r.batch].To != r.name {
+		r.batch = len(batches)
+		batches = append(batches, s.batch(r))
 	}
+	list := &batches[r.batch].Grants
+	list.Grants = append(list.Grants, fleet.Grant{
+		ID: g.id, Team: g.team.name, Server: v.rule.Name, Address: v.rule.Address, Fencing: v.rule.Fencing,
+	})
 	return batches
 }
 
@@ -59,11 +64,21 @@
 	}
 }
 
-// place gives the least loaded server, one in the router's data centre among about equals.
-func (s *Scheduler) place(r *router) *server {
+// place gives the least loaded server, one in the router's data centre among about equals; servers
+// that the router could not reach lately come last.
+func (s *Scheduler) place(now time.Duration, r *router) *server {
+	if len(r.avoid) > 0 {
+		if v := s.least(r, func(v *server) bool { return now < r.avoid[v.rule.Name] }); v != nil {
+			return v
+		}
+	}
+	return s.least(r, nil)
+}
+
+func (s *Scheduler) least(r *router, skip func(*server) bool) *server {
 	var least, local *server
 	for _, v := range s.listed {
-		if v.room <= 0 {
+		if v.room <= 0 || skip != nil && skip(v) {
 			continue
 		}
 		if least == nil || v.fraction < least.fraction {
@@ -95,7 +110,7 @@
 	r.unseen = append(r.unseen, g)
 	s.hold(now, g)
 	v.limiter.Start()
-	s.charge(g, s.memory.expect(t.name, e.hint))
+	s.charge(g, s.memory.expect(t.habit, e.hint))
 	s.queueEntry(e)
 	s.workOut(now, v)
 	return g
--- /dev/null
+++ b/core/sched/orphan.go
@@ -0,0 +1,74 @@
+package sched
+
+import (
+	"time"
+
+	"mangolug.org/core/fleet"
+)
+
+// orphanReports is the number of load reports that must agree before orphans are freed.
+const orphanReports = 3
+
+// freeOrphans drops orphans that several reports in a row, measured since, leave no room for.
+func (v *server) freeOrphans(now time.Duration, l fleet.Load) {
+	measured := now - time.Duration(l.Age)*time.Millisecond
+	if v.orphans == 0 || measured <= v.orphanedAt {
+		return
+	}
+	v.spare[v.spares%orphanReports] = v.foreign
+	v.spares++
+	if v.spares < orphanReports {
+		return
+	}
+	most := 0
+	for _, n := range v.spare {
+		most = max(most, n)
+	}
+	v.orphans = min(v.orphans, most)
+}
+
+// orphan turns a grant into load that only its server's reports, or news of it, can free.
+func (s *Scheduler) orphan(now time.Duration, g *grant) {
+	v := g.server
+	v.limiter.Lost()
+	s.release(now, g, g.charged)
+	v.orphans++
+	v.lost++
+	v.orphanedAt, v.spares = now, 0
+	s.lost[g.id] = v
+}
+
+// found takes a grant back from the orphans.
+func (s *Scheduler) found(id uint64) {
+	v := s.lost[id]
+	if v == nil {
+		return
+	}
+	delete(s.lost, id)
+	v.lost--
+	v.orphans = min(v.orphans, v.lost)
+	s.touch(v)
+}
+
+// forgetLost drops the IDs of orphans that were freed.
+func (s *Scheduler) forgetLost() {
+	for id, v := range s.lost {
+		if v.orphans == 0 {
+			delete(s.lost, id)
+			v.lost = 0
+		}
+	}
+}
+
+// orphanDoubtful leaves it to the servers' reports whether grants that may have been lost still run.
+func (s *Scheduler) orphanDoubtful(now time.Duration, r *router) {
+	n := 0
+	for n < len(r.doubtful) && r.lapsed(now, r.doubtful[n]) {
+		g := r.doubtful[n]
+		n++
+		if g.doubtful && s.grants[g.id] == g {
+			s.orphan(now, g)
+		}
+	}
+	r.doubtful = r.doubtful[n:]
+}
--- a/core/sched/router.go
+++ b/core/sched/router.go
@@ -7,6 +7,9 @@
 	"mangolug.org/core/fleet"
 )
 
+// avoidTime is how long a router gets no grant on a server that it could not reach, if others have room.
+const avoidTime = 5 * time.Second
+
 // lapse is how far a router's own clock must pass a grant's basis before the grant counts as unused.
 const lapse = int64((fleet.GrantLifetime + fleet.ClockDrift) / time.Millisecond)
 
@@ -20,10 +23,11 @@
 	basis      int64 // its latest stamp, in milliseconds
 	basisAt    time.Duration
 	entries    map[string]*entry
-	grants     map[uint64]*grant
-	unseen     []*grant // grants that it has not acknowledged, oldest first
-	doubtful   []*grant // acknowledged grants that may have been lost, oldest first
-	parked     []*entry // entries left out of the queues until the router is heard again
+	unseen     []*grant                 // grants that it has not acknowledged, oldest first
+	doubtful   []*grant                 // acknowledged grants that may have been lost, oldest first
+	avoid      map[string]time.Duration // servers that it could not reach, and until when to avoid them
+	batch      int                      // its place in the batches being made
+	parked     []*entry                 // entries left out of the queues until the router is heard again
 }
 
 // entry is what one team has waiting at one router.
@@ -46,7 +50,7 @@
 func (s *Scheduler) router(name string) *router {
 	r := s.routers[name]
 	if r == nil {
-		r = &router{name: name, entries: map[string]*entry{}, grants: map[uint64]*grant{}}
+		r = &router{name: name, entries: map[string]*entry{}}
 		s.routers[name] = r
 		s.byName = append(s.byName, r)
 	}
@@ -136,19 +140,6 @@
 	return r.basis > g.basis+lapse && now > g.basisAt+fleet.GrantLifetime+fleet.ClockDrift
 }
 
-// orphanDoubtful leaves it to the servers' reports whether grants that may have been lost still run.
-func (s *Scheduler) orphanDoubtful(now time.Duration, r *router) {
-	n := 0
-	for n < len(r.doubtful) && r.lapsed(now, r.doubtful[n]) {
-		g := r.doubtful[n]
-		n++
-		if g.doubtful && s.grants[g.id] == g {
-			s.orphan(now, g)
-		}
-	}
-	r.doubtful = r.doubtful[n:]
-}
-
 // lapseUnseen frees grants that the router never took up.
 func (s *Scheduler) lapseUnseen(now time.Duration, r *router) {
 	n := 0
@@ -171,7 +162,7 @@
 	for _, g := range d.Running {
 		running[g.Grant] = true
 	}
-	for _, g := range r.inOrder() {
+	for _, g := range s.grantsOf(r) {
 		if g.seen && !running[g.id] {
 			g.server.limiter.Lost()
 			s.release(now, g, g.charged)
@@ -189,10 +180,13 @@
 	}
 }
 
-func (r *router) inOrder() []*grant {
-	grants := make([]*grant, 0, len(r.grants))
-	for _, g := range r.grants {
-		grants = append(grants, g)
+// grantsOf gives a router's grants, oldest first.
+func (s *Scheduler) grantsOf(r *router) []*grant {
+	var grants []*grant
+	for _, g := range s.grants {
+		if g.router == r {
+			grants = append(grants, g)
+		}
 	}
 	sort.Slice(grants, func(i, j int) bool { return grants[i].id < grants[j].id })
 	return grants
@@ -207,6 +201,19 @@
 	return names
 }
 
+// shun notes that the router could not reach a server.
+func (r *router) shun(now time.Duration, server string) {
+	for name, until := range r.avoid {
+		if until <= now {
+			delete(r.avoid, name)
+		}
+	}
+	if r.avoid == nil {
+		r.avoid = map[string]time.Duration{}
+	}
+	r.avoid[server] = now + avoidTime
+}
+
 // wait records what one team has waiting at a router.
 func (s *Scheduler) wait(now time.Duration, r *router, w fleet.TeamDemand) {
 	e := r.entries[w.Team]
@@ -245,7 +252,7 @@
 		e.told, e.unseen, e.parked = 0, 0, false
 		s.queueEntry(e)
 	}
-	for _, g := range r.inOrder() {
+	for _, g := range s.grantsOf(r) {
 		s.orphan(now, g)
 	}
 	delete(s.routers, name)
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -163,47 +163,6 @@
 	}
 }
 
-// unsettle changes the part of each limit; what it grows by is used once load reports show it to be free.
-func (s *Scheduler) unsettle(now time.Duration, lent, listed int) {
-	before := make([]int, len(s.listed))
-	for i, v := range s.listed {
-		before[i] = s.allowed(v)
-	}
-	s.lent, s.fleet = lent, listed
-	for i, v := range s.listed {
-		s.touch(v)
-		part := s.part(v.limiter.Bound())
-		v.allowed = min(before[i], part)
-		v.settled = lent >= listed || v.settled && part <= before[i]
-		if part > before[i] {
-			v.grewAt = now
-		}
-	}
-}
-
-// allowed gives what of a server's limit may be used, settled or not.
-func (s *Scheduler) allowed(v *server) int {
-	part := s.part(v.limiter.Bound())
-	if v.settled {
-		return part
-	}
-	return min(part, v.allowed)
-}
-
-// part gives how much of a limit the lenders' loans allow; over all schedulers the parts never exceed it.
-func (s *Scheduler) part(limit int) int {
-	missing := s.fleet - s.lent
-	switch {
-	case s.fleet <= 0 || s.lent <= 0:
-		return 0
-	case missing <= 0:
-		return limit
-	case 2*s.lent > s.fleet:
-		return limit - limit*missing/s.fleet
-	}
-	return limit * s.lent / s.fleet
-}
-
 func (s *Scheduler) prepare() {
 	if s.servers != nil {
 		return
--- a/core/sched/scheduler_test.go
+++ b/core/sched/scheduler_test.go
@@ -106,6 +106,41 @@
 	}
 }
 
+func TestUnreachedServerIsAvoided(t *testing.T) {
+	s := newScheduler(twoServers(), "r1", "r2")
+	s.Take(0, "r2", "killary", 0, full(1))
+	s.Take(0, "r1", "clew", 0, full(1, fleet.TeamDemand{Team: "skippers", Waiting: 1}))
+	first := s.Next(0)[0].Grants.Grants[0]
+	s.Take(1, "r1", "clew", 0, fleet.Demand{
+		Seq: 2, SeenTerm: term, Seen: first.ID, Done: []fleet.Done{{Grant: first.ID, Outcome: fleet.OutcomeUnreached}},
+		Waiting: []fleet.TeamDemand{{Team: "skippers", Waiting: 1}},
+	})
+	if second := s.Next(1)[0].Grants.Grants[0]; first.Server != "clew-1" || second.Server != "killary-1" {
+		t.Errorf("granted on %s and, when it could not be reached, on %s", first.Server, second.Server)
+	}
+}
+
+func TestOrphansWithoutReports(t *testing.T) {
+	s := newScheduler(twoServers()[:1], "r1", "r2")
+	s.Take(0, "r2", "killary", 0, full(1, fleet.TeamDemand{Team: "skippers", Waiting: 1}))
+	s.Take(0, "r1", "clew", 0, full(1))
+	s.Next(0)
+	s.Forget(0, "r2")
+	s.Lend(0, []string{"r1"}, 1)
+	for now := time.Duration(0); now < 40*time.Second; now += time.Second {
+		s.LoadFailed(now, "killary-1")
+		s.Take(now, "r1", "clew", now.Milliseconds(), fleet.Demand{
+			Seq: 2 + uint64(now), Waiting: []fleet.TeamDemand{{Team: "farms", Waiting: 1}},
+		})
+		if got, want := count(s.Next(now)), now == defaultStallLimit; (got == 1) != want {
+			t.Fatalf("granted %d at %v beside what a lost router ran", got, now)
+		}
+		if now == defaultStallLimit {
+			return
+		}
+	}
+}
+
 func TestOldDemandIsDropped(t *testing.T) {
 	s := newScheduler(twoServers(), "r1")
 	s.Take(0, "r1", "clew", 0, full(5))
--- a/core/sched/server.go
+++ b/core/sched/server.go
@@ -8,9 +8,6 @@
 	"mangolug.org/core/rule"
 )
 
-// orphanReports is the number of load reports that must agree before orphans are freed.
-const orphanReports = 3
-
 // server is one backend server and what runs on it.
 type server struct {
 	rule        rule.Server
@@ -39,13 +36,6 @@
 	heldTill time.Duration
 }
 
-// sample is a load report kept until what ended before it was measured is known.
-type sample struct {
-	measured time.Duration
-	load     int // requests in service and waiting
-	kept     bool
-}
-
 // peak keeps the highest count over the last one to two periods.
 type peak struct {
 	began           time.Duration
@@ -131,110 +121,20 @@
 	s.touch(v)
 }
 
-// keep holds the report that tells soonest about the time after the part grew.
-func (s *Scheduler) keep(v *server, measured time.Duration, load int) {
-	if !v.settled && !v.sample.kept && measured >= v.grewAt+transit {
-		v.sample = sample{measured: measured, load: load, kept: true}
-		s.review = min(s.review, measured+transit)
-	}
-}
-
-// settleServer lets more of the part be used as far as a report shows that others left it.
-func (s *Scheduler) settleServer(now time.Duration, v *server) {
-	if v.settled {
-		v.sample.kept = false
-		return
-	}
-	if now >= v.grewAt+s.Settings.Settle {
-		v.settled = true
-		return
-	}
-	if !v.sample.kept {
-		return
-	}
-	if due := v.sample.measured + transit; now < due {
-		s.review = min(s.review, due)
-		return
-	}
-	v.sample.kept = false
-	if v.sample.measured < v.grewAt+transit {
-		return
-	}
-	others := max(0, v.sample.load-s.surelyRan(v))
-	v.allowed = max(v.allowed, v.limiter.Bound()-others)
-	v.settled = v.allowed >= s.part(v.limiter.Bound())
-}
-
-// surelyRan counts the grants that a server had begun and not ended when its sample was measured.
-func (s *Scheduler) surelyRan(v *server) int {
-	n := 0
-	for _, g := range s.grants {
-		if g.server == v && g.seen && g.seenAt <= v.sample.measured {
-			n++
-		}
-	}
-	return n
-}
-
-// freeOrphans drops orphans that several reports in a row, measured since, leave no room for.
-func (v *server) freeOrphans(now time.Duration, l fleet.Load) {
-	measured := now - time.Duration(l.Age)*time.Millisecond
-	if v.orphans == 0 || measured <= v.orphanedAt {
-		return
-	}
-	v.spare[v.spares%orphanReports] = v.foreign
-	v.spares++
-	if v.spares < orphanReports {
-		return
-	}
-	most := 0
-	for _, n := range v.spare {
-		most = max(most, n)
-	}
-	v.orphans = min(v.orphans, most)
-}
-
-// orphan turns a grant into load that only its server's reports, or news of it, can free.
-func (s *Scheduler) orphan(now time.Duration, g *grant) {
-	v := g.server
-	v.limiter.Lost()
-	s.release(now, g, g.charged)
-	v.orphans++
-	v.lost++
-	v.orphanedAt, v.spares = now, 0
-	s.lost[g.id] = v
-}
-
-// found takes a grant back from the orphans.
-func (s *Scheduler) found(id uint64) {
-	v := s.lost[id]
-	if v == nil {
-		return
-	}
-	delete(s.lost, id)
-	v.lost--
-	v.orphans = min(v.orphans, v.lost)
-	s.touch(v)
-}
-
-// forgetLost drops the IDs of orphans that were freed.
-func (s *Scheduler) forgetLost() {
-	for id, v := range s.lost {
-		if v.orphans == 0 {
-			delete(s.lost, id)
-			v.lost = 0
-		}
-	}
-}
-
-// LoadFailed notes that a server's report could not be read.
-func (s *Scheduler) LoadFailed(_ time.Duration, name string) {
+// LoadFailed notes that a server's report could not be read; without reports, load that no
+// grant explains is given up step by step, and orphans after the stall limit.
+func (s *Scheduler) LoadFailed(now time.Duration, name string) {
 	s.prepare()
 	v := s.servers[name]
 	if v == nil {
 		return
 	}
 	v.limiter.LoadFailed()
+	v.foreign = max(0, v.foreign-1)
+	if v.orphans > 0 && now >= v.orphanedAt+s.Settings.StallLimit {
+		v.orphans = 0
+		s.forgetLost()
+	}
 	s.touch(v)
 }
 
--- /dev/null
+++ b/core/sched/settle.go
@@ -0,0 +1,96 @@
+package sched
+
+import "time"
+
+// part gives how much of a limit the lenders' loans allow; over all schedulers the parts never exceed it.
+func (s *Scheduler) part(limit int) int {
+	missing := s.fleet - s.lent
+	switch {
+	case s.fleet <= 0 || s.lent <= 0:
+		return 0
+	case missing <= 0:
+		return limit
+	case 2*s.lent > s.fleet:
+		return limit - limit*missing/s.fleet
+	}
+	return limit * s.lent / s.fleet
+}
+
+// unsettle changes the part of each limit; what it grows by is used once load reports show it to be free.
+func (s *Scheduler) unsettle(now time.Duration, lent, listed int) {
+	before := make([]int, len(s.listed))
+	for i, v := range s.listed {
+		before[i] = s.allowed(v)
+	}
+	s.lent, s.fleet = lent, listed
+	for i, v := range s.listed {
+		s.touch(v)
+		part := s.part(v.limiter.Bound())
+		v.allowed = min(before[i], part)
+		v.settled = lent >= listed || v.settled && part <= before[i]
+		if part > before[i] {
+			v.grewAt = now
+		}
+	}
+}
+
+// allowed gives what of a server's limit may be used, settled or not.
+func (s *Scheduler) allowed(v *server) int {
+	part := s.part(v.limiter.Bound())
+	if v.settled {
+		return part
+	}
+	return min(part, v.allowed)
+}
+
+// sample is a load report kept until what ended before it was measured is known.
+type sample struct {
+	measured time.Duration
+	load     int // requests in service and waiting
+	kept     bool
+}
+
+// keep holds the report that tells soonest about the time after the part grew.
+func (s *Scheduler) keep(v *server, measured time.Duration, load int) {
+	if !v.settled && !v.sample.kept && measured >= v.grewAt+transit {
+		v.sample = sample{measured: measured, load: load, kept: true}
+		s.review = min(s.review, measured+transit)
+	}
+}
+
+// settleServer lets more of the part be used as far as a report shows that others left it.
+func (s *Scheduler) settleServer(now time.Duration, v *server) {
+	if v.settled {
+		v.sample.kept = false
+		return
+	}
+	if now >= v.grewAt+s.Settings.Settle {
+		v.settled = true
+		return
+	}
+	if !v.sample.kept {
+		return
+	}
+	if due := v.sample.measured + transit; now < due {
+		s.review = min(s.review, due)
+		return
+	}
+	v.sample.kept = false
+	if v.sample.measured < v.grewAt+transit {
+		return
+	}
+	others := max(0, v.sample.load-s.surelyRan(v))
+	v.allowed = max(v.allowed, v.limiter.Bound()-others)
+	v.settled = v.allowed >= s.part(v.limiter.Bound())
+}
+
+// surelyRan counts the grants that a server had begun and not ended when its sample was measured.
+func (s *Scheduler) surelyRan(v *server) int {
+	n := 0
+	for _, g := range s.grants {
+		if g.server == v && g.seen && g.seenAt <= v.sample.measured {
+			n++
+		}
+	}
+	return n
+}
--- a/core/sched/team.go
+++ b/core/sched/team.go
@@ -17,6 +17,7 @@
 	running int
 	service int64 // cost units used
 	backlog bool
+	habit   habit
 }
 
 // grant is a request that was let run and has not been reported as ended.
@@ -47,7 +48,7 @@
 	t := s.teams[name]
 	if t == nil {
 		s.order++
-		t = &team{name: name, share: s.shareOf(name), level: s.level}
+		t = &team{name: name, share: s.shareOf(name), level: s.level, habit: s.memory.find(name)}
 		t.node.order, t.node.team = s.order, t
 		s.teams[name] = t
 	}
@@ -128,6 +129,7 @@
 func (s *Scheduler) dropTeam(t *team) {
 	if t.entries == 0 && t.running == 0 && t.place == 0 && s.teams[t.name] == t {
 		delete(s.teams, t.name)
+		s.memory.keep(t.name, t.habit)
 	}
 }
 
@@ -198,7 +200,6 @@
 // hold counts a grant as outstanding.
 func (s *Scheduler) hold(now time.Duration, g *grant) {
 	s.grants[g.id] = g
-	g.router.grants[g.id] = g
 	g.team.running++
 	s.use(now, g.server, 1)
 }
@@ -207,7 +208,6 @@
 func (s *Scheduler) release(now time.Duration, g *grant, cost int64) {
 	s.charge(g, cost)
 	delete(s.grants, g.id)
-	delete(g.router.grants, g.id)
 	g.team.running--
 	s.use(now, g.server, -1)
 	if !g.team.backlog {
@@ -224,13 +224,17 @@
 		return
 	}
 	s.sawUnseen(now, r, g)
+	if d.Outcome == fleet.OutcomeUnreached {
+		r.shun(now, g.server.rule.Name)
+	}
 	busy := g.server.outstanding + g.server.orphans + g.server.foreign
 	g.server.limiter.Done(now, d, busy)
 	g.server.progress = now
 	cost := max(0, d.Cost)
 	g.team.service += max(0, cost-g.used)
 	if d.Outcome == fleet.OutcomeCompleted {
-		s.memory.learn(g.team.name, g.hint, cost)
+		s.memory.all = s.memory.all.with(g.hint, cost)
+		g.team.habit = g.team.habit.with(g.hint, cost)
 	}
 	s.release(now, g, cost)
 	s.expect(now, g.team.name)
