Keep keys on their way while routers are struck

Cause: without the guard of a key's new home TestAtMostOnce/killed still passed, since a call took 10 ms and few were on their way at a strike. Before and after: service time 10 ms, now 300 ms.

--- a/stage/proof/once_test.go
+++ b/stage/proof/once_test.go
@@ -39,6 +39,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := settings(local.Chenab())
 			s.Routers = 4
+			s.DeskArgs = []string{"--service-time", "300ms"} // so that keys are on their way when a router is struck
 			f := start(t, s)
 			settled(t, f)
 			l := startLoad(t, f, 3, 12, 8)
