--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -24,7 +24,7 @@
 // Heartbeat is sent to peers every period and at once when the sender's view changes.
 type Heartbeat struct {
 	View          []uint32 `json:"view,omitempty"`          // hashes of the routers that the sender regards as live, ascending
-	ViewAge       int64    `json:"viewAge,omitempty"`       // milliseconds since the sender's view last changed
+	ViewAge       int64    `json:"viewAge,omitempty"`       // milliseconds for which no earlier view of the sender can have been acted on
 	ConfigVersion uint64   `json:"configVersion,omitempty"` // version in force at the sender; 0 for none
 	Draining      bool     `json:"draining,omitempty"`      // the sender is stopping and takes no duty
 	ViewSeq       uint64   `json:"viewSeq,omitempty"`       // counts the changes of the view in the sender's incarnation
@@ -79,10 +79,11 @@
 
 // Grants answers a router's demand; Term orders schedulers of a cell and serves as fencing number.
 type Grants struct {
-	Cell   Cell    `json:"cell,omitempty"`
-	Term   uint64  `json:"term,omitempty"`
-	Basis  int64   `json:"basis,omitempty"` // receiver's own clock, in milliseconds, as last heard by the scheduler; unused grants lapse GrantLifetime after it
-	Grants []Grant `json:"grants,omitempty"`
+	Cell    Cell    `json:"cell,omitempty"`
+	Term    uint64  `json:"term,omitempty"`
+	Basis   int64   `json:"basis,omitempty"`   // receiver's own clock, in milliseconds, as last heard by the scheduler; unused grants lapse GrantLifetime after it
+	TellAll bool    `json:"tellAll,omitempty"` // the scheduler knows nothing or only part of the receiver's demand
+	Grants  []Grant `json:"grants,omitempty"`
 }
 
 // Load is a backend server's own report.
--- a/core/member/wake.go
+++ b/core/member/wake.go
@@ -1,8 +1,6 @@
 package member
 
-import (
-	"time"
-)
+import "time"
 
 // Wall compares the wall clock with the monotonic one, before each step; when they part, the VM slept or its clock was set, and all leases are distrusted.
 func (m *Members) Wall(now, wall time.Duration) {
@@ -19,7 +17,8 @@
 	m.woke, m.wokeEver = now, true
 	m.oldestStamp = m.Clock(now)
 	if n := len(m.views); n > 0 {
-		m.views = history{{view: m.views[n-1].view, since: now}}
+		m.views = history{{view: m.views[n-1].view, since: now, begin: m.Clock(now)}}
+		m.historyFrom, m.sole = now, false
 	}
 	for _, p := range m.peers {
 		p.echo = 0
