Shorten demand and grants on the wire

Cause: a request cost its entry router about 270 bytes of control traffic, most of it 63-bit grant numbers, echoes that only heartbeats need, and names of team and server repeated in each report of costs so far. Ruled out: names as indexes of the configuration's tables, which two routers under different versions would read differently.

--- a/core/entry/cell.go
+++ b/core/entry/cell.go
@@ -330,7 +330,11 @@
 	var list []fleet.Running
 	for _, a := range c.running {
 		if c.full || a.cost > a.told {
-			list = append(list, fleet.Running{Grant: a.grant.ID, Team: a.grant.Team, Server: a.grant.Server, Cost: a.cost})
+			g := fleet.Running{Grant: a.grant.ID, Cost: a.cost}
+			if c.full {
+				g.Team, g.Server = a.grant.Team, a.grant.Server
+			}
+			list = append(list, g)
 			a.told = a.cost
 		}
 	}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -48,7 +48,7 @@
 	Service   int64   `json:"service,omitempty"`   // microseconds from send to end
 }
 
-// Running reports a grant in use, with its cost so far.
+// Running reports a grant in use, with its cost so far; Team and Server are given with a full demand only.
 type Running struct {
 	Grant  uint64 `json:"grant,omitempty"`
 	Team   string `json:"team,omitempty"`
@@ -68,6 +68,9 @@
 	Running  []Running    `json:"running,omitempty"` // complete when Full, else those whose cost so far grew
 }
 
+// TermShift is the number of bits that a grant's ID has for its number within the term.
+const TermShift = 14
+
 // Grant lets one waiting request of a team run on one backend server.
 type Grant struct {
 	ID      uint64 `json:"id,omitempty"` // unique in the scheduler's incarnation, ascending for each entry router
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -4,7 +4,7 @@
 type Message struct {
 	Incarnation uint32 `json:"incarnation,omitempty"`
 	Stamp       int64  `json:"stamp,omitempty"`  // sender's clock, in milliseconds
-	Echo        int64  `json:"echo,omitempty"`   // receiver's stamp last received by the sender; 0 for none
+	Echo        int64  `json:"echo,omitempty"`   // receiver's stamp last received by the sender, with heartbeats only; 0 for none
 	Echoed      uint32 `json:"echoed,omitempty"` // incarnation of the receiver that Echo belongs to
 
 	Heartbeat  *Heartbeat  `json:"heartbeat,omitempty"`
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -11,7 +11,6 @@
 func (n *Node) send(to string, m fleet.Message) {
 	m.Incarnation = n.Start.Incarnation
 	m.Stamp = n.members.Clock(n.now)
-	m.Echo, m.Echoed = n.members.Echo(to), uint32(n.members.EchoOf(to))
 	n.do(Effect{Send: &Send{To: to, Message: m}})
 }
 
--- a/core/sched/next.go
+++ b/core/sched/next.go
@@ -6,9 +6,6 @@
 	"mangolug.org/core/fleet"
 )
 
-// counterBits is the width of the counter in a grant's ID, below the term.
-const counterBits = 14
-
 // Next gives the grants that may be given now; afterwards no request waits beside a free slot.
 func (s *Scheduler) Next(now time.Duration) []Batch {
 	s.prepare()
@@ -101,7 +98,7 @@
 	s.arrived(t.name)
 	s.counter++
 	g := &grant{
-		id: s.Term<<counterBits + s.counter, team: t, router: r, entry: e, server: v,
+		id: s.Term<<fleet.TermShift + s.counter, team: t, router: r, entry: e, server: v,
 		hint: e.hint, basis: r.basis, basisAt: r.basisAt,
 	}
 	left := e.waiting()
--- a/core/sched/team.go
+++ b/core/sched/team.go
@@ -172,6 +172,11 @@
 func (s *Scheduler) progress(now time.Duration, r *router, p fleet.Running) {
 	g := s.grants[p.Grant]
 	if g == nil || g.router != r {
+		if p.Server == "" { // only a full demand says where it runs, so the router is to tell all
+			r.full = false
+			s.countLent(now)
+			return
+		}
 		g = s.adopt(now, r, p)
 	}
 	g.doubtful = false
--- a/router/wire/check.go
+++ b/router/wire/check.go
@@ -43,6 +43,14 @@
 	return s
 }
 
+// bounded accepts a name that may be left out.
+func (c *checker) bounded(field, s string) string {
+	if s == "" {
+		return s
+	}
+	return c.name(field, s)
+}
+
 func (c *checker) count(field string, n int64) int64 {
 	if n < 0 || n > MaxCount {
 		c.refuse(field, fmt.Sprint(n))
--- a/router/wire/convert.go
+++ b/router/wire/convert.go
@@ -16,6 +16,11 @@
 	}
 }
 
+// relative gives a grant's number within a term, which is a short one for the term's own grants.
+func relative(grant, term uint64) int64 { return int64(grant - term<<fleet.TermShift) }
+
+func absolute(grant int64, term uint64) uint64 { return uint64(grant) + term<<fleet.TermShift }
+
 func encodeCell(c fleet.Cell) *Cell { return &Cell{Product: c.Product, Part: int64(c.Part)} }
 
 func decodeCell(w *Cell, c *checker) fleet.Cell {
@@ -23,7 +28,7 @@
 }
 
 func encodeDemand(d *fleet.Demand) *Demand {
-	w := &Demand{Cell: encodeCell(d.Cell), Seq: d.Seq, Full: d.Full, SeenTerm: d.SeenTerm, Seen: d.Seen}
+	w := &Demand{Cell: encodeCell(d.Cell), Seq: d.Seq, Full: d.Full, SeenTerm: d.SeenTerm, Seen: relative(d.Seen, d.SeenTerm)}
 	for _, t := range d.Waiting {
 		w.Waiting = append(w.Waiting, &TeamDemand{
 			Team: t.Team, Waiting: int64(t.Waiting), Estimate: t.Estimate, OldestWait: t.OldestWait, Prefix: t.Prefix,
@@ -31,11 +36,11 @@
 	}
 	for _, o := range d.Done {
 		w.Done = append(w.Done, &Done{
-			Grant: o.Grant, Outcome: int64(o.Outcome), Cost: o.Cost, FirstByte: o.FirstByte, Service: o.Service,
+			Grant: relative(o.Grant, d.SeenTerm), Outcome: int64(o.Outcome), Cost: o.Cost, FirstByte: o.FirstByte, Service: o.Service,
 		})
 	}
 	for _, r := range d.Running {
-		w.Running = append(w.Running, &Running{Grant: r.Grant, Team: r.Team, Server: r.Server, Cost: r.Cost})
+		w.Running = append(w.Running, &Running{Grant: relative(r.Grant, d.SeenTerm), Team: r.Team, Server: r.Server, Cost: r.Cost})
 	}
 	return w
 }
@@ -45,7 +50,7 @@
 	c.items("done", len(w.GetDone()))
 	c.items("running", len(w.GetRunning()))
 	d := &fleet.Demand{
-		Cell: decodeCell(w.GetCell(), c), Seq: w.GetSeq(), Full: w.GetFull(), SeenTerm: w.GetSeenTerm(), Seen: w.GetSeen(),
+		Cell: decodeCell(w.GetCell(), c), Seq: w.GetSeq(), Full: w.GetFull(), SeenTerm: w.GetSeenTerm(), Seen: absolute(w.GetSeen(), w.GetSeenTerm()),
 	}
 	for _, t := range w.GetWaiting() {
 		d.Waiting = append(d.Waiting, fleet.TeamDemand{
@@ -56,15 +61,15 @@
 	}
 	for _, o := range w.GetDone() {
 		d.Done = append(d.Done, fleet.Done{
-			Grant: o.GetGrant(), Outcome: fleet.Outcome(c.enum("outcome", o.GetOutcome(), int64(fleet.OutcomeUnreached))),
+			Grant: absolute(o.GetGrant(), w.GetSeenTerm()), Outcome: fleet.Outcome(c.enum("outcome", o.GetOutcome(), int64(fleet.OutcomeUnreached))),
 			Cost: c.count("cost", o.GetCost()), FirstByte: c.count("firstByte", o.GetFirstByte()),
 			Service: c.count("service", o.GetService()),
 		})
 	}
 	for _, r := range w.GetRunning() {
 		d.Running = append(d.Running, fleet.Running{
-			Grant: r.GetGrant(), Team: c.name("team", r.GetTeam()), Server: c.name("server", r.GetServer()),
-			Cost: c.count("cost", r.GetCost()),
+			Grant: absolute(r.GetGrant(), w.GetSeenTerm()), Team: c.bounded("team", r.GetTeam()),
+			Server: c.bounded("server", r.GetServer()), Cost: c.count("cost", r.GetCost()),
 		})
 	}
 	return d
@@ -73,7 +78,7 @@
 func encodeGrants(g *fleet.Grants) *Grants {
 	w := &Grants{Cell: encodeCell(g.Cell), Term: g.Term, Basis: g.Basis, TellAll: g.TellAll}
 	for _, o := range g.Grants {
-		w.Grants = append(w.Grants, &Grant{Id: o.ID, Team: o.Team, Server: o.Server, Address: o.Address, Fencing: o.Fencing})
+		w.Grants = append(w.Grants, &Grant{Id: relative(o.ID, g.Term), Team: o.Team, Server: o.Server, Address: o.Address, Fencing: o.Fencing})
 	}
 	return w
 }
@@ -83,7 +88,7 @@
 	g := &fleet.Grants{Cell: decodeCell(w.GetCell(), c), Term: w.GetTerm(), Basis: w.GetBasis(), TellAll: w.GetTellAll()}
 	for _, o := range w.GetGrants() {
 		g.Grants = append(g.Grants, fleet.Grant{
-			ID: o.GetId(), Team: c.name("team", o.GetTeam()), Server: c.name("server", o.GetServer()),
+			ID: absolute(o.GetId(), w.GetTerm()), Team: c.name("team", o.GetTeam()), Server: c.name("server", o.GetServer()),
 			Address: c.name("address", o.GetAddress()), Fencing: o.GetFencing(),
 		})
 	}
