--- a/core/member/beat.go
+++ b/core/member/beat.go
@@ -59,13 +59,22 @@
 	p.stamp, p.echo = stamp, echo
 	p.views = p.views.take(now, stamp, view, h.ViewAge)
 	p.draining, p.version = h.Draining, h.ConfigVersion
-	p.heard, p.heardEver = now, true
+	p.heard, p.heardEver, p.refused = now, true, false
 	if echo > 0 {
 		p.acked = max(p.acked, echo)
 		p.confirmed = max(p.confirmed, time.Duration(echo)*time.Millisecond)
 	}
 }
 
+// Refused notes that a peer's VM refused a connection: no process listens there, so the peer is lost without waiting for its
+// silence. Its successors in duties wait for its leases all the same, as a refusal may come from what lies between.
+func (m *Members) Refused(now time.Duration, name string) {
+	m.step(now)
+	if p, found := m.peers[name]; found && p.live {
+		p.refused = true
+	}
+}
+
 // restart forgets what an earlier incarnation of the peer said and took.
 func (p *peer) restart(now time.Duration, incarnation uint64) {
 	p.incarnation, p.begun = incarnation, now
@@ -139,7 +148,7 @@
 
 // judge decides whether a peer is live: it is heard, and it hears this router.
 func (p *peer) judge(now time.Duration) {
-	heard := p.heardEver && now-p.heard <= fleet.SilenceLimit &&
+	heard := p.heardEver && now-p.heard <= fleet.SilenceLimit && !p.refused &&
 		now-p.confirmed <= fleet.SilenceLimit+fleet.HeartbeatPeriod && p.confirmed > 0
 	switch {
 	case p.live && !heard:
--- a/core/member/members.go
+++ b/core/member/members.go
@@ -84,6 +84,7 @@
 	heard     time.Duration // newest heartbeat
 	heardEver bool
 	confirmed time.Duration // newest own stamp known to have reached the peer
+	refused   bool          // a connection to it was refused since it was last heard
 	live      bool
 	liveSince time.Duration
 	liveEver  bool
--- a/core/member/property_test.go
+++ b/core/member/property_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"mangolug.org/core/fleet"
 )
 
 // storm runs a fleet through random faults and gives the first broken rule.
@@ -84,6 +86,41 @@
 	}
 }
 
+// TestRefusedIsLostAtOnce requires that a killed holder whose VM refuses connections is taken over once its lease has ended.
+func TestRefusedIsLostAtOnce(t *testing.T) {
+	for seed := range uint64(6) {
+		d := newDriver(t, seed, 9)
+		d.await("settled", 3*time.Second, d.settled)
+		lost := d.holder(duties[0])
+		d.node(lost).dead = true
+		for _, n := range d.nodes {
+			if n.name != lost {
+				n.members.Refused(d.clock(n), lost)
+			}
+		}
+		d.await("taken over", fleet.ViewLease+fleet.HeartbeatPeriod, func() bool {
+			holder := d.holder(duties[0])
+			return holder != "" && holder != lost
+		})
+		d.mustHold()
+	}
+}
+
+// TestRefusedByMistake requires that a peer that is heard again after a refusal is live again and no rule breaks.
+func TestRefusedByMistake(t *testing.T) {
+	for seed := range uint64(6) {
+		d := newDriver(t, seed, 5)
+		d.await("settled", 3*time.Second, d.settled)
+		for range 20 {
+			a, b := d.nodes[d.r.IntN(5)], d.nodes[d.r.IntN(5)]
+			a.members.Refused(d.clock(a), b.name)
+			d.run(time.Duration(d.r.Int64N(int64(time.Second))))
+			d.mustHold()
+		}
+		d.await("settled", 20*time.Second, d.settled)
+	}
+}
+
 // TestDrainHandsOverAtOnce requires that a planned stop moves a duty in a few message delays, without waiting for leases.
 func TestDrainHandsOverAtOnce(t *testing.T) {
 	for seed := range uint64(6) {
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -17,6 +17,7 @@
 	KeyClose *fleet.KeyClose `json:"keyClose,omitempty"`
 	Received *Received       `json:"received,omitempty"`
 	Linked   *Linked         `json:"linked,omitempty"`
+	Refused  *Refused        `json:"refused,omitempty"`
 	Offer    *Offer          `json:"offer,omitempty"`
 	Asked    *Asked          `json:"asked,omitempty"`
 	List     *List           `json:"list,omitempty"`
@@ -52,6 +53,11 @@
 	Peer string `json:"peer"`
 }
 
+// Refused tells that a peer's VM refused a connection.
+type Refused struct {
+	Peer string `json:"peer"`
+}
+
 // Offer is a version of the rule file from the platform.
 type Offer struct {
 	Version uint64 `json:"version"`
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -113,6 +113,9 @@
 		n.receive(e.Received.From, &e.Received.Message)
 	case e.Linked != nil:
 		n.room.Linked(n.now, e.Linked.Peer)
+	case e.Refused != nil:
+		n.count("peers.refused")
+		n.members.Refused(n.now, e.Refused.Peer)
 	case e.Offer != nil:
 		n.offer(e.Offer.Version, e.Offer.Text, platform)
 	case e.Asked != nil:
--- a/router/boot/router.go
+++ b/router/boot/router.go
@@ -84,7 +84,7 @@
 		r.trace = newMemory(s.TraceBytes)
 		r.loop.Trace = &trace.Writer{Out: r.trace}
 	}
-	r.links.Linked = r.loop.Linked
+	r.links.Linked, r.links.Refused = r.loop.Linked, r.loop.Refused
 	r.loop.Init()
 	r.front = &front.Front{
 		Self: s.Name, Rules: r.loop.Rules, Ready: r.loop.Ready, Admit: r.loop.Admit, Finish: r.loop.Finish,
--- a/router/loop/outside.go
+++ b/router/loop/outside.go
@@ -20,6 +20,11 @@
 	l.post(input{event: node.Event{Linked: &node.Linked{Peer: peer}}})
 }
 
+// Refused takes the news that a peer's VM refused a connection.
+func (l *Loop) Refused(peer string) {
+	l.post(input{event: node.Event{Refused: &node.Refused{Peer: peer}}})
+}
+
 // Offer takes a version of the rule file from the platform.
 func (l *Loop) Offer(version uint64, text []byte) {
 	l.post(input{event: node.Event{Offer: &node.Offer{Version: version, Text: text}}})
--- a/router/peers/links.go
+++ b/router/peers/links.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -34,6 +35,7 @@
 	Trust   *Trust
 	Source  net.IP              // address that outgoing connections are bound to; nil for any
 	Linked  func(peer string)   // a stream to the peer was opened
+	Refused func(peer string)   // the peer's VM refused a connection; nil for nobody to tell
 	Log     *log.Logger         // nil logs nothing
 	Metrics metrics.Registry    // nil uses the default registry
 	mutex   sync.Mutex          // guards links
@@ -163,6 +165,9 @@
 	count := l.counters()
 	connect := func(ctx context.Context, address string) (net.Conn, error) {
 		c, err := dialer.DialContext(ctx, "tcp", address)
+		if errors.Is(err, syscall.ECONNREFUSED) && l.Refused != nil {
+			l.Refused(o.peer)
+		}
 		if err != nil {
 			return nil, err
 		}
