--- a/core/sched/bench_test.go
+++ b/core/sched/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"runtime"
 	"testing"
 	"time"
@@ -118,6 +119,31 @@
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "decisions/s")
 }
 
+// TestCostGrowsWithLog counts comparisons, which unlike times are the same in every run.
+func TestCostGrowsWithLog(t *testing.T) {
+	const steps = 10000
+	var first float64 // comparisons of a decision over log n
+	for _, backlogged := range []int{49, 490, 4900, 49000} {
+		c := newBenchCell(49000, backlogged, 100)
+		for range steps {
+			c.step()
+		}
+		before := c.s.backlog.compared
+		for range steps {
+			c.step()
+		}
+		each := float64(c.s.backlog.compared-before) / steps
+		ratio := each / math.Log2(float64(backlogged))
+		t.Logf("%5d backlogged: %.1f comparisons a decision, %.2f of log n", backlogged, each, ratio)
+		if first == 0 {
+			first = ratio
+		}
+		if ratio > 1.1*first {
+			t.Errorf("%d backlogged: %.2f comparisons over log n, %.2f at 49", backlogged, ratio, first)
+		}
+	}
+}
+
 // TestHeap bounds the memory of a scheduler with many known teams and a tenth of them backlogged.
 func TestHeap(t *testing.T) {
 	before := heap()
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -11,7 +11,8 @@
 
 // queue is a binary heap of nodes, least key first.
 type queue struct {
-	nodes []*node
+	nodes    []*node
+	compared uint64 // comparisons made, the measure of a decision's cost
 }
 
 func (q *queue) top() *node {
@@ -48,6 +49,7 @@
 }
 
 func (q *queue) less(i, j int) bool {
+	q.compared++
 	a, b := q.nodes[i], q.nodes[j]
 	if a.key != b.key {
 		return a.key < b.key
