--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -11,7 +11,6 @@
 func (n *Node) send(to string, m fleet.Message) {
 	m.Incarnation = n.Start.Incarnation
 	m.Stamp = n.members.Clock(n.now)
-	m.Echo, m.Echoed = n.members.Echo(to), n.seen[to]
 	n.do(Effect{Send: &Send{To: to, Message: m}})
 }
 
@@ -33,6 +32,9 @@
 		c.asked = n.now
 		c.scheduler.Take(n.now, from, n.listed[from].DataCentre, m.Stamp, *m.Demand)
 	case m.Grants != nil:
+		if m.Grants.TellAll {
+			n.room.Linked(n.now, from)
+		}
 		n.deliver(n.room.Grants(n.now, from, n.members.Clock(n.now), *m.Grants))
 	case m.KeyOpen != nil:
 		answer := n.openHere(from, *m.KeyOpen)
@@ -82,10 +84,12 @@
 	}
 }
 
-// beat sends the heartbeats that are due.
+// beat sends the heartbeats that are due, with the stamps that belong to them.
 func (n *Node) beat() {
 	for _, b := range n.members.Tick(n.now) {
-		n.send(b.To, fleet.Message{Heartbeat: &b.Heartbeat})
+		n.do(Effect{Send: &Send{To: b.To, Message: fleet.Message{
+			Incarnation: n.Start.Incarnation, Stamp: b.Stamp, Echo: b.Echo, Echoed: uint32(b.EchoOf), Heartbeat: &b.Heartbeat,
+		}}})
 	}
 }
 
@@ -105,6 +109,10 @@
 			leaving[v.Name] = true
 		}
 	}
+	if len(listed) == 0 {
+		n.count("list.empty") // a list without any router is a fault of the platform
+		return
+	}
 	n.do(Effect{Links: &Links{Addresses: addresses}})
 	for _, name := range n.listedNames() {
 		if _, still := listed[name]; !still {
