Prove cold turns without warning and the second signal

Cause: only engines that start cold were tested, though the comment spoke of those that turn cold; a stop that is hurried on had no test. Ruled out: no fall at all after a turn without warning: what an engine has open at that moment may break it, so one fall a turn is allowed, not more. Before and after: no such tests.

--- a/stage/proof/limit_test.go
+++ b/stage/proof/limit_test.go
@@ -111,7 +111,7 @@
 	checkLimits(t, f)
 }
 
-// Engines that turn cold without warning, and engines that start cold, get no more than they bear.
+// Engines that start cold get no more than they bear.
 func TestColdEngines(t *testing.T) {
 	s := settings(local.Chenab())
 	s.EngineLimit = 8
@@ -122,3 +122,29 @@
 	check(t, f, l.stop())
 	checkLimits(t, f)
 }
+
+// Engines turn cold under full load without warning. What they had open then may break them once; after
+// that they get no more than they bear, and the callers are served again.
+func TestEnginesTurnColdWithoutWarning(t *testing.T) {
+	s := settings(local.Carraig())
+	s.EngineLimit = 8
+	s.EngineArgs = append(s.EngineArgs, "--cold-limit", "2", "--warm-after", "2")
+	f := start(t, s)
+	l := startLoad(t, f, 30, 0, 20)
+	l.waitFor(t, 15*time.Second, 100, answered)
+	engines := f.ServersOf(f.Site.Model)
+	for range 2 {
+		for _, e := range engines {
+			must(t, e.Steer("cold"))
+		}
+		l.waitFor(t, 15*time.Second, 100, answered)
+	}
+	check(t, f, l.stop())
+	for _, e := range engines {
+		all, err := e.EngineRecord()
+		must(t, err)
+		if all.Falls > 2 || all.PeakOpen > e.Limit {
+			t.Errorf("%s fell over %d times after it turned cold twice, and had %d requests at once", e.Name, all.Falls, all.PeakOpen)
+		}
+	}
+}
--- a/stage/proof/stop_test.go
+++ b/stage/proof/stop_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -54,6 +55,65 @@
 	return false
 }
 
+// A second signal ends a stop that waits for its requests, and their callers get true answers.
+func TestSecondSignal(t *testing.T) {
+	f := start(t, settings(local.Chenab()))
+	settled(t, f)
+	for _, server := range f.Servers {
+		must(t, server.Steer("stall?on=true"))
+	}
+	r := f.Routers[0]
+	words := completion{prompt: "oak", tokens: 10}
+	calls := []call{
+		words.call(f.Site, r, f.Site.Teams[0]),
+		{router: r, team: f.Site.Teams[1], method: http.MethodPost, path: "/" + f.Site.Plain + f.Site.Once, body: "sample", key: newKey()},
+	}
+	answers := make(chan result, len(calls))
+	before := len(deskRuns(t, f))
+	for n, c := range calls {
+		go func() {
+			made := result{call: c, answer: do(t.Context(), c)}
+			if n == 0 {
+				made.completion = &words
+			}
+			answers <- made
+		}()
+	}
+	within(t, 5*time.Second, func() error {
+		if len(deskRuns(t, f)) == before {
+			return fmt.Errorf("the call has not reached a desk")
+		}
+		return nil
+	})
+	ended, err := r.Terminate()
+	must(t, err)
+	within(t, 5*time.Second, func() error {
+		if status, err := r.Status(); err != nil || !status.Draining {
+			return fmt.Errorf("not draining: %v", err)
+		}
+		return nil
+	})
+	_, err = r.Terminate()
+	must(t, err)
+	select {
+	case <-ended:
+	case <-time.After(stopLimit):
+		t.Error("the second signal did not end the router")
+	}
+	var results []result
+	for range calls {
+		made := <-answers
+		results = append(results, made)
+		if a := made.answer; a.status == http.StatusOK || a.refusal.NotRun || a.refusal.Outcome != "unknown" {
+			t.Errorf("status %d %s %v", a.status, a.body, a.broken)
+		}
+	}
+	for _, server := range f.Servers {
+		must(t, server.Steer("stall?on=false"))
+	}
+	check(t, f, results)
+}
+
 // Health and readiness tell a stopping router from a working one.
 func TestHealth(t *testing.T) {
 	f := start(t, settings(local.Chenab()))
