--- a/loader/main.go
+++ b/loader/main.go
@@ -1,4 +1,3 @@
-// Package main is loader, a load and experiment tool for mangolug on one machine.
 package main
 
 import (
--- /dev/null
+++ b/mangoctl/doc.go
@@ -0,0 +1,2 @@
+// Package main is mangoctl, the operators' command line of mangolug.
+package main
--- a/mangoctl/main.go
+++ b/mangoctl/main.go
@@ -1,4 +1,3 @@
-// Package main is mangoctl, the operators' command line of mangolug.
 package main
 
 import (
--- a/router/loop/effect.go
+++ b/router/loop/effect.go
@@ -85,25 +85,25 @@
 	if l.Log == nil {
 		return
 	}
-	var pairs []interface{}
+	line := l.Log
 	if n.Cell.Product != "" {
-		pairs = append(pairs, "cell", n.Cell, "term", n.Term)
+		line = line.With("cell", n.Cell, "term", n.Term)
 	}
 	if n.Version > 0 {
-		pairs = append(pairs, "version", n.Version)
+		line = line.With("version", n.Version)
 	}
 	if n.From != "" {
-		pairs = append(pairs, "from", n.From)
+		line = line.With("from", n.From)
 	}
 	if n.After > 0 {
-		pairs = append(pairs, "after", n.After)
+		line = line.With("after", n.After)
 	}
 	switch n.Kind {
 	case node.NoticeRefused:
-		l.Log.Warn(n.Kind.String(), append(pairs, "why", n.Why)...)
+		line.Warn(n.Kind.String(), "why", n.Why)
 	case node.NoticeWokeLate, node.NoticePeerLost:
-		l.Log.Warn(n.Kind.String(), pairs...)
+		line.Warn(n.Kind.String())
 	default:
-		l.Log.Info(n.Kind.String(), pairs...)
+		line.Info(n.Kind.String())
 	}
 }
