--- a/core/sched/scheduler_test.go
+++ b/core/sched/scheduler_test.go
@@ -141,6 +141,25 @@
 	}
 }
 
+// TestLostGrantIsNotKept has a connection lose a grant and a later acknowledgement cover it.
+func TestLostGrantIsNotKept(t *testing.T) {
+	s := newScheduler(twoServers(), "r1")
+	two := fleet.TeamDemand{Team: "skippers", Waiting: 2}
+	s.Take(0, "r1", "clew", 0, full(1, two))
+	first := s.Next(0)[0].Grants.Grants // lost, and the router tells all again
+	again := full(2, fleet.TeamDemand{Team: "skippers", Waiting: 4})
+	s.Take(1, "r1", "clew", 1, again)
+	s.Take(2, "r1", "clew", 2, fleet.Demand{Seq: 3, SeenTerm: term, Seen: first[1].ID + 1})
+	for now := time.Duration(1); now <= 4; now++ {
+		s.Take(now*time.Second, "r1", "clew", 1000*int64(now), fleet.Demand{Seq: 3 + uint64(now), SeenTerm: term, Seen: first[1].ID + 1})
+		s.Load(now*time.Second, fleet.Load{Server: "clew-1"})
+		s.Load(now*time.Second, fleet.Load{Server: "killary-1"})
+	}
+	if got := count(s.Next(4 * time.Second)); got != 2 {
+		t.Errorf("granted %d after the lost grants, want 2", got)
+	}
+}
+
 func TestOldDemandIsDropped(t *testing.T) {
 	s := newScheduler(twoServers(), "r1")
 	s.Take(0, "r1", "clew", 0, full(5))
