--- a/engine/batch/engine.go
+++ b/engine/batch/engine.go
@@ -17,8 +17,8 @@
 	LoadLag     time.Duration // age of what GET /load reports
 	Fencing     bool          // refuse an old Fencing-Term
 	Cold        bool          // start cold
-	ColdLimit   int           // requests that a cold engine bears at first
-	WarmAfter   int           // completed requests that add one to what a cold engine bears
+	ColdLimit   int           // requests that a cold engine can serve at first; it breaks above twice its capacity
+	WarmAfter   int           // completed requests that add one to a cold engine's capacity
 	RestartTime time.Duration // that a restart takes
 }
 
@@ -80,7 +80,7 @@
 	started   bool
 	epoch     uint64
 	life      context.Context // ends when the engine restarts
-	fall      context.CancelFunc
+	endLife   context.CancelFunc
 	upAt      time.Time
 	cold      bool
 	completed int // since it turned cold
@@ -106,21 +106,21 @@
 	e.prefixes.size = e.CacheBlocks
 	e.epoch = uint64(time.Now().UnixMilli())
 	e.cold = e.Cold
-	e.life, e.fall = context.WithCancel(context.Background())
+	e.life, e.endLife = context.WithCancel(context.Background())
 	e.sample()
 }
 
-// bears gives how many requests the engine bears now; the caller holds the mutex.
-func (e *Engine) bears() int {
+// capacity gives how many requests the engine can serve now without breaking; the caller holds the mutex.
+func (e *Engine) capacity() int {
 	if !e.cold {
 		return e.Limit
 	}
-	bears := e.ColdLimit + e.completed/max(e.WarmAfter, 1)
-	if bears >= e.Limit {
+	capacity := e.ColdLimit + e.completed/max(e.WarmAfter, 1)
+	if capacity >= e.Limit {
 		e.cold = false
 		return e.Limit
 	}
-	return bears
+	return capacity
 }
 
 func (e *Engine) open() int { return e.running + len(e.queue) }
@@ -135,8 +135,8 @@
 
 // restart breaks all requests; the caller holds the mutex.
 func (e *Engine) restart() {
-	e.fall()
-	e.life, e.fall = context.WithCancel(context.Background())
+	e.endLife()
+	e.life, e.endLife = context.WithCancel(context.Background())
 	e.upAt = time.Now().Add(e.RestartTime)
 	e.turnCold()
 }
--- a/engine/batch/engine_test.go
+++ b/engine/batch/engine_test.go
@@ -133,13 +133,13 @@
 	}
 }
 
-func TestColdEngineFallsOver(t *testing.T) {
+func TestColdEngineBreaksUnderLoad(t *testing.T) {
 	engine, server := newEngine(t, Settings{Limit: 8, Cold: true, ColdLimit: 1, TokenTime: time.Millisecond, RestartTime: time.Hour})
 	epoch := engine.Load().Epoch
 	for range 3 {
 		go post(t.Context(), t, server, `{"prompt":"x","max_tokens":4000}`, "")
 	}
-	until(t, "fallen", func() bool { return engine.Record().Falls == 1 })
+	until(t, "broken", func() bool { return engine.Record().Falls == 1 })
 	if load := engine.Load(); load.Epoch == epoch {
 		t.Error("the epoch did not change")
 	}
@@ -157,7 +157,7 @@
 	until(t, "warm", func() bool {
 		engine.mutex.Lock()
 		defer engine.mutex.Unlock()
-		return engine.bears() == 3
+		return engine.capacity() == 3
 	})
 }
 
--- a/engine/batch/serve.go
+++ b/engine/batch/serve.go
@@ -15,7 +15,7 @@
 // Error names the reason.
 func (e *RefusedError) Error() string { return "not run: " + e.Reason }
 
-var errFell = errors.New("the engine restarted")
+var errRestarted = errors.New("the engine restarted")
 
 // call is one request in the engine.
 type call struct {
@@ -48,7 +48,7 @@
 		e.queue = append(e.queue, c.served)
 	}
 	e.sample()
-	if e.cold && e.open() > 2*e.bears() {
+	if e.cold && e.open() > 2*e.capacity() {
 		e.record.Falls++
 		e.restart()
 	}
@@ -82,7 +82,7 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-c.life.Done():
-		return errFell
+		return errRestarted
 	}
 	c.engine.mutex.Lock()
 	defer c.engine.mutex.Unlock()
@@ -128,7 +128,7 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-c.life.Done():
-		return errFell
+		return errRestarted
 	}
 	e.mutex.Lock()
 	stalled := e.stalled
@@ -142,7 +142,7 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-c.life.Done():
-		return errFell
+		return errRestarted
 	}
 }
 
--- a/engine/main.go
+++ b/engine/main.go
@@ -29,8 +29,8 @@
 	LoadLag     time.Duration `long:"load-lag" env:"MANGOLUG_ENGINE_LOAD_LAG" default:"200ms" description:"age of what GET /load reports"`
 	Fencing     bool          `long:"fencing" env:"MANGOLUG_ENGINE_FENCING" description:"refuse an old Fencing-Term"`
 	Cold        bool          `long:"cold" env:"MANGOLUG_ENGINE_COLD" description:"start cold"`
-	ColdLimit   int           `long:"cold-limit" env:"MANGOLUG_ENGINE_COLD_LIMIT" default:"2" description:"requests that a cold engine bears at first; it falls over above twice what it bears"`
-	WarmAfter   int           `long:"warm-after" env:"MANGOLUG_ENGINE_WARM_AFTER" default:"2" description:"completed requests that add one to what a cold engine bears"`
+	ColdLimit   int           `long:"cold-limit" env:"MANGOLUG_ENGINE_COLD_LIMIT" default:"2" description:"requests that a cold engine can serve at first; it breaks above twice its capacity"`
+	WarmAfter   int           `long:"warm-after" env:"MANGOLUG_ENGINE_WARM_AFTER" default:"2" description:"completed requests that add one to a cold engine's capacity"`
 	RestartTime time.Duration `long:"restart-time" env:"MANGOLUG_ENGINE_RESTART_TIME" default:"500ms" description:"time that a restart takes"`
 }
 
--- a/stage/proof/limit_test.go
+++ b/stage/proof/limit_test.go
@@ -20,7 +20,7 @@
 			t.Errorf("%s had %d requests at once, its limit is %d", s.Name, all.PeakOpen, s.Limit)
 		}
 		if all.Falls > 0 {
-			t.Errorf("%s fell over %d times", s.Name, all.Falls)
+			t.Errorf("%s broke %d times", s.Name, all.Falls)
 		}
 	}
 	for _, s := range f.ServersOf(f.Site.Plain) {
@@ -111,7 +111,7 @@
 	checkLimits(t, f)
 }
 
-// Engines that start cold get no more than they bear.
+// Engines that start cold get no more than they can serve.
 func TestColdEngines(t *testing.T) {
 	s := settings(local.Chenab())
 	s.EngineLimit = 8
@@ -124,7 +124,7 @@
 }
 
 // Engines turn cold under full load without warning. What they had open then may break them once; after
-// that they get no more than they bear, and the callers are served again.
+// that they get no more than they can serve, and the callers are served again.
 func TestEnginesTurnColdWithoutWarning(t *testing.T) {
 	s := settings(local.Carraig())
 	s.EngineLimit = 8
@@ -144,7 +144,7 @@
 		all, err := e.EngineRecord()
 		must(t, err)
 		if all.Falls > 2 || all.PeakOpen > e.Limit {
-			t.Errorf("%s fell over %d times after it turned cold twice, and had %d requests at once", e.Name, all.Falls, all.PeakOpen)
+			t.Errorf("%s broke %d times after it turned cold twice, and had %d requests at once", e.Name, all.Falls, all.PeakOpen)
 		}
 	}
 }
