Let a test of the engine wait for its callers

Cause: TestColdEngineBreaksUnderLoad ended while its callers still read their answers, whose requests were then cancelled and reported as errors.

--- a/engine/batch/engine_test.go
+++ b/engine/batch/engine_test.go
@@ -136,8 +136,10 @@
 func TestColdEngineBreaksUnderLoad(t *testing.T) {
 	engine, server := newEngine(t, Settings{Limit: 8, Cold: true, ColdLimit: 1, TokenTime: time.Millisecond, RestartTime: time.Hour})
 	epoch := engine.Load().Epoch
+	var callers sync.WaitGroup
+	defer callers.Wait() // before the test's context ends
 	for range 3 {
-		go post(t.Context(), t, server, `{"prompt":"x","max_tokens":4000}`, "")
+		callers.Go(func() { post(t.Context(), t, server, `{"prompt":"x","max_tokens":4000}`, "") })
 	}
 	until(t, "broken", func() bool { return engine.Record().Falls == 1 })
 	if load := engine.Load(); load.Epoch == epoch {
