--- a/core/sched/rules_test.go
+++ b/core/sched/rules_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mangolug.org/core/fleet"
+	"mangolug.org/core/rule"
 )
 
 func TestOwnDataCentreFirst(t *testing.T) {
@@ -126,3 +127,45 @@
 		t.Errorf("%d orphans left after the end of the one that was given up, want 1", v.orphans)
 	}
 }
+
+// TestForeignLoad takes load that no grant explains off the limit, but not what a late report shows.
+func TestForeignLoad(t *testing.T) {
+	rules := []rule.Server{{Name: "killary-1", DataCentre: "killary", Limit: 4}}
+	s := newScheduler(rules, "r1")
+	s.servers["killary-1"].limiter.Found(4)
+	s.Take(0, "r1", "killary", 0, full(1, fleet.TeamDemand{Team: "skippers", Waiting: 4}))
+	d := fleet.Demand{Seq: 2, SeenTerm: term, Waiting: []fleet.TeamDemand{{Team: "skippers"}}}
+	for _, g := range s.Next(0)[0].Grants.Grants {
+		d.Seen, d.Done = g.ID, append(d.Done, fleet.Done{Grant: g.ID, Outcome: fleet.OutcomeCompleted})
+	}
+	s.Take(100*time.Millisecond, "r1", "killary", 100, d)
+	report := fleet.Load{Server: "killary-1", Running: 4}
+	cases := []struct {
+		at   time.Duration
+		want int
+	}{{200 * time.Millisecond, 0}, {5 * time.Second, 4}}
+	for _, c := range cases {
+		s.Load(c.at, report)
+		if got := s.Status(c.at).Servers[0].Foreign; got != c.want {
+			t.Errorf("foreign load %d at %v, want %d", got, c.at, c.want)
+		}
+	}
+}
+
+// TestStalledServer sets a server aside whose request makes no progress, and tries it again.
+func TestStalledServer(t *testing.T) {
+	s := newScheduler(twoServers()[:1], "r1")
+	s.Take(0, "r1", "killary", 0, full(1, fleet.TeamDemand{Team: "skippers", Waiting: 1}))
+	s.Next(0)
+	for now := time.Duration(0); now < defaultStallLimit; now += time.Second {
+		if held := s.Status(now).Servers[0].Held; held != fleet.ReasonHeld {
+			t.Fatalf("%v at %v", held, now)
+		}
+	}
+	if held := s.Status(defaultStallLimit).Servers[0].Held; held != fleet.ReasonServerFailed {
+		t.Errorf("%v after no progress", held)
+	}
+	if wake, ok := s.Wake(); !ok || wake > defaultStallLimit+reviewPeriod {
+		t.Errorf("next look at %v, %v", wake, ok)
+	}
+}
