Measure sharing with a data centre out, and hold no slot for teams at the same level

Cause: a forgotten team counted as behind though it was not; the measures lacked a data centre out of service.

--- a/core/sched/next.go
+++ b/core/sched/next.go
@@ -152,8 +152,14 @@
 	}
 	n := 0
 	for _, x := range s.expected {
-		t := s.teams[x.team]
-		if t == nil || !t.backlog && t.level < next.level {
+		level := s.level // of a team that is not ahead and was forgotten
+		if t := s.teams[x.team]; t != nil {
+			if t.backlog {
+				continue
+			}
+			level = t.level
+		}
+		if level < next.level {
 			n++
 		}
 	}
--- a/core/sched/rivals_test.go
+++ b/core/sched/rivals_test.go
@@ -161,6 +161,10 @@
 		w.addTeams(20, func(i int) []int { return []int{i % rivalRouters} })
 		w.teams[14].at, w.teams[14].keep = nil, 100*rivalServers*rivalLimit/rivalRouters
 	},
+	"data centre out": func(w *world) {
+		w.addTeams(10, func(int) []int { return nil })
+		w.out = "dc-1"
+	},
 	"at one router": func(w *world) {
 		w.addTeams(100, func(int) []int { return []int{4} })
 	},
@@ -184,6 +188,13 @@
 	w.delay = 2 * time.Millisecond
 	workloads[workload](w)
 	designs[design](w)
+	for _, s := range w.schedulers {
+		var rules []rule.Server
+		for _, v := range s.listed {
+			rules = append(rules, v.rule)
+		}
+		s.Configure(0, rules, map[string]bool{w.out: true}, nil)
+	}
 	w.run(rivalWarmUp)
 	w.idle, w.busy = 0, 0
 	g := &gapMeter{teams: w.teams}
--- a/core/sched/world_test.go
+++ b/core/sched/world_test.go
@@ -25,8 +25,9 @@
 	delay      time.Duration // one way, at most
 	loadPeriod time.Duration
 	loadLag    time.Duration
-	unheard    bool // load reports are lost
-	stated     bool // servers say what they bear
+	unheard    bool   // load reports are lost
+	stated     bool   // servers say what they bear
+	out        string // data centre out of service
 	later      []fakeCall
 	delisted   bool // the platform's list drops lost routers at once
 	checks     []func(w *world)
@@ -412,6 +413,9 @@
 func (w *world) count() {
 	waiting, running, slots := w.waiting(), 0, 0
 	for _, v := range w.servers {
+		if v.rule.DataCentre == w.out {
+			continue
+		}
 		running += v.running
 		slots += v.rule.Limit
 	}
