Give routers a message for lists of VMs

Cause: only the platform can tell a router the list of VMs, so one that starts while the platform is down links with nobody. Ruled out: extending ConfigText, as the list has no version and its age has to go with it; sending the whole list at each opening of a link, which a restart at the size expected in two years would multiply by the number of routers. Before: no such message. After: ListText tells of a list by its age and digest, asks for one, or carries it; bounded at 1 MB of text, and field by field when it is read. Nothing sends it yet. go test ./wire passes. Conclusion: the decision core can now build the carrying on it.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -153,3 +153,18 @@
 	Version uint64 `json:"version,omitempty"`
 	Text    []byte `json:"text,omitempty"`
 }
+
+// MaxListText is the largest list of VMs that peers carry, in bytes of its text fields and 16 for each VM.
+const MaxListText = 1 << 20
+
+// MaxField is the longest text field of a VM that peers carry, in bytes.
+const MaxField = 256
+
+// ListText tells a peer of the sender's list of VMs, asks for the receiver's, or answers that.
+type ListText struct {
+	Ask     bool   `json:"ask,omitempty"`     // the receiver's list is wanted, if it is younger
+	Address string `json:"address,omitempty"` // the sender's peer address, ip:port, told when a link is opened and else empty
+	Age     int64  `json:"age,omitempty"`     // milliseconds since the sender's list was read from the platform, by whomever
+	Digest  uint64 `json:"digest,omitempty"`  // of the sender's list; 0 for none
+	VMs     []VM   `json:"vms,omitempty"`     // of an answer: the whole list, or none if the asker has the same or a younger one
+}
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -15,4 +15,5 @@
 	KeyClose   *KeyClose   `json:"keyClose,omitempty"`
 	ConfigAsk  *ConfigAsk  `json:"configAsk,omitempty"`
 	ConfigText *ConfigText `json:"configText,omitempty"`
+	ListText   *ListText   `json:"listText,omitempty"`
 }
--- a/router/peers/kind.go
+++ b/router/peers/kind.go
@@ -19,6 +19,8 @@
 		return "key"
 	case *wire.Envelope_ConfigAsk, *wire.Envelope_ConfigText:
 		return "config"
+	case *wire.Envelope_ListText:
+		return "list"
 	}
 	return "other"
 }
--- a/router/wire/check.go
+++ b/router/wire/check.go
@@ -1,6 +1,10 @@
 package wire
 
-import "fmt"
+import (
+	"fmt"
+
+	"mangolug.org/core/fleet"
+)
 
 // Bounds on what a peer may send.
 const (
@@ -43,6 +47,14 @@
 	return s
 }
 
+// text is a field that may be empty.
+func (c *checker) text(field, s string) string {
+	if len(s) > fleet.MaxField {
+		c.refuse(field, s[:fleet.MaxField])
+	}
+	return s
+}
+
 func (c *checker) count(field string, n int64) int64 {
 	if n < 0 || n > MaxCount {
 		c.refuse(field, fmt.Sprint(n))
--- a/router/wire/message.go
+++ b/router/wire/message.go
@@ -36,6 +36,8 @@
 		e.Body = &Envelope_ConfigAsk{ConfigAsk: &ConfigAsk{After: m.ConfigAsk.After}}
 	case m.ConfigText != nil:
 		e.Body = &Envelope_ConfigText{ConfigText: &ConfigText{Version: m.ConfigText.Version, Text: m.ConfigText.Text}}
+	case m.ListText != nil:
+		e.Body = &Envelope_ListText{ListText: encodeList(m.ListText)}
 	}
 	return e
 }
@@ -75,6 +77,8 @@
 		m.ConfigAsk = &fleet.ConfigAsk{After: b.ConfigAsk.GetAfter()}
 	case *Envelope_ConfigText:
 		m.ConfigText = &fleet.ConfigText{Version: b.ConfigText.GetVersion(), Text: b.ConfigText.GetText()}
+	case *Envelope_ListText:
+		m.ListText = decodeList(b.ListText, &c)
 	default:
 		return nil, ErrNoBody
 	}
--- a/router/wire/wire_test.go
+++ b/router/wire/wire_test.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -27,10 +29,13 @@
 		"grants": {Grants: &fleet.Grants{Cell: cell, Term: 9, Basis: 88, TellAll: true, Grants: []fleet.Grant{
 			{ID: 78, Team: "carpenters", Server: "stain-1", Address: "127.0.0.1:9101", Fencing: true},
 		}}},
-		"keyOpen":    {KeyOpen: &fleet.KeyOpen{Ticket: 1, Team: "farm", Key: "k", Digest: 8}},
-		"keyAnswer":  {KeyAnswer: &fleet.KeyAnswer{Ticket: 1, Verdict: fleet.KeyAnswered, Reason: fleet.ReasonKeyTooOld, Answer: answer}},
-		"keyClose":   {KeyClose: &fleet.KeyClose{Ticket: 6, Team: "farm", Key: "k", Outcome: fleet.KeyAnswered, Answer: answer}},
-		"configAsk":  {ConfigAsk: &fleet.ConfigAsk{After: 4}},
+		"keyOpen":   {KeyOpen: &fleet.KeyOpen{Ticket: 1, Team: "farm", Key: "k", Digest: 8}},
+		"keyAnswer": {KeyAnswer: &fleet.KeyAnswer{Ticket: 1, Verdict: fleet.KeyAnswered, Reason: fleet.ReasonKeyTooOld, Answer: answer}},
+		"keyClose":  {KeyClose: &fleet.KeyClose{Ticket: 6, Team: "farm", Key: "k", Outcome: fleet.KeyAnswered, Answer: answer}},
+		"configAsk": {ConfigAsk: &fleet.ConfigAsk{After: 4}},
+		"listText": {ListText: &fleet.ListText{Ask: true, Address: "127.0.0.1:7001", Age: 9, Digest: 77, VMs: []fleet.VM{
+			{Name: "r1", Address: "127.0.0.1:7001", Admin: "127.0.0.1:8001", DataCentre: "lahore", Router: true, State: fleet.VMLeaving},
+		}}},
 		"configText": {ConfigText: &fleet.ConfigText{Version: 5, Text: []byte("text")}},
 	}
 }
@@ -67,6 +72,10 @@
 		"huge cost":       {demand(&TeamDemand{Team: "t", Estimate: MaxCount + 1}), "estimate"},
 		"team without":    {demand(&TeamDemand{Waiting: 1}), "team"},
 		"unknown verdict": {&Envelope{Body: &Envelope_KeyAnswer{KeyAnswer: &KeyAnswer{Verdict: 99}}}, "verdict"},
+		"negative age":    {list(&ListText{Age: -1}), "age"},
+		"VM without":      {list(&ListText{Vms: []*VM{{}}}), "name"},
+		"unknown state":   {list(&ListText{Vms: []*VM{{Name: "r", State: 2}}}), "state"},
+		"long address":    {list(&ListText{Address: strings.Repeat("1", fleet.MaxField+1)}), "address"},
 		"no cell":         {&Envelope{Body: &Envelope_Grants{Grants: &Grants{}}}, "product"},
 	}
 	for name, c := range cases {
@@ -89,6 +98,23 @@
 	return &Envelope{Body: &Envelope_Demand{Demand: &Demand{Cell: &Cell{Product: "p"}, Waiting: []*TeamDemand{w}}}}
 }
 
+func list(w *ListText) *Envelope { return &Envelope{Body: &Envelope_ListText{ListText: w}} }
+
+// TestLargestListFits encodes lists of the largest size that is carried, of few long and of many short names.
+func TestLargestListFits(t *testing.T) {
+	for name, length := range map[string]int{"long": fleet.MaxField, "short": 5} {
+		t.Run(name, func(t *testing.T) {
+			long := strings.Repeat("x", length)
+			v := fleet.VM{Name: long, Address: long, Admin: long, DataCentre: long, Router: true, State: fleet.VMLeaving}
+			l := &fleet.ListText{Age: MaxCount, Digest: 1, VMs: slices.Repeat([]fleet.VM{v}, fleet.MaxListText/(4*length+16))}
+			e := Encode(&fleet.Message{Incarnation: 1, Stamp: MaxCount, Echo: MaxCount, Echoed: 1, ListText: l})
+			if _, err := Decode(e); err != nil || proto.Size(e) > MaxMessage {
+				t.Errorf("%d VMs in %d bytes, error %v", len(l.VMs), proto.Size(e), err)
+			}
+		})
+	}
+}
+
 // FuzzDecode checks that no bytes of a peer make the router fail, and that what is accepted survives a round trip.
 func FuzzDecode(f *testing.F) {
 	for _, m := range samples() {
