Let peers carry the list of VMs to routers that start empty

Cause: a router without a list has no links and drops its peers' messages as not listed. So a restart while the platform was down left it not ready until the platform was back, however many peers dialled it. Two smaller faults stood beside it: the 3 s that a starting router waits for silent peers ran from the process's start, so a list that came later, or a pause, left no time at all, and a stale platform's rules were served though peers had newer ones. Ruled out: links by a setting that names peers, which operators would have to keep; taking heartbeats of unlisted peers, which tells no addresses; ages by the wall clock, which differ from VM to VM. TestWakesUnsettled fails without the new start of the wait. After: a router that opens a link tells its address and its list's age. One without a list links with the peer that told of the youngest, asks, and goes on with the answer as with the platform's list. The age is counted from before the question, so a list is never thought younger than it is. A router whose list the platform has not renewed for 15 s asks a live peer every 5 s. Lists that were not asked for, or that are not younger, change nothing. The tests pass, with -race too; each rule was taken out in turn and a test failed each time. Conclusion: only a fleet of which no router knows the list waits for the platform.

--- a/core/conf/keeper.go
+++ b/core/conf/keeper.go
@@ -48,7 +48,8 @@
 	refused []refusal // the newest refused versions above the one in force, ascending
 	claims  map[string]claim
 	ask     ask
-	asked   bool // the platform answered or failed to
+	asked   bool          // the platform answered or failed to
+	begun   time.Duration // since when peers may be expected to tell their versions
 }
 
 // refusal is a version that was refused whole.
--- a/core/conf/peers.go
+++ b/core/conf/peers.go
@@ -14,7 +14,7 @@
 	AskPause = 2 * time.Second
 	// ClaimLife is how long a peer's word on its version counts.
 	ClaimLife = 2 * time.Second
-	// SettleLimit is how long after the first question a router waits for peers that say nothing.
+	// SettleLimit is how long a router waits for peers that say nothing.
 	SettleLimit = 3 * time.Second
 )
 
@@ -120,18 +120,26 @@
 // AskedPlatform notes that the platform was asked and has answered or failed to.
 func (k *Keeper) AskedPlatform() { k.asked = true }
 
+// Begin notes that peers have SettleLimit from now to tell their versions: they became known, or this router was paused.
+func (k *Keeper) Begin(now time.Duration) { k.begun = now }
+
+// Behind reports whether a peer that was lately heard has a newer version in force that was not refused here.
+func (k *Keeper) Behind(now time.Duration) bool {
+	for _, c := range k.claims {
+		if k.news(c.version) && !c.stale(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Settled reports whether a router that started empty may serve: something is in force, the platform was asked,
 // every live peer has told its version (or SettleLimit has passed), and nothing newer is known to be in force elsewhere.
 func (k *Keeper) Settled(now time.Duration, live []string) bool {
-	if k.current == nil {
+	if k.current == nil || k.Behind(now) {
 		return false
 	}
-	for _, c := range k.claims {
-		if k.news(c.version) && !c.stale(now) {
-			return false
-		}
-	}
-	if now >= SettleLimit {
+	if now >= k.begun+SettleLimit {
 		return true
 	}
 	silent := slices.ContainsFunc(live, func(peer string) bool {
--- /dev/null
+++ b/core/node/empty_test.go
@@ -0,0 +1,351 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"mangolug.org/core/fleet"
+)
+
+const ms = time.Millisecond
+
+// world runs a few nodes in virtual time; a link is opened by its sender some time after both ends live.
+type world struct {
+	t       *testing.T
+	r       *rand.Rand
+	now     time.Duration
+	vms     []fleet.VM
+	routers []*process
+	flights []flight
+
+	rulesDown, listDown bool
+	served              uint64 // version that the platform serves
+	lose                func(from string, m *fleet.Message) bool
+}
+
+// process is one router over its restarts.
+type process struct {
+	name      string
+	node      *Node
+	born      time.Duration
+	alive     bool
+	cut       bool // reaches no peer
+	addresses map[string]string
+	links     map[string]*link
+	events    []Event
+	nextRules time.Duration
+	nextList  time.Duration
+	asked     bool
+	woken     time.Duration // frozen until then
+	noList    bool          // the platform's list is down for this router alone
+}
+
+// link is a stream to one incarnation of a peer.
+type link struct {
+	to   time.Duration // when the peer's process was born
+	open time.Duration
+	told bool
+}
+
+type flight struct {
+	to   *process
+	born time.Duration
+	at   time.Duration
+	got  Received
+}
+
+func newWorld(t *testing.T, seed uint64, routers int) *world {
+	w := &world{t: t, r: rand.New(rand.NewPCG(seed, 1)), now: time.Second, served: 1}
+	for i := range routers {
+		name := fmt.Sprintf("r%d", i)
+		w.routers = append(w.routers, &process{name: name})
+		w.vms = append(w.vms, fleet.VM{Name: name, Address: "peer:" + name, DataCentre: "clew", Router: true})
+	}
+	w.vms = append(w.vms, fleet.VM{Name: "stain-1", Address: "stain:1", DataCentre: "clew"})
+	for _, p := range w.routers {
+		w.start(p)
+	}
+	return w
+}
+
+func (w *world) start(p *process) {
+	*p = process{
+		name: p.name, alive: true, cut: p.cut, noList: p.noList, born: w.now, nextRules: w.now + 20*ms, nextList: w.now + 20*ms, links: map[string]*link{},
+		node: &Node{Start: Start{Self: p.name, DataCentre: "clew", Incarnation: uint32(w.now / (10 * ms)), Seed: 1}},
+	}
+}
+
+func (w *world) named(address string) *process {
+	for _, p := range w.routers {
+		if "peer:"+p.name == address {
+			return p
+		}
+	}
+	return nil
+}
+
+// step advances all by 10 ms.
+func (w *world) step() {
+	w.now += 10 * ms
+	w.flights = slices.DeleteFunc(w.flights, func(f flight) bool {
+		if f.at > w.now || f.to.woken > w.now {
+			return false
+		}
+		if f.to.alive && f.to.born == f.born {
+			f.to.events = append(f.to.events, Event{Received: &f.got})
+		}
+		return true
+	})
+	for _, p := range w.routers {
+		if !p.alive || p.woken > w.now {
+			continue
+		}
+		w.platform(p)
+		w.link(p)
+		events := p.events
+		p.events = nil
+		for _, e := range p.node.Step(w.now-p.born, time.Unix(1_700_000_000, 0).Add(w.now), events) {
+			w.carryOut(p, e)
+		}
+	}
+}
+
+// platform lets a router read rules and list once a second.
+func (w *world) platform(p *process) {
+	if w.now >= p.nextRules {
+		p.nextRules = w.now + time.Second
+		if !w.rulesDown && w.served > p.node.Newest() {
+			p.events = append(p.events, Event{Offer: &Offer{Version: w.served, Text: rules(w.served)}})
+		}
+		if !p.asked {
+			p.asked = true
+			p.events = append(p.events, Event{Asked: &Asked{}})
+		}
+	}
+	if w.now >= p.nextList && !w.listDown && !p.noList {
+		p.nextList = w.now + time.Second
+		p.events = append(p.events, Event{List: &List{VMs: slices.Clone(w.vms)}})
+	}
+}
+
+func rules(version uint64) []byte {
+	return fmt.Appendf(nil, "dataCentre clew in # version %d\n", version)
+}
+
+// link opens the streams that are due, and those that a peer's restart broke.
+func (w *world) link(p *process) {
+	for _, name := range sortedKeys(p.addresses) {
+		to := w.named(p.addresses[name])
+		if to == nil || !to.alive || p.cut || to.cut {
+			delete(p.links, name)
+			continue
+		}
+		l := p.links[name]
+		if l == nil || l.to != to.born {
+			l = &link{to: to.born, open: w.now + time.Duration(50+w.r.IntN(350))*ms}
+			p.links[name] = l
+		}
+		if !l.told && w.now >= l.open {
+			l.told = true
+			p.events = append(p.events, Event{Linked: &Linked{Peer: name}})
+		}
+	}
+}
+
+func sortedKeys(m map[string]string) []string {
+	var keys []string
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func (w *world) carryOut(p *process, e Effect) {
+	if e.Links != nil {
+		for name := range p.links {
+			if e.Links.Addresses[name] != p.addresses[name] {
+				delete(p.links, name)
+			}
+		}
+		p.addresses = e.Links.Addresses
+	}
+	if e.Send == nil {
+		return
+	}
+	l, to := p.links[e.Send.To], w.named("peer:"+e.Send.To)
+	if l == nil || !l.told || to == nil || !to.alive || to.born != l.to {
+		return
+	}
+	if w.lose != nil && w.lose(p.name, &e.Send.Message) {
+		return
+	}
+	at := w.now + time.Duration(1+w.r.IntN(20))*ms
+	for _, f := range w.flights { // a stream keeps the order
+		if f.to == to && f.got.From == p.name {
+			at = max(at, f.at)
+		}
+	}
+	w.flights = append(w.flights, flight{to: to, born: to.born, at: at, got: Received{From: p.name, Message: e.Send.Message}})
+}
+
+func (w *world) run(d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.step()
+	}
+}
+
+func (w *world) await(what string, limit time.Duration, holds func() bool) {
+	w.t.Helper()
+	for end := w.now + limit; !holds(); {
+		if w.now >= end {
+			w.t.Fatalf("%s: not within %v", what, limit)
+		}
+		w.step()
+	}
+}
+
+func (p *process) ready() bool { return p.alive && p.node.Ready() == fleet.ReasonNone }
+
+func (p *process) version() uint64 {
+	if f := p.node.InForce(); f != nil {
+		return f.Version
+	}
+	return 0
+}
+
+func (w *world) allAt(version uint64) bool {
+	return !slices.ContainsFunc(w.routers, func(p *process) bool { return p.alive && (!p.ready() || p.version() != version) })
+}
+
+const readyLimit = 4 * time.Second
+
+// settled gives a fleet with version 2 in force everywhere.
+func settled(t *testing.T, seed uint64, routers int) *world {
+	w := newWorld(t, seed, routers)
+	w.await("all ready", readyLimit, func() bool { return w.allAt(1) })
+	w.served = 2
+	w.await("version 2 everywhere", 3*time.Second, func() bool { return w.allAt(2) })
+	return w
+}
+
+func TestStartEmpty(t *testing.T) {
+	tests := map[string]struct {
+		disturb func(w *world)
+	}{
+		"platform up":               {disturb: func(*world) {}},
+		"list down":                 {disturb: func(w *world) { w.listDown = true }},
+		"rules down":                {disturb: func(w *world) { w.rulesDown = true }},
+		"both down":                 {disturb: func(w *world) { w.listDown, w.rulesDown = true, true }},
+		"rules stale":               {disturb: func(w *world) { w.served = 1 }},
+		"rules stale, list down":    {disturb: func(w *world) { w.served = 1; w.listDown = true }},
+		"down for a minute":         {disturb: func(w *world) { w.listDown, w.rulesDown = true, true; w.run(time.Minute) }},
+		"another started just then": {disturb: func(w *world) { w.listDown, w.rulesDown = true, true; w.start(w.routers[1]) }},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := settled(t, 1, 3)
+			tt.disturb(w)
+			p := w.routers[0]
+			w.start(p)
+			w.await("ready", readyLimit, func() bool {
+				if p.ready() && p.version() != 2 {
+					t.Fatalf("ready with version %d", p.version())
+				}
+				return w.allAt(2)
+			})
+		})
+	}
+}
+
+// TestLateList gives a router its list long after its start: it must not take the time without peers for their silence.
+func TestLateList(t *testing.T) {
+	w := settled(t, 3, 3)
+	p := w.routers[0]
+	w.served, w.listDown = 1, true
+	for _, o := range w.routers {
+		o.cut = true
+	}
+	w.start(p)
+	w.run(10 * time.Second)
+	if p.ready() {
+		t.Fatal("ready without a list")
+	}
+	for _, o := range w.routers {
+		o.cut = false
+	}
+	w.listDown = false
+	w.await("ready", readyLimit, func() bool {
+		if p.ready() && p.version() != 2 {
+			t.Fatalf("ready with version %d", p.version())
+		}
+		return p.ready()
+	})
+}
+
+// TestWakesUnsettled freezes a router between its start and its first heartbeat from a peer.
+func TestWakesUnsettled(t *testing.T) {
+	w := settled(t, 4, 3)
+	p := w.routers[0]
+	w.served = 1
+	w.start(p)
+	w.await("list", time.Second, func() bool { return len(p.node.listed) > 0 && p.version() == 1 })
+	p.woken, p.cut = w.now+5*time.Second, true // its streams break meanwhile
+	w.run(5*time.Second - 20*ms)
+	p.cut = false
+	w.await("ready", readyLimit, func() bool {
+		if p.ready() && p.version() != 2 {
+			t.Fatalf("ready with version %d", p.version())
+		}
+		return p.ready()
+	})
+}
+
+// TestAlone says what a router does when neither platform nor peers answer, or when none of the fleet knows anything.
+func TestAlone(t *testing.T) {
+	w := settled(t, 5, 3)
+	w.listDown, w.rulesDown = true, true
+	for _, p := range w.routers {
+		w.start(p)
+	}
+	w.run(time.Minute)
+	for _, p := range w.routers {
+		if p.ready() {
+			t.Errorf("%s is ready out of nothing", p.name)
+		}
+	}
+	w.listDown, w.rulesDown, w.served = false, false, 1 // nothing in the fleet knows version 2 any more
+	w.await("ready", readyLimit, func() bool { return w.allAt(1) })
+}
+
+// TestRandomOutages restarts routers at random while the platform comes, goes and turns back; one ready router lives on.
+func TestRandomOutages(t *testing.T) {
+	for seed := range uint64(6) {
+		w := settled(t, seed, 3)
+		newest := uint64(2)
+		for range 8 {
+			w.rulesDown, w.listDown = w.r.IntN(2) == 0, w.r.IntN(2) == 0
+			switch w.r.IntN(3) {
+			case 0:
+				newest++
+				w.served = newest
+				w.rulesDown = false
+			case 1:
+				w.served = 1 + w.r.Uint64N(newest)
+			}
+			w.run(time.Duration(3000+w.r.IntN(1000)) * ms)
+			p := w.routers[w.r.IntN(len(w.routers))]
+			floor := p.version()
+			w.start(p)
+			w.await(fmt.Sprintf("seed %d: ready with version %d", seed, floor), readyLimit, func() bool {
+				if p.ready() && p.version() < floor {
+					t.Fatalf("seed %d: ready with version %d after %d", seed, p.version(), floor)
+				}
+				return p.ready()
+			})
+		}
+	}
+}
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -116,14 +116,15 @@
 
 // Kinds of notice.
 const (
-	NoticeNone       NoticeKind = iota // none
-	NoticeInForce                      // configuration in force
-	NoticeRefused                      // configuration refused
-	NoticeReady                        // ready
-	NoticeScheduling                   // scheduling cell
-	NoticeWokeLate                     // woke late
-	NoticePeerLive                     // peer live
-	NoticePeerLost                     // peer lost
+	NoticeNone         NoticeKind = iota // none
+	NoticeInForce                        // configuration in force
+	NoticeRefused                        // configuration refused
+	NoticeReady                          // ready
+	NoticeScheduling                     // scheduling cell
+	NoticeWokeLate                       // woke late
+	NoticePeerLive                       // peer live
+	NoticePeerLost                       // peer lost
+	NoticeListFromPeer                   // list from peer
 )
 
 // MarshalText gives the kind's name.
@@ -132,7 +133,7 @@
 // UnmarshalText reads a kind's name; an unknown name becomes NoticeNone.
 func (k *NoticeKind) UnmarshalText(text []byte) error {
 	*k = NoticeNone
-	for c := NoticeNone; c <= NoticePeerLost; c++ {
+	for c := NoticeNone; c <= NoticeListFromPeer; c++ {
 		if c.String() == string(text) {
 			*k = c
 		}
--- /dev/null
+++ b/core/node/list_test.go
@@ -0,0 +1,195 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"mangolug.org/core/fleet"
+)
+
+// TestAnswersAreLost loses the first answers that carry a list, so that the same peer must be asked again over a new link.
+func TestAnswersAreLost(t *testing.T) {
+	w := settled(t, 6, 2)
+	w.listDown = true
+	lost := 0
+	w.lose = func(_ string, m *fleet.Message) bool {
+		if m.ListText == nil || len(m.ListText.VMs) == 0 || lost == 3 {
+			return false
+		}
+		lost++
+		return true
+	}
+	w.start(w.routers[0])
+	w.await("ready", 15*time.Second, func() bool { return w.allAt(2) })
+	if lost != 3 {
+		t.Errorf("%d answers lost", lost)
+	}
+}
+
+// TestListByPeers cuts one router from the platform's list, which then grows by a VM.
+func TestListByPeers(t *testing.T) {
+	w := settled(t, 7, 3)
+	p := w.routers[0]
+	p.noList = true
+	w.run(5 * time.Second)
+	w.vms = append(w.vms, fleet.VM{Name: "stain-2", Address: "stain:2", DataCentre: "clew", State: fleet.VMLeaving})
+	cut := w.now
+	w.run(listFresh - 5*time.Second - 200*ms)
+	if p.node.leaving["stain-2"] || p.node.carried.byPeer {
+		t.Fatal("a peer's list was taken though the own one was fresh")
+	}
+	w.await("list from a peer", listAskPeriod+time.Second, func() bool { return p.node.leaving["stain-2"] })
+	whole := 0
+	w.lose = func(_ string, m *fleet.Message) bool {
+		if m.ListText != nil && len(m.ListText.VMs) > 0 {
+			whole++
+		}
+		return false
+	}
+	w.run(time.Minute)
+	if age := p.node.listAge(); whole > 0 || age > listFresh+listAskPeriod+time.Second {
+		t.Errorf("%d whole lists sent again; age %v, %v after the change", whole, age, w.now-cut)
+	}
+	p.noList = false
+	w.run(time.Second)
+	if p.node.carried.byPeer || p.node.listAge() > time.Second {
+		t.Errorf("the platform's own list is not in use: age %v", p.node.listAge())
+	}
+}
+
+// TestAgesGoWithTheList hands a list from router to router while the platform is down; no router may think it younger than it is.
+func TestAgesGoWithTheList(t *testing.T) {
+	for seed := range uint64(5) {
+		w := settled(t, seed, 3)
+		w.listDown = true
+		down := w.now
+		for i := range 9 {
+			w.run(time.Duration(w.r.IntN(30000)) * ms)
+			w.start(w.routers[i%3])
+			w.await("ready", readyLimit, func() bool { return w.allAt(2) })
+			for _, p := range w.routers {
+				if age := p.node.listAge(); age < w.now-down || age > w.now-down+time.Second+time.Duration(i+1)*40*ms {
+					t.Fatalf("seed %d: %s thinks the list %v old, it is at least %v", seed, p.name, age, w.now-down)
+				}
+			}
+		}
+	}
+}
+
+// told is a router without a list, or with the platform's, that hears what the test says.
+type told struct {
+	node  Node
+	now   time.Duration
+	sends []Send
+	links []string
+}
+
+func (o *told) step(after time.Duration, events ...Event) {
+	o.now += after
+	for _, e := range o.node.Step(o.now, time.Unix(1_700_000_000, 0).Add(o.now), events) {
+		if e.Send != nil && e.Send.Message.ListText != nil {
+			o.sends = append(o.sends, *e.Send)
+		}
+		if e.Links != nil {
+			o.links = append(o.links, strings.Join(sortedKeys(e.Links.Addresses), " "))
+		}
+	}
+}
+
+func says(from string, l fleet.ListText) Event {
+	return Event{Received: &Received{From: from, Message: fleet.Message{Incarnation: 1, ListText: &l}}}
+}
+
+func vms(names ...string) []fleet.VM {
+	var list []fleet.VM
+	for _, name := range names {
+		list = append(list, fleet.VM{Name: name, Address: "peer:" + name, Router: true})
+	}
+	return list
+}
+
+func TestYoungestIsAsked(t *testing.T) {
+	o := &told{node: Node{Start: Start{Self: "a", Incarnation: 9}}}
+	o.step(time.Second)
+	o.step(10*ms, says("b", fleet.ListText{Address: "peer:b", Age: 9000, Digest: 5}), says("c", fleet.ListText{Address: "peer:c", Age: 7000, Digest: 6}))
+	o.step(TickPeriod)
+	o.step(10*ms, Event{Linked: &Linked{Peer: "c"}})
+	o.step(30*ms, says("c", fleet.ListText{Age: 7500, Digest: listDigest(vms("a", "b", "c")), VMs: vms("a", "b", "c")}))
+	if want := []string{"c", "b c"}; !slices.Equal(o.links, want) || len(o.node.listed) != 3 {
+		t.Fatalf("links %q, want %q; listed %v", o.links, want, o.node.listedNames())
+	}
+	if age := o.node.listAge(); age != 7530*ms {
+		t.Errorf("age %v, want that of the answer and 30 ms since the question", age)
+	}
+	o.step(20*ms, says("d", fleet.ListText{Address: "peer:d", Age: 1, Digest: 7}), says("b", fleet.ListText{Address: "peer:b", Age: 1000, Digest: 7}))
+	o.step(TickPeriod)
+	if last := o.sends[len(o.sends)-1]; last.To != "b" || !last.Message.ListText.Ask {
+		t.Errorf("a younger list of a listed peer was not asked for: %+v", last)
+	}
+}
+
+func TestListIsNotTaken(t *testing.T) {
+	younger := fleet.ListText{Digest: 3, VMs: vms("a", "b", "c", "d")}
+	tests := map[string]struct {
+		asked string
+		from  string
+		says  fleet.ListText
+	}{
+		"not asked":          {from: "b", says: younger},
+		"another was asked":  {asked: "c", from: "b", says: younger},
+		"not on the list":    {asked: "x", from: "x", says: younger},
+		"older than the own": {asked: "b", from: "b", says: fleet.ListText{Age: 60_000, Digest: 3, VMs: younger.VMs}},
+		"without a router":   {asked: "b", from: "b", says: fleet.ListText{Digest: 3, VMs: []fleet.VM{{Name: "stain-1"}}}},
+		"none":               {asked: "b", from: "b", says: fleet.ListText{Digest: 3}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := &told{node: Node{Start: Start{Self: "a", Incarnation: 9}}}
+			o.step(time.Second, Event{List: &List{VMs: vms("a", "b", "c")}})
+			o.step(20*time.Second, says("b", fleet.ListText{Address: "peer:b", Age: 90_000, Digest: 3}))
+			o.node.carried.asking = listAsk{peer: tt.asked, begun: o.now, sent: o.now}
+			o.step(10*ms, says(tt.from, tt.says))
+			if got := o.node.listedNames(); len(got) != 3 {
+				t.Errorf("listed %v", got)
+			}
+		})
+	}
+}
+
+func TestAnswerToAnAsk(t *testing.T) {
+	own := vms("a", "b")
+	large := slices.Clone(own)
+	for i := range 9000 {
+		large = append(large, fleet.VM{Name: fmt.Sprint("stain-", i), Address: strings.Repeat("1", 120)})
+	}
+	tests := map[string]struct {
+		list []fleet.VM
+		ask  fleet.ListText
+		sent int // messages
+		vms  int // VMs in them
+	}{
+		"none":               {list: own, ask: fleet.ListText{}, sent: 1, vms: 2},
+		"older":              {list: own, ask: fleet.ListText{Digest: 5, Age: 60_000}, sent: 1, vms: 2},
+		"older and the same": {list: own, ask: fleet.ListText{Digest: listDigest(own), Age: 60_000}, sent: 1},
+		"younger":            {list: own, ask: fleet.ListText{Digest: 5, Age: 10}, sent: 1},
+		"too large":          {list: large, ask: fleet.ListText{}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := &told{node: Node{Start: Start{Self: "a", Incarnation: 9}}}
+			o.step(time.Second, Event{List: &List{VMs: tt.list}})
+			tt.ask.Ask = true
+			o.step(time.Second, says("b", tt.ask))
+			got := 0
+			for _, s := range o.sends {
+				got += len(s.Message.ListText.VMs)
+			}
+			if len(o.sends) != tt.sent || got != tt.vms {
+				t.Errorf("%d messages with %d VMs, want %d and %d", len(o.sends), got, tt.sent, tt.vms)
+			}
+		})
+	}
+}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -45,6 +45,7 @@
 	ticket   uint64
 	listed   map[string]fleet.VM
 	leaving  map[string]bool
+	carried  carried
 	seen     map[string]uint32 // incarnation last heard of each peer
 	live     map[string]bool   // peers last noticed to be live
 
@@ -112,13 +113,13 @@
 	case e.Received != nil:
 		n.receive(e.Received.From, &e.Received.Message)
 	case e.Linked != nil:
-		n.room.Linked(n.now, e.Linked.Peer)
+		n.linked(e.Linked.Peer)
 	case e.Offer != nil:
 		n.offer(e.Offer.Version, e.Offer.Text, platform)
 	case e.Asked != nil:
 		n.keeper.AskedPlatform()
 	case e.List != nil:
-		n.list(e.List.VMs)
+		n.offerList(e.List.VMs)
 	case e.Load != nil:
 		n.load(e.Load)
 	case e.Drain != nil:
@@ -132,6 +133,7 @@
 	n.reader = n.members.Reader(n.now)
 	n.settle()
 	n.askConfig()
+	n.askList()
 	n.holdKeys()
 	n.expireOpens()
 	n.dropIdleCells()
@@ -159,6 +161,7 @@
 	if paused := n.now - n.lastStep; paused > fleet.SilenceLimit && n.lastStep > 0 {
 		n.count("paused")
 		n.members.Woke(n.now)
+		n.keeper.Begin(n.now)
 		n.notice(Notice{Kind: NoticeWokeLate, After: paused})
 	}
 	n.lastStep = n.now
--- a/core/node/noticekind_string.go
+++ b/core/node/noticekind_string.go
@@ -16,11 +16,12 @@
 	_ = x[NoticeWokeLate-5]
 	_ = x[NoticePeerLive-6]
 	_ = x[NoticePeerLost-7]
+	_ = x[NoticeListFromPeer-8]
 }
 
-const _NoticeKind_name = "noneconfiguration in forceconfiguration refusedreadyscheduling cellwoke latepeer livepeer lost"
+const _NoticeKind_name = "noneconfiguration in forceconfiguration refusedreadyscheduling cellwoke latepeer livepeer lostlist from peer"
 
-var _NoticeKind_index = [...]uint8{0, 4, 26, 47, 52, 67, 76, 85, 94}
+var _NoticeKind_index = [...]uint8{0, 4, 26, 47, 52, 67, 76, 85, 94, 108}
 
 func (i NoticeKind) String() string {
 	idx := int(i) - 0
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -15,9 +15,15 @@
 	n.do(Effect{Send: &Send{To: to, Message: m}})
 }
 
+// heeds says whether a peer's message counts: it is listed, or there is no list yet and it may bring one.
+func (n *Node) heeds(from string, m *fleet.Message) bool {
+	_, listed := n.listed[from]
+	return listed || len(n.listed) == 0 && m.ListText != nil
+}
+
 // receive handles one message; those of an earlier incarnation or of a VM that is not listed are dropped.
 func (n *Node) receive(from string, m *fleet.Message) {
-	if _, listed := n.listed[from]; !listed {
+	if !n.heeds(from, m) {
 		n.count("peers.notListed")
 		return
 	}
@@ -48,6 +54,8 @@
 		n.answerConfig(from, m.ConfigAsk.After)
 	case m.ConfigText != nil:
 		n.offer(m.ConfigText.Version, m.ConfigText.Text, from)
+	case m.ListText != nil:
+		n.listText(from, m.ListText)
 	}
 }
 
@@ -75,6 +83,7 @@
 	n.seen[from] = incarnation
 	if known {
 		n.forget(from)
+		delete(n.carried.told, from)
 	}
 	return true
 }
@@ -94,40 +103,5 @@
 	}
 }
 
-// list applies the platform's list of VMs.
-func (n *Node) list(vms []fleet.VM) {
-	addresses := map[string]string{}
-	listed := map[string]fleet.VM{}
-	leaving := map[string]bool{}
-	for _, v := range vms {
-		switch {
-		case v.Router:
-			listed[v.Name] = v
-			if v.Name != n.Start.Self {
-				addresses[v.Name] = v.Address
-			}
-		case v.State == fleet.VMLeaving:
-			leaving[v.Name] = true
-		}
-	}
-	if len(listed) == 0 {
-		n.count("list.empty") // a list without any router is a fault of the platform
-		return
-	}
-	n.do(Effect{Links: &Links{Addresses: addresses}})
-	for _, name := range n.listedNames() {
-		if _, still := listed[name]; !still {
-			n.keeper.Gone(name)
-			n.forget(name)
-		}
-	}
-	n.listed, n.leaving = listed, leaving
-	n.members.List(n.now, vms)
-	n.configureCells()
-}
-
-// listedNames gives all listed routers, ascending.
-func (n *Node) listedNames() []string { return slices.Sorted(maps.Keys(n.listed)) }
-
 // sorted gives the names of a set, ascending, so that no step depends on the order of a map.
 func sorted(set map[string]bool) []string { return slices.Sorted(maps.Keys(set)) }
