Test carried lists that differ against the majority rule

Cause: a router that starts empty may now get its list from a peer, so two sides of a partition can act on different lists with routers that remember no other. Before: no test of such starts. After: every split of six routers is tried; with one router more or less none has two holders, with one replaced some have, as the design note says. Conclusion: a carried list needs no more than the note assumes of every list, that two in use differ by one router.

--- a/core/member/list_test.go
+++ b/core/member/list_test.go
@@ -39,6 +39,62 @@
 	}
 }
 
+// TestCarriedListsThatDiffer starts some routers empty with a newer list than the others have, in every split that a partition
+// can make. One holder at most is promised while the lists differ by one router; beyond that two are possible.
+func TestCarriedListsThatDiffer(t *testing.T) {
+	all := []string{"r1", "r2", "r3", "r4", "r5", "r6"}
+	tests := map[string]struct {
+		older, newer []string
+		broken       bool // some split has two holders
+	}{
+		"same":                  {older: all, newer: all},
+		"one more":              {older: all[:5], newer: all},
+		"one less":              {older: all, newer: all[:5]},
+		"one more, even":        {older: all[:4], newer: all[:5]},
+		"one less, even":        {older: all[:5], newer: all[1:5]},
+		"one replaced":          {older: all[:5], newer: all[1:], broken: true},
+		"two replaced":          {older: all[:4], newer: all[2:], broken: true},
+		"two more at both ends": {older: all[1:5], newer: all},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			faults := 0
+			for split := range 1 << len(all) {
+				if d := startSplit(t, split, tt.older, tt.newer); d.fault != "" {
+					faults++
+					if !tt.broken {
+						t.Errorf("split %06b: %s", split, d.fault)
+					}
+				}
+			}
+			if tt.broken && faults == 0 {
+				t.Error("no split has two holders, so the test shows nothing of the lists that it says are safe")
+			}
+		})
+	}
+}
+
+// startSplit cuts the fleet in two; those of the split are started empty and have the newer list.
+func startSplit(t *testing.T, split int, older, newer []string) *driver {
+	d := newDriver(t, uint64(split), 6)
+	in := func(i int) bool { return split&(1<<i) != 0 }
+	for i, n := range d.nodes {
+		n.members = &Members{Self: n.name, DataCentre: "lahore", Incarnation: n.incarnation}
+		list := older
+		if in(i) {
+			list = newer
+		}
+		n.members.List(0, d.vms(list...))
+		for j, o := range d.nodes {
+			if in(i) != in(j) {
+				d.cut[[2]string{n.name, o.name}] = true
+			}
+		}
+	}
+	d.run(1500 * time.Millisecond)
+	return d
+}
+
 func TestList(t *testing.T) {
 	router := func(name string) fleet.VM { return fleet.VM{Name: name, Router: true, DataCentre: "clew"} }
 	tests := map[string]struct {
