Hold grants of a starting router until it has its peers' rules

Cause: a router may be named scheduler of a cell before it is ready. With a stale platform it then had older rules in force than the routers that ask it, and granted by their servers and limits. Ruled out: keeping starting routers out of views until they are ready, as a fleet that starts whole would have no view; holding grants of any router that is behind, which would pause cells at each publication. Before: TestNoGrantsUnderOlderRules grants with version 1 in force while the asking peer has 2. After: it grants nothing until the peer's version is in force or refused here; with equal versions it grants as before. The tests of core/node, core/conf, core/trace and core/member pass, and TestConfiguration, TestStartEmptyWithoutPlatform and TestAtMostOnceWhenAllRestartEmpty of stage/proof, one run each. Conclusion: rules that a lender has in force bind the scheduler that it lends itself to, also just after a start.

--- a/core/node/cells.go
+++ b/core/node/cells.go
@@ -132,9 +132,13 @@
 	return local
 }
 
-// grant sends what the schedulers decide; it says whether any of it was for this router itself.
+// grant sends what the schedulers decide; it says whether any of it was for this router itself. A router that has just started
+// decides nothing while it waits for rules that a peer has in force already.
 func (n *Node) grant() bool {
 	local := false
+	if !n.settled && n.keeper.Behind(n.now) {
+		return false
+	}
 	for _, id := range n.order {
 		c := n.cells[id]
 		if c.lenders == 0 {
--- a/core/node/empty_test.go
+++ b/core/node/empty_test.go
@@ -349,3 +349,47 @@
 		}
 	}
 }
+
+// TestNoGrantsUnderOlderRules has a starting router asked to schedule while a peer that it heard has newer rules than the platform's.
+func TestNoGrantsUnderOlderRules(t *testing.T) {
+	tests := map[string]struct {
+		peer   uint64 // version in force at the peer
+		grants bool
+	}{
+		"same":  {peer: 1, grants: true},
+		"newer": {peer: 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := &Node{Start: Start{Self: "a", DataCentre: "clew", Incarnation: 9, Alone: true}}
+			text := "dataCentre clew in # a\nproduct pool model # a\n" +
+				"server p-1 product pool dataCentre clew address 127.0.0.1:1 limit 8 # a\n"
+			cell := fleet.Cell{Product: "pool"}
+			from := func(m fleet.Message) Event {
+				m.Incarnation = 5
+				return Event{Received: &Received{From: "b", Message: m}}
+			}
+			granted := false
+			now := time.Second
+			step := func(events ...Event) {
+				now += 50 * ms
+				for _, e := range n.Step(now, time.Unix(1_700_000_000, 0).Add(now), events) {
+					granted = granted || e.Send != nil && e.Send.Message.Grants != nil && len(e.Send.Message.Grants.Grants) > 0
+				}
+			}
+			step(Event{List: &List{VMs: vms("a", "b", "c")}}, Event{Offer: &Offer{Version: 1, Text: []byte(text)}})
+			for i := range int64(10) {
+				step(
+					from(fleet.Message{Stamp: 100 * i, Heartbeat: &fleet.Heartbeat{ConfigVersion: tt.peer}}),
+					from(fleet.Message{Stamp: 100*i + 1, Demand: &fleet.Demand{
+						Cell: cell, Seq: uint64(i + 1), Full: true, Waiting: []fleet.TeamDemand{{Team: "carpenters", Waiting: 1, Estimate: 1}},
+					}}),
+					Event{Load: &Load{Cell: cell, Report: fleet.Load{Server: "p-1", Limit: 8}}},
+				)
+			}
+			if n.settled || granted != tt.grants {
+				t.Errorf("settled %v, granted %v", n.settled, granted)
+			}
+		})
+	}
+}
