Spread the askers of lists, and bound the bytes of one

Cause: all routers that start at once would have asked the one peer whose list is youngest by a few ms. Ruled out: a random choice, as the core takes no random numbers from outside; choosing by age alone. Before: 90 starting routers all ask the same peer. After: lists within 1 s of the youngest count alike, and each of three such peers is asked by less than 61 of 90 in TestAskersOfListsSpread.

--- a/core/node/list.go
+++ b/core/node/list.go
@@ -19,7 +19,7 @@
 	listAskLimit = time.Second
 	// listShun is how long a peer that did not answer is passed over.
 	listShun = 2 * time.Second
-	// listMargin is how much younger a peer's list must be for a router that has a carried one to ask for it.
+	// listMargin is how much younger a list must be to be asked for before another.
 	listMargin = time.Second
 )
 
@@ -238,20 +238,30 @@
 	n.do(Effect{Links: &Links{Addresses: map[string]string{peer: n.carried.told[peer].address}}})
 }
 
-// youngest gives the peer that told of the youngest list, if that is worth asking for.
+// youngest gives a peer that told of the youngest list, if that is worth asking for. Lists that differ by less than listMargin
+// count alike, so that many routers that start at once do not all ask the same peer.
 func (n *Node) youngest() string {
 	c := &n.carried
-	var best string
-	for _, name := range slices.Sorted(maps.Keys(c.told)) {
+	worth := slices.DeleteFunc(slices.Sorted(maps.Keys(c.told)), func(name string) bool {
 		p := c.told[name]
-		if p.shunned > n.now || c.digest != 0 && n.now-p.read+listMargin > n.listAge() {
-			continue
-		}
-		if best == "" || p.read > c.told[best].read {
-			best = name
-		}
+		return p.shunned > n.now || c.digest != 0 && n.now-p.read+listMargin > n.listAge()
+	})
+	if len(worth) == 0 {
+		return ""
+	}
+	latest := c.told[worth[0]].read
+	for _, name := range worth {
+		latest = max(latest, c.told[name].read)
 	}
-	return best
+	worth = slices.DeleteFunc(worth, func(name string) bool { return c.told[name].read < latest-listMargin })
+	return n.spread(worth, 0)
+}
+
+// spread takes one of some peers by a hash of this router's name and a number.
+func (n *Node) spread(peers []string, number uint64) string {
+	h := fnv.New64a()
+	_, _ = h.Write(binary.LittleEndian.AppendUint64([]byte(n.Start.Self), number))
+	return peers[h.Sum64()%uint64(len(peers))]
 }
 
 // anyPeer gives another live peer each time, in an order of its own at each router.
@@ -261,9 +271,7 @@
 		return ""
 	}
 	n.carried.round++
-	h := fnv.New64a()
-	_, _ = h.Write(binary.LittleEndian.AppendUint64([]byte(n.Start.Self), n.carried.round))
-	return live[h.Sum64()%uint64(len(live))]
+	return n.spread(live, n.carried.round)
 }
 
 // listDigest is a hash of a list; the order counts, and it is never 0.
--- a/core/node/list_test.go
+++ b/core/node/list_test.go
@@ -131,6 +131,25 @@
 	}
 }
 
+// TestAskersOfListsSpread has many routers hear of lists that are about as young; one that is much older is not asked for.
+func TestAskersOfListsSpread(t *testing.T) {
+	asked := map[string]int{}
+	for i := range 90 {
+		o := &told{node: Node{Start: Start{Self: fmt.Sprint("a", i), Incarnation: 9}}}
+		o.step(time.Second)
+		for j, name := range []string{"b", "c", "d", "e"} {
+			o.step(ms, says(name, fleet.ListText{Address: "peer:" + name, Age: []int64{100, 500, 900, 2000}[j], Digest: 5}))
+		}
+		o.step(TickPeriod)
+		asked[o.links[0]]++
+	}
+	for peer, count := range asked {
+		if count > 60 || len(asked) != 3 {
+			t.Errorf("%s is asked by %d of 90; all: %v", peer, count, asked)
+		}
+	}
+}
+
 func TestListIsNotTaken(t *testing.T) {
 	younger := fleet.ListText{Digest: 3, VMs: vms("a", "b", "c", "d")}
 	tests := map[string]struct {
--- a/router/wire/wire_test.go
+++ b/router/wire/wire_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -115,6 +116,30 @@
 	}
 }
 
+// TestListOfLaterSize logs the bytes of a list of 470 routers and 3,200 engines.
+func TestListOfLaterSize(t *testing.T) {
+	l := &fleet.ListText{Age: 10_000, Digest: 1}
+	for i := range 470 {
+		l.VMs = append(l.VMs, fleet.VM{
+			Name: fmt.Sprintf("router-faisalabad-%d", i), Address: fmt.Sprintf("10.20.%d.%d:7000", i/250, i%250),
+			Admin: fmt.Sprintf("10.20.%d.%d:7001", i/250, i%250), DataCentre: "faisalabad", Router: true,
+		})
+	}
+	for i := range 3200 {
+		l.VMs = append(l.VMs, fleet.VM{
+			Name: fmt.Sprintf("stain-llm-faisalabad-%d", i), Address: fmt.Sprintf("10.21.%d.%d:8000", i/250, i%250), DataCentre: "faisalabad",
+		})
+	}
+	whole := proto.Size(Encode(&fleet.Message{Incarnation: 1, Stamp: 1e9, Echo: 1e9, Echoed: 1, ListText: l}))
+	told := proto.Size(Encode(&fleet.Message{Incarnation: 1, Stamp: 1e9, Echo: 1e9, Echoed: 1, ListText: &fleet.ListText{
+		Address: l.VMs[0].Address, Age: l.Age, Digest: l.Digest,
+	}}))
+	t.Logf("%d bytes whole, %d to tell of it", whole, told)
+	if whole > MaxMessage/4 || told > 100 {
+		t.Error("too large")
+	}
+}
+
 // FuzzDecode checks that no bytes of a peer make the router fail, and that what is accepted survives a round trip.
 func FuzzDecode(f *testing.F) {
 	for _, m := range samples() {
