--- a/stage/proof/empty_test.go
+++ b/stage/proof/empty_test.go
@@ -45,6 +45,42 @@
 	watched()
 }
 
+// A fleet of which no router remembers anything has nobody to learn from: it serves nobody without the platform, and takes a
+// stale one at its word. Only a version above all earlier ones repairs that.
+func TestWholeFleetStartsEmpty(t *testing.T) {
+	f := start(t, settings(local.Carraig()))
+	text := fmt.Sprintf("# edition 2\n%s", f.Rules())
+	second, err := f.Publish(text, "")
+	must(t, err)
+	inForce(t, f, confLimit, second)
+	must(t, f.SteerPlatform("down?on=true"))
+	must(t, f.SteerPlatform("down-list?on=true"))
+	for _, r := range f.Routers {
+		must(t, r.Kill())
+	}
+	for _, r := range f.Routers {
+		must(t, r.Start())
+	}
+	elapse(t, 2*time.Second)
+	for _, r := range f.Routers {
+		status, err := r.Status()
+		must(t, err)
+		a := do(t.Context(), call{router: r, team: f.Site.Teams[0], method: http.MethodGet, path: "/" + f.Site.Plain + f.Site.Harmless + "1"})
+		if status.Ready || status.ConfigVersion != 0 || len(status.Peers) != 0 || a.refusal.Reason != "notReady" || !a.refusal.NotRun {
+			t.Errorf("%s knows nothing, yet it says %+v and answers %d %s", r.Name, status, a.status, a.body)
+		}
+	}
+	must(t, f.SteerPlatform("serve?version=1"))
+	must(t, f.SteerPlatform("down?on=false"))
+	must(t, f.SteerPlatform("down-list?on=false"))
+	must(t, f.WaitReady(readyLimit))
+	inForce(t, f, 0, 1)
+	must(t, f.SteerPlatform("serve?version=0"))
+	third, err := f.Publish(text, "")
+	must(t, err)
+	inForce(t, f, readyLimit, third)
+}
+
 // restartEmpty kills a router, starts it anew, and wants it to serve under a version in time.
 func restartEmpty(t *testing.T, f *local.Fleet, r *local.Router, version uint64) {
 	t.Helper()
