Let a starting router wait for a newer version that it knows of

Cause: a router that had heard of a newer version forgot it when the peers that had it fell silent for 2 s, and was ready under a stale platform's version at 3 s: it served under rules that it knew to be replaced. Ruled out: waiting for ever, as the version may be lost with its last holder and the platform stale for long; then no router that heard of it would serve again before a new version is published. Before: the case of TestSettled wanted the router settled at 3 s; the rule that a version in force never falls says otherwise, so the case was wrong. It now wants it unsettled then, and settled after 30 s, which is stricter; with the old code it fails. After: such a router waits up to 30 s. Conclusion: a known version is passed over only when nobody that had it is heard for 30 s.

--- a/core/conf/keeper_test.go
+++ b/core/conf/keeper_test.go
@@ -216,7 +216,17 @@
 			prepare: func(k *Keeper) { k.AskedPlatform(); k.Offer(0, 4, bad(4), ""); k.Heard(0, "r2", 4) }, want: true,
 		},
 		"the peer with a newer one fell silent": {
-			prepare: func(k *Keeper) { k.AskedPlatform(); k.Heard(0, "r2", 4) }, now: SettleLimit, want: true,
+			prepare: func(k *Keeper) { k.AskedPlatform(); k.Heard(0, "r2", 4) }, now: SettleLimit,
+		},
+		"the peer with a newer one stays silent": {
+			prepare: func(k *Keeper) { k.AskedPlatform(); k.Heard(0, "r2", 4) }, now: LostLimit + time.Millisecond, want: true,
+		},
+		"the peer with a newer one is silent, the version came": {
+			prepare: func(k *Keeper) { k.AskedPlatform(); k.Heard(0, "r2", 4); k.Offer(0, 4, text(4), "r3") }, want: true,
+		},
+		"peers known late": {prepare: func(k *Keeper) { k.AskedPlatform(); k.Begin(time.Minute) }, now: time.Minute + SettleLimit - 1},
+		"peers known late stay silent": {
+			prepare: func(k *Keeper) { k.AskedPlatform(); k.Begin(time.Minute) }, now: time.Minute + SettleLimit, want: true,
 		},
 		"the peer with a newer one is gone": {
 			prepare: func(k *Keeper) { k.AskedPlatform(); k.Heard(0, "r2", 4); k.Gone("r2") }, now: SettleLimit, want: true,
--- a/core/conf/peers.go
+++ b/core/conf/peers.go
@@ -16,6 +16,8 @@
 	ClaimLife = 2 * time.Second
 	// SettleLimit is how long a router waits for peers that say nothing.
 	SettleLimit = 3 * time.Second
+	// LostLimit is how long a router that starts waits for a newer version that only peers which fell silent had.
+	LostLimit = 30 * time.Second
 )
 
 // claim is what a peer's heartbeat said last.
@@ -124,9 +126,12 @@
 func (k *Keeper) Begin(now time.Duration) { k.begun = now }
 
 // Behind reports whether a peer that was lately heard has a newer version in force that was not refused here.
-func (k *Keeper) Behind(now time.Duration) bool {
+func (k *Keeper) Behind(now time.Duration) bool { return k.behind(now, ClaimLife) }
+
+// behind reports whether a peer that was heard within a time had a newer version in force that was not refused here.
+func (k *Keeper) behind(now, within time.Duration) bool {
 	for _, c := range k.claims {
-		if k.news(c.version) && !c.stale(now) {
+		if k.news(c.version) && now-c.heard <= within {
 			return true
 		}
 	}
@@ -136,7 +141,7 @@
 // Settled reports whether a router that started empty may serve: something is in force, the platform was asked,
 // every live peer has told its version (or SettleLimit has passed), and nothing newer is known to be in force elsewhere.
 func (k *Keeper) Settled(now time.Duration, live []string) bool {
-	if k.current == nil || k.Behind(now) {
+	if k.current == nil || k.behind(now, LostLimit) {
 		return false
 	}
 	if now >= k.begun+SettleLimit {
--- a/core/node/empty_test.go
+++ b/core/node/empty_test.go
@@ -245,6 +245,7 @@
 		"both down":                 {disturb: func(w *world) { w.listDown, w.rulesDown = true, true }},
 		"rules stale":               {disturb: func(w *world) { w.served = 1 }},
 		"rules stale, list down":    {disturb: func(w *world) { w.served = 1; w.listDown = true }},
+		"a peer is dead":            {disturb: func(w *world) { w.listDown, w.rulesDown, w.routers[1].alive = true, true, false }},
 		"down for a minute":         {disturb: func(w *world) { w.listDown, w.rulesDown = true, true; w.run(time.Minute) }},
 		"another started just then": {disturb: func(w *world) { w.listDown, w.rulesDown = true, true; w.start(w.routers[1]) }},
 	}
