--- a/core/node/node.go
+++ b/core/node/node.go
@@ -114,6 +114,9 @@
 		n.receive(e.Received.From, &e.Received.Message)
 	case e.Linked != nil:
 		n.linked(e.Linked.Peer)
+	case e.Refused != nil:
+		n.count("peers.refused")
+		n.members.Refused(n.now, e.Refused.Peer)
 	case e.Offer != nil:
 		n.offer(e.Offer.Version, e.Offer.Text, platform)
 	case e.Asked != nil:
--- a/core/sched/scheduler_test.go
+++ b/core/sched/scheduler_test.go
@@ -42,7 +42,7 @@
 	s := newScheduler(twoServers(), "r1")
 	s.Take(0, "r1", "clew", 7, full(1, fleet.TeamDemand{Team: "skippers", Waiting: 1}))
 	want := []Batch{{To: "r1", Grants: fleet.Grants{Term: term, Basis: 7, Grants: []fleet.Grant{
-		{ID: term<<counterBits + 1, Team: "skippers", Server: "clew-1", Address: "127.0.0.1:2"},
+		{ID: term<<fleet.TermShift + 1, Team: "skippers", Server: "clew-1", Address: "127.0.0.1:2"},
 	}}}}
 	if diff := cmp.Diff(want, s.Next(0)); diff != "" {
 		t.Errorf("grants differ (-want +got):\n%s", diff)
@@ -106,6 +106,60 @@
 	}
 }
 
+func TestUnreachedServerIsAvoided(t *testing.T) {
+	s := newScheduler(twoServers(), "r1", "r2")
+	s.Take(0, "r2", "killary", 0, full(1))
+	s.Take(0, "r1", "clew", 0, full(1, fleet.TeamDemand{Team: "skippers", Waiting: 1}))
+	first := s.Next(0)[0].Grants.Grants[0]
+	s.Take(1, "r1", "clew", 0, fleet.Demand{
+		Seq: 2, SeenTerm: term, Seen: first.ID, Done: []fleet.Done{{Grant: first.ID, Outcome: fleet.OutcomeUnreached}},
+		Waiting: []fleet.TeamDemand{{Team: "skippers", Waiting: 1}},
+	})
+	if second := s.Next(1)[0].Grants.Grants[0]; first.Server != "clew-1" || second.Server != "killary-1" {
+		t.Errorf("granted on %s and, when it could not be reached, on %s", first.Server, second.Server)
+	}
+}
+
+func TestOrphansWithoutReports(t *testing.T) {
+	s := newScheduler(twoServers()[:1], "r1", "r2")
+	s.Take(0, "r2", "killary", 0, full(1, fleet.TeamDemand{Team: "skippers", Waiting: 1}))
+	s.Take(0, "r1", "clew", 0, full(1))
+	s.Next(0)
+	s.Forget(0, "r2")
+	s.Lend(0, []string{"r1"}, 1)
+	for now := time.Duration(0); now < 40*time.Second; now += time.Second {
+		s.LoadFailed(now, "killary-1")
+		s.Take(now, "r1", "clew", now.Milliseconds(), fleet.Demand{
+			Seq: 2 + uint64(now), Waiting: []fleet.TeamDemand{{Team: "farms", Waiting: 1}},
+		})
+		if got, want := count(s.Next(now)), now == defaultStallLimit; (got == 1) != want {
+			t.Fatalf("granted %d at %v beside what a lost router ran", got, now)
+		}
+		if now == defaultStallLimit {
+			return
+		}
+	}
+}
+
+// TestLostGrantIsNotKept has a connection lose a grant and a later acknowledgement cover it.
+func TestLostGrantIsNotKept(t *testing.T) {
+	s := newScheduler(twoServers(), "r1")
+	two := fleet.TeamDemand{Team: "skippers", Waiting: 2}
+	s.Take(0, "r1", "clew", 0, full(1, two))
+	first := s.Next(0)[0].Grants.Grants // lost, and the router tells all again
+	again := full(2, fleet.TeamDemand{Team: "skippers", Waiting: 4})
+	s.Take(1, "r1", "clew", 1, again)
+	s.Take(2, "r1", "clew", 2, fleet.Demand{Seq: 3, SeenTerm: term, Seen: first[1].ID + 1})
+	for now := time.Duration(1); now <= 4; now++ {
+		s.Take(now*time.Second, "r1", "clew", 1000*int64(now), fleet.Demand{Seq: 3 + uint64(now), SeenTerm: term, Seen: first[1].ID + 1})
+		s.Load(now*time.Second, fleet.Load{Server: "clew-1"})
+		s.Load(now*time.Second, fleet.Load{Server: "killary-1"})
+	}
+	if got := count(s.Next(4 * time.Second)); got != 2 {
+		t.Errorf("granted %d after the lost grants, want 2", got)
+	}
+}
+
 func TestOldDemandIsDropped(t *testing.T) {
 	s := newScheduler(twoServers(), "r1")
 	s.Take(0, "r1", "clew", 0, full(5))
--- a/router/wire/check.go
+++ b/router/wire/check.go
@@ -1,10 +1,6 @@
 package wire
 
-import (
-	"fmt"
-
-	"mangolug.org/core/fleet"
-)
+import "fmt"
 
 // Bounds on what a peer may send.
 const (
@@ -47,12 +43,12 @@
 	return s
 }
 
-// text is a field that may be empty.
-func (c *checker) text(field, s string) string {
-	if len(s) > fleet.MaxField {
-		c.refuse(field, s[:fleet.MaxField])
+// bounded accepts a name that may be left out.
+func (c *checker) bounded(field, s string) string {
+	if s == "" {
+		return s
 	}
-	return s
+	return c.name(field, s)
 }
 
 func (c *checker) count(field string, n int64) int64 {
