--- a/core/node/node.go
+++ b/core/node/node.go
@@ -45,6 +45,7 @@
 	ticket   uint64
 	listed   map[string]fleet.VM
 	leaving  map[string]bool
+	carried  carried
 	seen     map[string]uint32 // incarnation last heard of each peer
 	live     map[string]bool   // peers last noticed to be live
 
@@ -112,7 +113,7 @@
 	case e.Received != nil:
 		n.receive(e.Received.From, &e.Received.Message)
 	case e.Linked != nil:
-		n.room.Linked(n.now, e.Linked.Peer)
+		n.linked(e.Linked.Peer)
 	case e.Refused != nil:
 		n.count("peers.refused")
 		n.members.Refused(n.now, e.Refused.Peer)
@@ -121,7 +122,7 @@
 	case e.Asked != nil:
 		n.keeper.AskedPlatform()
 	case e.List != nil:
-		n.list(e.List.VMs)
+		n.offerList(e.List.VMs)
 	case e.Load != nil:
 		n.load(e.Load)
 	case e.Drain != nil:
@@ -135,6 +136,7 @@
 	n.reader = n.members.Reader(n.now)
 	n.settle()
 	n.askConfig()
+	n.askList()
 	n.holdKeys()
 	n.expireOpens()
 	n.dropIdleCells()
@@ -162,6 +164,7 @@
 	if paused := n.now - n.lastStep; paused > fleet.SilenceLimit && n.lastStep > 0 {
 		n.count("paused")
 		n.members.Woke(n.now)
+		n.keeper.Begin(n.now)
 		n.notice(Notice{Kind: NoticeWokeLate, After: paused})
 	}
 	n.lastStep = n.now
