Hold a router that starts empty to the version in force elsewhere

Cause: TestConfiguration waited for the version in force and would not have seen a router that takes requests under an older one before. Ruled out: looking at every state before readiness; an empty router may hold an older version while it takes no requests.

--- a/stage/proof/conf_test.go
+++ b/stage/proof/conf_test.go
@@ -34,6 +34,7 @@
 	// It serves an older version, and a router starts empty meanwhile.
 	must(t, f.SteerPlatform("serve?version=1"))
 	must(t, f.Routers[1].Restart())
+	readyWith(t, f.Routers[1], second)
 	inForce(t, f, readyLimit, second)
 	elapse(t, time.Second)
 	inForce(t, f, 0, second)
@@ -69,6 +70,24 @@
 	}
 }
 
+// readyWith waits until a router takes requests, which it may not do under an older version than is in force elsewhere.
+func readyWith(t *testing.T, r *local.Router, version uint64) {
+	t.Helper()
+	within(t, readyLimit, func() error {
+		status, err := r.Status()
+		if err != nil {
+			return err
+		}
+		if !status.Ready {
+			return fmt.Errorf("%s is not ready", r.Name)
+		}
+		if status.ConfigVersion < version {
+			t.Errorf("%s takes requests under version %d, %d is in force", r.Name, status.ConfigVersion, version)
+		}
+		return nil
+	})
+}
+
 // refusedEverywhere waits until every router states why it refused the newest version.
 func refusedEverywhere(t *testing.T, f *local.Fleet, version uint64) {
 	t.Helper()
