--- a/stage/proof/trust_test.go
+++ b/stage/proof/trust_test.go
@@ -73,3 +73,47 @@
 		}
 	}
 }
+
+// The fleet's secret is replaced while callers are served: each router takes the new one beside the old,
+// then before it, then alone.
+func TestSecretIsReplacedUnderLoad(t *testing.T) {
+	s := settings(local.Chenab())
+	s.Routers = 2
+	f := start(t, s)
+	l := startLoad(t, f, 6, 0, 20)
+	old := f.Routers[0].Args[slices.Index(f.Routers[0].Args, "--secret")+1]
+	const replacement = "the-secret-that-follows"
+	for _, secrets := range [][]string{{old, replacement}, {replacement, old}, {replacement}} {
+		for _, r := range f.Routers {
+			_, err := r.Stop(stopLimit)
+			must(t, err)
+			r.Args = withSecrets(r.Args, secrets...)
+			must(t, r.Start())
+			must(t, f.WaitReady(readyLimit))
+		}
+	}
+	l.waitFor(t, 10*time.Second, 20, answered)
+	results := l.stop()
+	check(t, f, results)
+	for _, r := range results {
+		if ending(r) != "answered" && !avoidable(r) {
+			t.Errorf("a caller of %s saw %s: %s %v", r.call.router.Name, ending(r), r.answer.body, r.answer.broken)
+		}
+	}
+}
+
+// withSecrets gives a router's arguments with other secrets.
+func withSecrets(args []string, secrets ...string) []string {
+	var changed []string
+	for n := 0; n < len(args); n++ {
+		if args[n] == "--secret" {
+			n++
+			continue
+		}
+		changed = append(changed, args[n])
+	}
+	for _, s := range secrets {
+		changed = append(changed, "--secret", s)
+	}
+	return changed
+}
