--- a/stage/chart/chart_test.go
+++ b/stage/chart/chart_test.go
@@ -8,7 +8,14 @@
 )
 
 func TestSave(t *testing.T) {
-	c := Chart{Title: "gap", Path: filepath.Join(t.TempDir(), "plots", "gap.svg")}
+	for name, log := range map[string]bool{"bars": false, "points": true} {
+		t.Run(name, func(t *testing.T) { save(t, log) })
+	}
+}
+
+func save(t *testing.T, log bool) {
+	t.Helper()
+	c := Chart{Title: "gap", Log: log, Path: filepath.Join(t.TempDir(), "plots", "gap.svg")}
 	c.Add("fair", "balanced", 1)
 	c.Add("alone", "balanced", 4)
 	c.Add("fair", "skewed", 2)
--- a/stage/gauge/gauge.go
+++ b/stage/gauge/gauge.go
@@ -27,6 +27,7 @@
 	Length   time.Duration   `long:"length" default:"10s" description:"how long a run's load lasts"`
 	Warmup   time.Duration   `long:"warmup" default:"5s" description:"left out at a run's start"`
 	Seed     uint64          `long:"seed" default:"1" description:"seed of the first run; the next ones count up"`
+	From     string          `long:"from" value-name:"FILE" description:"take the figures from this file, written by --out, in place of runs"`
 	Out      string          `long:"out" value-name:"FILE" description:"also write every run's figures to this file as JSON"`
 	Plots    string          `long:"plots" value-name:"FOLDER" description:"also draw plots into this folder"`
 	Wait     bool            `long:"wait" description:"wait for what is open at the end, rather than hang up"`
@@ -51,6 +52,13 @@
 }
 
 func gaugeRun(o *Options) error {
+	if o.From != "" {
+		rows, err := read(o.From)
+		if err != nil {
+			return err
+		}
+		return o.write(rows)
+	}
 	cases, err := o.check()
 	if err != nil {
 		return err
@@ -75,6 +83,15 @@
 	return o.write(rows)
 }
 
+func read(name string) ([]*Row, error) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return nil, errors.Wrap(err, "read figures")
+	}
+	var rows []*Row
+	return rows, errors.Wrap(json.Unmarshal(text, &rows), "read figures")
+}
+
 func (o *Options) check() ([]works.Case, error) {
 	if o.Runs < 1 {
 		return nil, errors.Errorf("--runs is %d: give at least 1", o.Runs)
@@ -157,11 +174,11 @@
 // draw draws the gap and the utilisation of every user.
 func draw(folder string, rows []*Row) error {
 	for _, user := range []string{"chenab", "carraig"} {
-		gap := chart.Chart{Title: user + ": fairness gap in 1 s over the pair's mean service", Path: fmt.Sprintf("%s/%s-gap.svg", folder, user)}
+		gap := chart.Chart{Title: user + ": fairness gap over any time, cost units over share", Log: true, Path: fmt.Sprintf("%s/%s-gap.svg", folder, user)}
 		busy := chart.Chart{Title: user + ": utilisation while work waits", Path: fmt.Sprintf("%s/%s-utilisation.svg", folder, user)}
 		for _, r := range rows {
 			if r.User == user && len(r.Runs) > 0 {
-				gap.Add(r.Policy, r.Case, trial.SpreadOf(r.Runs, func(f trial.Figures) float64 { return f.Relative }).Median)
+				gap.Add(r.Policy, r.Case, trial.SpreadOf(r.Runs, func(f trial.Figures) float64 { return f.GapAny }).Median)
 				busy.Add(r.Policy, r.Case, trial.SpreadOf(r.Runs, func(f trial.Figures) float64 { return f.Utilisation }).Median)
 			}
 		}
