Set the knob between utilisation and the gap, and ask new servers' load sooner

Cause: Anticipate could only be set in code; and a new scheduler waited up to 500 ms for the second load report although it may use more of a limit only once a report shows it to be free. Ruled out: a shorter period for all reports, which costs the servers and the network for nothing. Before: one report at once and then each 500 ms.

--- a/core/node/cells.go
+++ b/core/node/cells.go
@@ -32,7 +32,7 @@
 	}
 	c := &cell{asked: n.now, scheduler: &sched.Scheduler{
 		Cell: id, Self: n.Start.Self, DataCentre: n.Start.DataCentre, Term: n.term(), Share: n.share,
-		Settings: sched.Settings{Policy: n.Start.Policy},
+		Settings: sched.Settings{Policy: n.Start.Policy, Anticipate: n.Start.Anticipate},
 	}}
 	n.cells[id] = c
 	n.reorder()
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -16,12 +16,13 @@
 
 // Start holds what a router knows of itself.
 type Start struct {
-	Self        string       `json:"self"`
-	DataCentre  string       `json:"dataCentre"`
-	Incarnation uint32       `json:"incarnation"`
-	Policy      sched.Policy `json:"policy,omitempty"`
-	Alone       bool         `json:"alone,omitempty"` // a baseline: this router schedules all that arrives here, without its peers
-	Seed        uint64       `json:"seed,omitempty"`
+	Self        string        `json:"self"`
+	DataCentre  string        `json:"dataCentre"`
+	Incarnation uint32        `json:"incarnation"`
+	Policy      sched.Policy  `json:"policy,omitempty"`
+	Alone       bool          `json:"alone,omitempty"` // a baseline: this router schedules all that arrives here, without its peers
+	Seed        uint64        `json:"seed,omitempty"`
+	Anticipate  time.Duration `json:"anticipate,omitempty"` // see sched.Settings
 }
 
 // Node is one router's control state; set Start and call Step.
--- a/router/boot/router.go
+++ b/router/boot/router.go
@@ -75,6 +75,7 @@
 		Start: node.Start{
 			Self: s.Name, DataCentre: s.DataCentre, Incarnation: uint32(began.UnixNano() / int64(incarnationStep)),
 			Policy: s.policy(), Alone: s.Policy == "alone", Seed: uint64(began.UnixNano()),
+			Anticipate: s.Anticipate,
 		},
 		Began:  began,
 		Send:   func(peer string, m *fleet.Message) { r.links.Send(peer, wire.Encode(m)) },
--- a/router/boot/settings.go
+++ b/router/boot/settings.go
@@ -14,6 +14,9 @@
 	"mangolug.org/router/peers"
 )
 
+// maxAnticipate bounds how long a free slot may be kept idle on purpose.
+const maxAnticipate = 100 * time.Millisecond
+
 // Settings are a router's flags and environment variables.
 type Settings struct {
 	Name        string        `long:"name" env:"MANGOLUG_NAME" required:"yes" description:"name of this VM on the platform's list"`
@@ -26,6 +29,7 @@
 	Secrets     []string      `long:"secret" env:"MANGOLUG_SECRETS" env-delim:"," required:"yes" description:"fleet secret; the first signs, all are accepted"`
 	Source      string        `long:"source" env:"MANGOLUG_SOURCE" description:"ip that outgoing connections are bound to"`
 	Policy      string        `long:"policy" env:"MANGOLUG_POLICY" default:"fair" choice:"fair" choice:"leastLoaded" choice:"alone" description:"fair, or a baseline to measure against"`
+	Anticipate  time.Duration `long:"anticipate" env:"MANGOLUG_ANTICIPATE" default:"0s" description:"how long a free slot may wait for a team that is behind its share and was just served; narrows the fairness gap, costs utilisation"`
 	DrainDelay  time.Duration `long:"drain-delay" env:"MANGOLUG_DRAIN_DELAY" default:"2s" description:"how long a stopping router still takes callers, while the balancer learns of it"`
 	DrainLimit  time.Duration `long:"drain-limit" env:"MANGOLUG_DRAIN_LIMIT" default:"60s" description:"how long a stopping router lets requests finish"`
 	TraceBytes  int64         `long:"trace-bytes" env:"MANGOLUG_TRACE_BYTES" default:"0" description:"memory, compressed, for a trace of all control decisions since the start; 0 records none"`
@@ -94,6 +98,9 @@
 	if s.DrainDelay < 0 || s.DrainLimit < s.DrainDelay {
 		return &SettingError{"drain-limit", s.DrainLimit.String(), "a duration of at least drain-delay"}
 	}
+	if s.Anticipate < 0 || s.Anticipate > maxAnticipate {
+		return &SettingError{"anticipate", s.Anticipate.String(), "0s to " + maxAnticipate.String()}
+	}
 	if s.TraceBytes < 0 {
 		return &SettingError{"trace-bytes", fmt.Sprint(s.TraceBytes), "0 or a number of bytes"}
 	}
--- a/router/loop/effect.go
+++ b/router/loop/effect.go
@@ -12,6 +12,10 @@
 const (
 	// pollPeriod is the time between two load reports of one backend server.
 	pollPeriod = 500 * time.Millisecond
+	// pollOften is that time for the first reports, as a new scheduler uses more of a limit only once reports show it to be free.
+	pollOften = 100 * time.Millisecond
+	// pollsOften is how many reports are asked for that often.
+	pollsOften = 5
 	// pollTimeout bounds one load report.
 	pollTimeout = 400 * time.Millisecond
 )
@@ -61,9 +65,12 @@
 }
 
 func (l *Loop) pollServer(ctx context.Context, cell fleet.Cell, server, address string) {
-	ticker := time.NewTicker(pollPeriod)
+	ticker := time.NewTicker(pollOften)
 	defer ticker.Stop()
-	for {
+	for polls := 1; ; polls++ {
+		if polls == pollsOften {
+			ticker.Reset(pollPeriod)
+		}
 		asking, cancel := context.WithTimeout(ctx, pollTimeout)
 		report, err := l.LoadOf(asking, server, address)
 		cancel()
