Hand a key slot's records over when a home changes as planned

Cause: a home that changes waits out its guard, as it can't know which keys the former one ran, so every planned stop and start refused new keys for about 4 s. Ruled out: a shorter guard, which rests on the clocks' errors; and trust in the former home's word alone, as a third router may have held the slot since. So the former home names the numbered views by which it was lent the slot, and the new one inherits only if a majority of them passed straight to itself, and the handover is fresh. Questions that found no home are asked again, as nothing was recorded.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -137,12 +137,43 @@
 // KeyClose tells a key's home how its request ended.
 type KeyClose struct {
 	Ticket  uint64     `json:"ticket,omitempty"` // of the KeyOpen that was answered KeyRun, or to no effect of one that was not
+	Router  string     `json:"router,omitempty"` // that was permitted to run the key, when a former home passes the message on; else empty
 	Team    string     `json:"team,omitempty"`
 	Key     string     `json:"key,omitempty"`
 	Outcome KeyVerdict `json:"outcome,omitempty"` // KeyAnswered, KeyUnknown, or KeyRefused when no byte left
 	Answer  Answer     `json:"answer,omitempty"`
 }
 
+// KeyLoan is a router's view by which it lent itself to the home of a key slot.
+type KeyLoan struct {
+	Router      string `json:"router,omitempty"`
+	Incarnation uint64 `json:"incarnation,omitempty"`
+	ViewSeq     uint64 `json:"viewSeq,omitempty"`
+}
+
+// KeyRecord is what a home knows of one key.
+type KeyRecord struct {
+	Team    string     `json:"team,omitempty"`
+	Key     string     `json:"key,omitempty"`
+	Router  string     `json:"router,omitempty"` // that was permitted to run the key
+	Ticket  uint64     `json:"ticket,omitempty"` // of its question
+	Digest  uint64     `json:"digest,omitempty"`
+	Verdict KeyVerdict `json:"verdict,omitempty"`
+	Age     int64      `json:"age,omitempty"` // milliseconds since the permission
+	Answer  Answer     `json:"answer,omitempty"`
+}
+
+// KeyHandover gives what the former home of a key slot knows to the next one, in Parts messages.
+type KeyHandover struct {
+	Slot    int         `json:"slot,omitempty"`
+	Number  uint64      `json:"number,omitempty"` // of this handover in the sender's incarnation
+	Part    int         `json:"part,omitempty"`   // 0 to Parts-1
+	Parts   int         `json:"parts,omitempty"`
+	Since   int64       `json:"since,omitempty"` // milliseconds since 1970: every key run after it is on record or did not run
+	Loans   []KeyLoan   `json:"loans,omitempty"` // counted when the sender last held the slot; in the first part
+	Records []KeyRecord `json:"records,omitempty"`
+}
+
 // ConfigAsk asks a peer for its configuration when newer than After.
 type ConfigAsk struct {
 	After uint64 `json:"after,omitempty"`
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -7,12 +7,13 @@
 	Echo        int64  `json:"echo,omitempty"`   // receiver's stamp last received by the sender; 0 for none
 	Echoed      uint32 `json:"echoed,omitempty"` // incarnation of the receiver that Echo belongs to
 
-	Heartbeat  *Heartbeat  `json:"heartbeat,omitempty"`
-	Demand     *Demand     `json:"demand,omitempty"`
-	Grants     *Grants     `json:"grants,omitempty"`
-	KeyOpen    *KeyOpen    `json:"keyOpen,omitempty"`
-	KeyAnswer  *KeyAnswer  `json:"keyAnswer,omitempty"`
-	KeyClose   *KeyClose   `json:"keyClose,omitempty"`
-	ConfigAsk  *ConfigAsk  `json:"configAsk,omitempty"`
-	ConfigText *ConfigText `json:"configText,omitempty"`
+	Heartbeat   *Heartbeat   `json:"heartbeat,omitempty"`
+	Demand      *Demand      `json:"demand,omitempty"`
+	Grants      *Grants      `json:"grants,omitempty"`
+	KeyOpen     *KeyOpen     `json:"keyOpen,omitempty"`
+	KeyAnswer   *KeyAnswer   `json:"keyAnswer,omitempty"`
+	KeyClose    *KeyClose    `json:"keyClose,omitempty"`
+	KeyHandover *KeyHandover `json:"keyHandover,omitempty"`
+	ConfigAsk   *ConfigAsk   `json:"configAsk,omitempty"`
+	ConfigText  *ConfigText  `json:"configText,omitempty"`
 }
--- a/core/keys/home.go
+++ b/core/keys/home.go
@@ -50,9 +50,11 @@
 // slot says whether and since when this router is a slot's home.
 type slot struct {
 	holds bool
-	since time.Time     // on the wall clock
+	since time.Time     // on the wall clock: of a key that was run after it, this home would have a record
+	wall  time.Time     // begin of the hold on the wall clock
 	begun time.Duration // the same moment on the monotonic clock
 	heard time.Duration // of the last Hold
+	waits time.Duration // until then a handover may come, and nothing is answered
 }
 
 type recordKey struct {
@@ -63,6 +65,7 @@
 // record is one key's request.
 type record struct {
 	key     recordKey
+	slot    int
 	router  string // that was permitted to send the request
 	ticket  uint64 // of its question
 	digest  uint64
@@ -115,7 +118,7 @@
 	case !holds:
 		s.holds = false
 	case !s.holds:
-		*s = slot{holds: true, since: wall, begun: now}
+		*s = slot{holds: true, since: wall, wall: wall, begun: now}
 	default:
 		h.check(now, number, wall)
 	}
@@ -125,10 +128,10 @@
 // check begins the hold of a slot anew when the wall clock moved otherwise than the monotonic clock since.
 func (h *Home) check(now time.Duration, number int, wall time.Time) {
 	s := &h.slots[number]
-	moved := wall.Sub(s.since) - (now - s.begun)
+	moved := wall.Sub(s.wall) - (now - s.begun)
 	if moved.Abs() > h.Settings.ClockError {
 		h.ClockJumps++
-		s.since, s.begun = wall, now
+		s.since, s.wall, s.begun = wall, wall, now
 	}
 }
 
@@ -148,7 +151,7 @@
 		return refused(fleet.KeyRefused, fleet.ReasonKeyInvalid)
 	}
 	number := Slot(o.Team, o.Key)
-	if !h.holds(now, number) {
+	if !h.holds(now, number) || h.Waits(now, number) {
 		return refused(fleet.KeyRefused, fleet.ReasonNoMajority)
 	}
 	h.check(now, number, wall)
@@ -161,7 +164,7 @@
 		return refused(fleet.KeyRefused, fleet.ReasonKeyInvalid)
 	case !minted.After(h.slots[number].since.Add(h.Guard())), minted.Before(wall.Add(-h.oldest())):
 		return refused(fleet.KeyUnknown, fleet.ReasonKeyTooOld)
-	case !h.begin(now, &record{key: key, router: from, ticket: o.Ticket, digest: o.Digest}):
+	case !h.begin(now, &record{key: key, slot: number, router: from, ticket: o.Ticket, digest: o.Digest}):
 		return refused(fleet.KeyRefused, fleet.ReasonTooManyOpen)
 	}
 	return fleet.KeyAnswer{Ticket: o.Ticket, Verdict: fleet.KeyRun, Reason: fleet.ReasonGranted}
@@ -220,12 +223,12 @@
 }
 
 // Close records how a key's request ended; it has no effect unless it belongs to the question that was answered KeyRun:
-// a router that asked in vain, or no longer waits, must not end another router's attempt.
-func (h *Home) Close(_ time.Duration, from string, c fleet.KeyClose) {
+// a router that asked in vain, or no longer waits, must not end another router's attempt. It reports whether it changed a record.
+func (h *Home) Close(_ time.Duration, from string, c fleet.KeyClose) bool {
 	h.init()
 	r := h.records[recordKey{c.Team, strings.ToLower(c.Key)}]
-	if r == nil || r.verdict == fleet.KeyAnswered || r.router != from || r.ticket != c.Ticket {
-		return
+	if r == nil || r.verdict == fleet.KeyAnswered || r.router != from || r.ticket != c.Ticket || r.verdict == c.Outcome {
+		return false
 	}
 	switch c.Outcome {
 	case fleet.KeyRefused:
@@ -234,7 +237,10 @@
 		h.keep(r, c.Answer)
 	case fleet.KeyUnknown:
 		r.verdict = fleet.KeyUnknown
+	default:
+		return false
 	}
+	return true
 }
 
 func (h *Home) keep(r *record, a fleet.Answer) {
--- a/core/member/beat.go
+++ b/core/member/beat.go
@@ -58,6 +58,7 @@
 	p.answer = p.answer || !slices.Equal(p.views.latest(), view)
 	p.stamp, p.echo = stamp, echo
 	p.views = p.views.take(now, stamp, view, h.ViewAge)
+	p.trail = p.trail.add(h.ViewSeq, view)
 	p.draining, p.version = h.Draining, h.ConfigVersion
 	p.heard, p.heardEver = now, true
 	if echo > 0 {
@@ -70,7 +71,7 @@
 func (p *peer) restart(now time.Duration, incarnation uint64) {
 	p.incarnation, p.begun = incarnation, now
 	p.stamp, p.echo, p.acked = 0, 0, 0
-	p.views = nil
+	p.views, p.trail = nil, nil
 	p.sentEver = false
 }
 
@@ -116,7 +117,7 @@
 
 // heartbeat gives what this router tells its peers.
 func (m *Members) heartbeat(now time.Duration) fleet.Heartbeat {
-	h := fleet.Heartbeat{View: m.views.latest(), ConfigVersion: m.ConfigVersion, Draining: m.draining}
+	h := fleet.Heartbeat{View: m.views.latest(), ConfigVersion: m.ConfigVersion, Draining: m.draining, ViewSeq: m.viewSeq}
 	if n := len(m.views); n > 0 {
 		age := now - m.views[n-1].since
 		if m.sole {
--- a/core/member/members.go
+++ b/core/member/members.go
@@ -42,6 +42,8 @@
 	peers    map[string]*peer
 	byHash   map[uint32]*peer
 	views    history // of this router's own view
+	viewSeq  uint64  // counts its changes
+	trail    trail   // of them
 	interned [][]uint32
 	draining bool
 
@@ -76,7 +78,8 @@
 	stamp       int64         // newest received
 	echo        int64         // own stamp that the newest heartbeat echoed; 0 for none
 	acked       int64         // newest own stamp known to have been taken by this incarnation
-	answer      bool          // its view changed, so it waits for an echo
+	trail       trail
+	answer      bool // its view changed, so it waits for an echo
 	views       history
 	draining    bool
 	version     uint64
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -165,6 +165,8 @@
 	}
 	m.views = m.views.add(epoch{view: view, since: now, adjoins: len(m.views) > 0, begin: begin}, now)
 	m.sole = false
+	m.viewSeq++
+	m.trail = m.trail.add(m.viewSeq, view)
 	return true
 }
 
--- a/core/node/keys.go
+++ b/core/node/keys.go
@@ -8,6 +8,9 @@
 	"mangolug.org/core/keys"
 )
 
+// askAgainPeriod is the time between two questions of a key that has no home.
+const askAgainPeriod = 50 * time.Millisecond
+
 // keyName is a team's idempotency key.
 type keyName struct {
 	team, key string
@@ -19,11 +22,16 @@
 	open  fleet.KeyOpen
 	home  string
 	until time.Duration
+	again time.Duration // when to ask again
 }
 
 func (n *Node) openKey(a *KeyAsk) {
+	n.askHome(keyOpening{ask: a.Ask, open: a.Open, until: n.now + fleet.KeyRunLifetime})
+}
+
+// askHome asks the home that this router's view names now, under a new ticket.
+func (n *Node) askHome(o keyOpening) {
 	n.ticket++
-	o := keyOpening{ask: a.Ask, open: a.Open, until: n.now + fleet.KeyRunLifetime}
 	o.open.Ticket = n.ticket
 	o.home = n.members.Holder(keys.Duty(keys.Slot(o.open.Team, o.open.Key)))
 	switch o.home {
@@ -59,12 +67,31 @@
 }
 
 func (n *Node) reply(o keyOpening, a fleet.KeyAnswer) {
+	if a.Verdict == fleet.KeyRefused && a.Reason == fleet.ReasonNoMajority && n.now+askAgainPeriod < o.until {
+		o.again = n.now + askAgainPeriod // nothing was recorded, so it may be asked again
+		n.deferred = append(n.deferred, o)
+		return
+	}
 	if a.Verdict == fleet.KeyRun {
 		n.opened[keyName{o.open.Team, o.open.Key}] = o
 	}
 	n.do(Effect{Key: &KeyReply{Ask: o.ask, Answer: a}})
 }
 
+// askAgain asks anew for the keys that had no home, when it is time or when the own view has changed.
+func (n *Node) askAgain(all bool) {
+	due := 0
+	for due < len(n.deferred) && (all || n.now >= n.deferred[due].again) {
+		due++
+	}
+	asked := slices.Clone(n.deferred[:due])
+	n.deferred = slices.Delete(n.deferred, 0, due)
+	for _, o := range asked {
+		n.count("keys.askedAgain")
+		n.askHome(o)
+	}
+}
+
 // expireOpens refuses what a home has not answered in time.
 func (n *Node) expireOpens() {
 	var late []uint64
@@ -89,6 +116,7 @@
 	n.reply(o, fleet.KeyAnswer{Reason: fleet.ReasonKeyHomeUnreachable})
 }
 
+// closeKey tells how a key's request ended to the home that permitted it, and to the present one, which may have its records.
 func (n *Node) closeKey(c fleet.KeyClose) {
 	name := keyName{c.Team, c.Key}
 	o, found := n.opened[name]
@@ -97,11 +125,30 @@
 	}
 	delete(n.opened, name)
 	c.Ticket = o.open.Ticket
-	if o.home == n.Start.Self {
-		n.home.Close(n.now, n.Start.Self, c)
+	n.sendClose(o.home, c)
+	if holder := n.members.Holder(keys.Duty(keys.Slot(c.Team, c.Key))); holder != o.home && holder != "" {
+		n.sendClose(holder, c)
+	}
+}
+
+func (n *Node) sendClose(home string, c fleet.KeyClose) {
+	if home == n.Start.Self {
+		n.closeHere(n.Start.Self, c)
 		return
 	}
-	n.send(o.home, fleet.Message{KeyClose: &c})
+	n.send(home, fleet.Message{KeyClose: &c})
+}
+
+// closeHere closes a key at the own home, and passes the close on to the router that took over its record.
+func (n *Node) closeHere(from string, c fleet.KeyClose) {
+	if c.Router == "" {
+		c.Router = from
+	}
+	changed := n.home.Close(n.now, c.Router, c)
+	next := n.holds[keys.Slot(c.Team, c.Key)].next
+	if changed && next != "" {
+		n.send(next, fleet.Message{KeyClose: &c})
+	}
 }
 
 // holdKeys tells the home which key slots a majority lends it now.
@@ -111,7 +158,3 @@
 	}
 	n.home.Tick(n.now, n.wall)
 }
-
-func (n *Node) holdSlot(slot int) {
-	n.home.Hold(n.now, slot, n.members.Holds(n.now, keys.Duty(slot)), n.wall)
-}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -43,6 +43,11 @@
 	opens    map[uint64]keyOpening
 	opened   map[keyName]keyOpening // those answered KeyRun
 	ticket   uint64
+	deferred []keyOpening           // refused for want of a home, to be asked again
+	holds    [keys.Slots]keyHold    // of key slots
+	arrivals [keys.Slots]keyArrival // of handovers
+	handed   uint64                 // number of handovers
+	viewSeqs map[string]uint64      // of the views by which key slots were last held
 	listed   map[string]fleet.VM
 	leaving  map[string]bool
 	seen     map[string]uint32 // incarnation last heard of each peer
@@ -72,6 +77,7 @@
 	}
 	n.deliver(n.room.Expire(now))
 	n.beat()
+	n.moveKeys()
 	n.flush()
 	return n.effects
 }
@@ -91,6 +97,7 @@
 	n.listed = map[string]fleet.VM{}
 	n.leaving = map[string]bool{}
 	n.seen = map[string]uint32{}
+	n.viewSeqs = map[string]uint64{}
 	n.live = map[string]bool{}
 }
 
@@ -145,6 +152,9 @@
 	if at, due := n.room.Wake(); due {
 		next = min(next, at)
 	}
+	if len(n.deferred) > 0 {
+		next = min(next, n.deferred[0].again)
+	}
 	for _, c := range n.cells {
 		if at, due := c.scheduler.Wake(); due && c.lenders > 0 {
 			next = min(next, at)
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -43,7 +43,9 @@
 	case m.KeyAnswer != nil:
 		n.answerOpen(*m.KeyAnswer, from)
 	case m.KeyClose != nil:
-		n.home.Close(n.now, from, *m.KeyClose)
+		n.closeHere(from, *m.KeyClose)
+	case m.KeyHandover != nil:
+		n.arrive(from, m)
 	case m.ConfigAsk != nil:
 		n.answerConfig(from, m.ConfigAsk.After)
 	case m.ConfigText != nil:
@@ -57,6 +59,7 @@
 		echo = 0
 	}
 	n.members.Receive(n.now, from, uint64(m.Incarnation), m.Stamp, echo, *m.Heartbeat)
+	n.holdKeysBy(from)
 	n.keeper.Heard(n.now, from, m.Heartbeat.ConfigVersion)
 	for _, id := range n.order {
 		n.cells[id].scheduler.Heard(n.now, from, m.Stamp)
--- a/router/peers/kind.go
+++ b/router/peers/kind.go
@@ -15,7 +15,7 @@
 		return "demand"
 	case *wire.Envelope_Grants:
 		return "grants"
-	case *wire.Envelope_KeyOpen, *wire.Envelope_KeyAnswer, *wire.Envelope_KeyClose:
+	case *wire.Envelope_KeyOpen, *wire.Envelope_KeyAnswer, *wire.Envelope_KeyClose, *wire.Envelope_KeyHandover:
 		return "key"
 	case *wire.Envelope_ConfigAsk, *wire.Envelope_ConfigText:
 		return "config"
--- a/router/wire/message.go
+++ b/router/wire/message.go
@@ -31,7 +31,10 @@
 		k := m.KeyClose
 		e.Body = &Envelope_KeyClose{KeyClose: &KeyClose{
 			Ticket: k.Ticket, Team: k.Team, Key: k.Key, Outcome: int64(k.Outcome), Answer: encodeAnswer(k.Answer),
+			Router: k.Router,
 		}}
+	case m.KeyHandover != nil:
+		e.Body = &Envelope_KeyHandover{KeyHandover: encodeHandover(m.KeyHandover)}
 	case m.ConfigAsk != nil:
 		e.Body = &Envelope_ConfigAsk{ConfigAsk: &ConfigAsk{After: m.ConfigAsk.After}}
 	case m.ConfigText != nil:
@@ -71,6 +74,11 @@
 			Outcome: fleet.KeyVerdict(c.enum("outcome", k.GetOutcome(), int64(fleet.KeyUnknown))),
 			Answer:  decodeAnswer(k.GetAnswer(), &c),
 		}
+		if k.GetRouter() != "" {
+			m.KeyClose.Router = c.name("router", k.GetRouter())
+		}
+	case *Envelope_KeyHandover:
+		m.KeyHandover = decodeHandover(b.KeyHandover, &c)
 	case *Envelope_ConfigAsk:
 		m.ConfigAsk = &fleet.ConfigAsk{After: b.ConfigAsk.GetAfter()}
 	case *Envelope_ConfigText:
--- a/router/wire/wire_test.go
+++ b/router/wire/wire_test.go
@@ -27,9 +27,16 @@
 		"grants": {Grants: &fleet.Grants{Cell: cell, Term: 9, Basis: 88, TellAll: true, Grants: []fleet.Grant{
 			{ID: 78, Team: "carpenters", Server: "stain-1", Address: "127.0.0.1:9101", Fencing: true},
 		}}},
-		"keyOpen":    {KeyOpen: &fleet.KeyOpen{Ticket: 1, Team: "farm", Key: "k", Digest: 8}},
-		"keyAnswer":  {KeyAnswer: &fleet.KeyAnswer{Ticket: 1, Verdict: fleet.KeyAnswered, Reason: fleet.ReasonKeyTooOld, Answer: answer}},
-		"keyClose":   {KeyClose: &fleet.KeyClose{Ticket: 6, Team: "farm", Key: "k", Outcome: fleet.KeyAnswered, Answer: answer}},
+		"keyOpen":   {KeyOpen: &fleet.KeyOpen{Ticket: 1, Team: "farm", Key: "k", Digest: 8}},
+		"keyAnswer": {KeyAnswer: &fleet.KeyAnswer{Ticket: 1, Verdict: fleet.KeyAnswered, Reason: fleet.ReasonKeyTooOld, Answer: answer}},
+		"keyClose":  {KeyClose: &fleet.KeyClose{Ticket: 6, Router: "carraig-1", Team: "farm", Key: "k", Outcome: fleet.KeyAnswered, Answer: answer}},
+		"keyHandover": {KeyHandover: &fleet.KeyHandover{
+			Slot: 5, Number: 2, Part: 1, Parts: 3, Since: 1_800_000_000_000,
+			Loans: []fleet.KeyLoan{{Router: "carraig-1", Incarnation: 3, ViewSeq: 9}},
+			Records: []fleet.KeyRecord{
+				{Team: "farm", Key: "k", Router: "carraig-2", Ticket: 7, Digest: 8, Verdict: fleet.KeyAnswered, Age: 20, Answer: answer},
+			},
+		}},
 		"configAsk":  {ConfigAsk: &fleet.ConfigAsk{After: 4}},
 		"configText": {ConfigText: &fleet.ConfigText{Version: 5, Text: []byte("text")}},
 	}
@@ -67,6 +74,7 @@
 		"huge cost":       {demand(&TeamDemand{Team: "t", Estimate: MaxCount + 1}), "estimate"},
 		"team without":    {demand(&TeamDemand{Waiting: 1}), "team"},
 		"unknown verdict": {&Envelope{Body: &Envelope_KeyAnswer{KeyAnswer: &KeyAnswer{Verdict: 99}}}, "verdict"},
+		"unknown slot":    {&Envelope{Body: &Envelope_KeyHandover{KeyHandover: &KeyHandover{Slot: 64}}}, "slot"},
 		"no cell":         {&Envelope{Body: &Envelope_Grants{Grants: &Grants{}}}, "product"},
 	}
 	for name, c := range cases {
