Bring planned returns into all views together, and wait for a handover

Cause: after a restart a router was live at one peer at once and at another only after being lost and heard again for 0.5 s, so slots were unheld for 0.7 s and handovers older than their bound; and a new home did not wait for a handover when only one of its lenders had named another before. Ruled out: a longer bound alone, as a home that lapsed and holds again could run a key within it. So a home that inherited nothing now runs no key in its first 3 s; only keys minted ahead of its clock are concerned, as the guard refuses all others until then. A peer that drained is live again as soon as its new incarnation is heard and hears; a new link gets a heartbeat at once.

--- a/core/keys/handover.go
+++ b/core/keys/handover.go
@@ -62,7 +62,7 @@
 		return false
 	}
 	s := &h.slots[number]
-	s.waits, s.since = 0, o.Since
+	s.waits, s.since, s.inherited = 0, o.Since, true
 	for i := range o.Records {
 		if r := &o.Records[i]; Slot(r.Team, r.Key) == number {
 			h.adopt(now, number, r)
--- a/core/keys/home.go
+++ b/core/keys/home.go
@@ -31,6 +31,10 @@
 // freedLeast is how many freed records stay in the lists before these are swept.
 const freedLeast = 64
 
+// settleTime is how long a home that took over no records runs nothing. The former home can hold a slot again so that the next
+// one does not notice, but it can't have run a key before; so a handover that is younger holds all that it ran.
+const settleTime = 3 * time.Second
+
 // recordBytes is charged for a record besides its key and its answer.
 const recordBytes = 256
 
@@ -49,12 +53,13 @@
 
 // slot says whether and since when this router is a slot's home.
 type slot struct {
-	holds bool
-	since time.Time     // on the wall clock: of a key that was run after it, this home would have a record
-	wall  time.Time     // begin of the hold on the wall clock
-	begun time.Duration // the same moment on the monotonic clock
-	heard time.Duration // of the last Hold
-	waits time.Duration // until then a handover may come, and nothing is answered
+	holds     bool
+	since     time.Time     // on the wall clock: of a key that was run after it, this home would have a record
+	wall      time.Time     // begin of the hold on the wall clock
+	begun     time.Duration // the same moment on the monotonic clock
+	heard     time.Duration // of the last Hold
+	inherited bool
+	waits     time.Duration // until then a handover may come, and nothing is answered
 }
 
 type recordKey struct {
@@ -131,7 +136,7 @@
 	moved := wall.Sub(s.wall) - (now - s.begun)
 	if moved.Abs() > h.Settings.ClockError {
 		h.ClockJumps++
-		s.since, s.wall, s.begun = wall, wall, now
+		s.since, s.wall, s.begun, s.inherited = wall, wall, now, false
 	}
 }
 
@@ -162,7 +167,7 @@
 	switch {
 	case minted.After(wall.Add(h.Settings.FutureLimit)):
 		return refused(fleet.KeyRefused, fleet.ReasonKeyInvalid)
-	case !minted.After(h.slots[number].since.Add(h.Guard())), minted.Before(wall.Add(-h.oldest())):
+	case !h.settled(now, number), !minted.After(h.slots[number].since.Add(h.Guard())), minted.Before(wall.Add(-h.oldest())):
 		return refused(fleet.KeyUnknown, fleet.ReasonKeyTooOld)
 	case !h.begin(now, &record{key: key, slot: number, router: from, ticket: o.Ticket, digest: o.Digest}):
 		return refused(fleet.KeyRefused, fleet.ReasonTooManyOpen)
@@ -170,6 +175,12 @@
 	return fleet.KeyAnswer{Ticket: o.Ticket, Verdict: fleet.KeyRun, Reason: fleet.ReasonGranted}
 }
 
+// settled reports whether a slot was inherited or has been held for some time.
+func (h *Home) settled(now time.Duration, number int) bool {
+	s := &h.slots[number]
+	return s.inherited || now-s.begun >= settleTime
+}
+
 // oldest is the age above which a key is not run: a record of it might have been forgotten.
 func (h *Home) oldest() time.Duration {
 	return h.Settings.Retention - h.Settings.FutureLimit - 2*h.Settings.ClockError
--- a/core/member/beat.go
+++ b/core/member/beat.go
@@ -73,6 +73,16 @@
 	p.stamp, p.echo, p.acked = 0, 0, 0
 	p.views, p.trail = nil, nil
 	p.sentEver = false
+	if p.draining { // it stopped as planned, so its return is no sign of a bad link
+		p.live, p.liveEver, p.back, p.losses, p.confirmed = false, false, false, 0, 0
+	}
+}
+
+// Linked tells that a stream to a peer was opened: what was sent to it before may be lost, so it gets a heartbeat at once.
+func (m *Members) Linked(peer string) {
+	if p, found := m.peers[peer]; found {
+		p.sentEver = false
+	}
 }
 
 // Tick judges who is live and gives the heartbeats that are due; when the own view changes, each peer is told the old one's end and the new one.
--- a/core/member/trail.go
+++ b/core/member/trail.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"time"
 
 	"mangolug.org/core/fleet"
@@ -93,23 +94,15 @@
 	return loans, m.isMajority(lenders)
 }
 
-// Predecessor gives the router that a majority named for a duty just before they named this one, "" for none.
-func (m *Members) Predecessor(now time.Duration, duty string) string {
+// Preceded reports whether a lender for a duty named another router just before it named this one.
+func (m *Members) Preceded(now time.Duration, duty string) bool {
 	r := ranking{seed: hashText(duty)}
 	lenders, _ := m.Lenders(now, duty)
-	named := map[uint32][]string{}
-	for _, name := range lenders {
+	return slices.ContainsFunc(lenders, func(name string) bool {
 		t, _ := m.trailOf(name)
-		if before, ok := t.before(&r, Hash(m.Self)); ok {
-			named[before.router] = append(named[before.router], name)
-		}
-	}
-	for _, name := range m.listed() {
-		if from := named[Hash(name)]; name != m.Self && len(from) > 0 && m.isMajority(from) {
-			return name
-		}
-	}
-	return ""
+		_, ok := t.before(&r, Hash(m.Self))
+		return ok
+	})
 }
 
 // Passed reports whether a duty came to this router, which holds it now, straight from a router that last held it by the given loans:
--- a/core/node/keys.go
+++ b/core/node/keys.go
@@ -157,4 +157,5 @@
 		n.holdSlot(slot)
 	}
 	n.home.Tick(n.now, n.wall)
+	n.dropArrivals()
 }
--- a/core/node/keyshand.go
+++ b/core/node/keyshand.go
@@ -11,11 +11,10 @@
 	// handoverWait is how long a new home waits for the records of the former one.
 	handoverWait = 500 * time.Millisecond
 	// handoverDelay is how long after it last held a slot a router may hand it over.
-	handoverDelay = 250 * time.Millisecond
-	// handoverFresh is how old an echo of the new home's stamp in a handover may be. Together with handoverDelay it is less than
-	// the time after which the former home could have held the slot again and run a key: the guard less FutureLimit and less a
-	// jump of its wall clock that is not noticed, 0.75 s.
-	handoverFresh = 450 * time.Millisecond
+	handoverDelay = 700 * time.Millisecond
+	// handoverFresh is how old an echo of the new home's stamp in a handover may be. Both together are less than the time for which
+	// a home that took over no records runs nothing (3 s, less what clocks may differ), so that a handover holds all that was run.
+	handoverFresh = 1100 * time.Millisecond
 	// handoverBytes is about how much one message of a handover holds.
 	handoverBytes = 256 << 10
 )
@@ -36,6 +35,7 @@
 	echo        int64 // own stamp that the sender had heard when it sent the first part
 	parts       fleet.KeyHandover
 	whole       bool
+	taken       bool // it was inherited, and counts no second time
 }
 
 // holdKeysBy looks at the key slots again when a router's view has changed, so that no change of a holder is missed.
@@ -70,11 +70,11 @@
 	switch {
 	case holds && !s.holds:
 		*s = keyHold{}
-		if n.members.Predecessor(n.now, duty) != "" {
+		if n.members.Preceded(n.now, duty) {
 			n.home.Wait(n.now, slot, n.now+handoverWait)
 		}
 	case !holds && s.holds:
-		s.owed = n.now-s.at <= handoverDelay && !n.wokeSince(s.at)
+		s.owed = true
 	}
 	s.holds = holds
 	if holds {
@@ -87,7 +87,7 @@
 func (n *Node) handOver(slot int) {
 	s := &n.holds[slot]
 	next := n.members.Holder(keys.Duty(slot))
-	if n.now-s.at > handoverDelay {
+	if n.now-s.at > handoverDelay || n.wokeSince(s.at) {
 		s.owed = false
 		return
 	}
@@ -137,6 +137,9 @@
 		return
 	}
 	a := &n.arrivals[h.Slot]
+	if a.taken && a.from == from && a.incarnation == m.Incarnation && a.parts.Number >= h.Number {
+		return
+	}
 	if h.Part == 0 {
 		*a = keyArrival{from: from, incarnation: m.Incarnation, parts: *h}
 		if m.Echoed == n.Start.Incarnation {
@@ -168,8 +171,17 @@
 	known := keys.Handover{Since: time.UnixMilli(a.parts.Since), Records: a.parts.Records}
 	if n.home.Inherit(n.now, slot, known) {
 		n.count("keys.inherited")
+		a.taken, a.whole, a.parts.Records = true, false, nil
+	}
+}
+
+// dropArrivals lets go of handovers that came too late.
+func (n *Node) dropArrivals() {
+	for slot := range n.arrivals {
+		if a := &n.arrivals[slot]; !a.taken && a.from != "" && !n.fresh(a) {
+			*a = keyArrival{}
+		}
 	}
-	*a = keyArrival{}
 }
 
 // fresh reports whether a handover was sent lately, by this router's clock and the sender's present incarnation.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -120,6 +120,7 @@
 		n.receive(e.Received.From, &e.Received.Message)
 	case e.Linked != nil:
 		n.room.Linked(n.now, e.Linked.Peer)
+		n.members.Linked(e.Linked.Peer)
 	case e.Offer != nil:
 		n.offer(e.Offer.Version, e.Offer.Text, platform)
 	case e.Asked != nil:
