--- a/core/keys/home.go
+++ b/core/keys/home.go
@@ -16,6 +16,7 @@
 	FutureLimit time.Duration // how far ahead of this router's wall clock a key may be minted
 	ClockError  time.Duration // largest error of any router's wall clock
 	HoldFresh   time.Duration // how long after Hold a slot may be answered for
+	SettleTime  time.Duration // how long a home that took over no records runs nothing
 }
 
 // Defaults of Settings.
@@ -26,15 +27,12 @@
 	DefaultFutureLimit = 2 * time.Second
 	DefaultClockError  = 500 * time.Millisecond
 	DefaultHoldFresh   = 250 * time.Millisecond
+	DefaultSettleTime  = 3 * time.Second
 )
 
 // freedLeast is how many freed records stay in the lists before these are swept.
 const freedLeast = 64
 
-// settleTime is how long a home that took over no records runs nothing. The former home can hold a slot again so that the next
-// one does not notice, but it can't have run a key before; so a handover that is younger holds all that it ran.
-const settleTime = 3 * time.Second
-
 // recordBytes is charged for a record besides its key and its answer.
 const recordBytes = 256
 
@@ -95,6 +93,7 @@
 	s.FutureLimit = orDefault(s.FutureLimit, DefaultFutureLimit)
 	s.ClockError = orDefault(s.ClockError, DefaultClockError)
 	s.HoldFresh = orDefault(s.HoldFresh, DefaultHoldFresh)
+	s.SettleTime = orDefault(s.SettleTime, DefaultSettleTime)
 	if s.Bytes == 0 {
 		s.Bytes = DefaultBytes
 	}
@@ -175,10 +174,11 @@
 	return fleet.KeyAnswer{Ticket: o.Ticket, Verdict: fleet.KeyRun, Reason: fleet.ReasonGranted}
 }
 
-// settled reports whether a slot was inherited or has been held for some time.
+// settled reports whether a slot was inherited or has been held for some time. A former home can hold a slot again without the
+// next one's notice, but not run a key in that time; so a handover that is younger holds all that the former home ran.
 func (h *Home) settled(now time.Duration, number int) bool {
 	s := &h.slots[number]
-	return s.inherited || now-s.begun >= settleTime
+	return s.inherited || now-s.begun >= h.Settings.SettleTime
 }
 
 // oldest is the age above which a key is not run: a record of it might have been forgotten.
--- a/core/keys/home_test.go
+++ b/core/keys/home_test.go
@@ -182,6 +182,18 @@
 		"minted too far ahead": {func(b *bench) string {
 			return b.open(mint(minute+DefaultFutureLimit+time.Millisecond, 1), 1)
 		}, invalid},
+		"minted ahead and asked for when the hold is new": {func(b *bench) string {
+			b.hold(minute, false)
+			b.hold(minute+1, true)
+			b.hold(minute+DefaultSettleTime, true)
+			return b.open(mint(minute+b.home.Guard()+2*time.Millisecond, 1), 1)
+		}, tooOld},
+		"minted ahead and asked for when the hold has settled": {func(b *bench) string {
+			b.hold(minute, false)
+			b.hold(minute+1, true)
+			b.hold(minute+1+DefaultSettleTime, true)
+			return b.open(mint(minute+b.home.Guard()+2*time.Millisecond, 1), 1)
+		}, run},
 		"held, lost and held again": {func(b *bench) string {
 			b.hold(minute, false)
 			b.hold(minute+1, true)
