--- a/router/wire/wire_test.go
+++ b/router/wire/wire_test.go
@@ -32,7 +32,14 @@
 		}}},
 		"keyOpen":   {KeyOpen: &fleet.KeyOpen{Ticket: 1, Team: "farm", Key: "k", Digest: 8}},
 		"keyAnswer": {KeyAnswer: &fleet.KeyAnswer{Ticket: 1, Verdict: fleet.KeyAnswered, Reason: fleet.ReasonKeyTooOld, Answer: answer}},
-		"keyClose":  {KeyClose: &fleet.KeyClose{Ticket: 6, Team: "farm", Key: "k", Outcome: fleet.KeyAnswered, Answer: answer}},
+		"keyClose":  {KeyClose: &fleet.KeyClose{Ticket: 6, Router: "carraig-1", Team: "farm", Key: "k", Outcome: fleet.KeyAnswered, Answer: answer}},
+		"keyHandover": {KeyHandover: &fleet.KeyHandover{
+			Slot: 5, Number: 2, Part: 1, Parts: 3, Since: 1_800_000_000_000,
+			Loans: []fleet.KeyLoan{{Router: "carraig-1", Incarnation: 3, ViewSeq: 9}},
+			Records: []fleet.KeyRecord{
+				{Team: "farm", Key: "k", Router: "carraig-2", Ticket: 7, Digest: 8, Verdict: fleet.KeyAnswered, Age: 20, Answer: answer},
+			},
+		}},
 		"configAsk": {ConfigAsk: &fleet.ConfigAsk{After: 4}},
 		"listText": {ListText: &fleet.ListText{Ask: true, Address: "127.0.0.1:7001", Age: 9, Digest: 77, VMs: []fleet.VM{
 			{Name: "r1", Address: "127.0.0.1:7001", Admin: "127.0.0.1:8001", DataCentre: "lahore", Router: true, State: fleet.VMLeaving},
@@ -77,6 +84,7 @@
 		"VM without":      {list(&ListText{Vms: []*VM{{}}}), "name"},
 		"unknown state":   {list(&ListText{Vms: []*VM{{Name: "r", State: 2}}}), "state"},
 		"long address":    {list(&ListText{Address: strings.Repeat("1", fleet.MaxField+1)}), "address"},
+		"unknown slot":    {&Envelope{Body: &Envelope_KeyHandover{KeyHandover: &KeyHandover{Slot: 64}}}, "slot"},
 		"no cell":         {&Envelope{Body: &Envelope_Grants{Grants: &Grants{}}}, "product"},
 	}
 	for name, c := range cases {
