--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -4,16 +4,17 @@
 type Message struct {
 	Incarnation uint32 `json:"incarnation,omitempty"`
 	Stamp       int64  `json:"stamp,omitempty"`  // sender's clock, in milliseconds
-	Echo        int64  `json:"echo,omitempty"`   // receiver's stamp last received by the sender, with heartbeats only; 0 for none
+	Echo        int64  `json:"echo,omitempty"`   // receiver's stamp last received by the sender, with heartbeats and handovers only; 0 for none
 	Echoed      uint32 `json:"echoed,omitempty"` // incarnation of the receiver that Echo belongs to
 
-	Heartbeat  *Heartbeat  `json:"heartbeat,omitempty"`
-	Demand     *Demand     `json:"demand,omitempty"`
-	Grants     *Grants     `json:"grants,omitempty"`
-	KeyOpen    *KeyOpen    `json:"keyOpen,omitempty"`
-	KeyAnswer  *KeyAnswer  `json:"keyAnswer,omitempty"`
-	KeyClose   *KeyClose   `json:"keyClose,omitempty"`
-	ConfigAsk  *ConfigAsk  `json:"configAsk,omitempty"`
-	ConfigText *ConfigText `json:"configText,omitempty"`
-	ListText   *ListText   `json:"listText,omitempty"`
+	Heartbeat   *Heartbeat   `json:"heartbeat,omitempty"`
+	Demand      *Demand      `json:"demand,omitempty"`
+	Grants      *Grants      `json:"grants,omitempty"`
+	KeyOpen     *KeyOpen     `json:"keyOpen,omitempty"`
+	KeyAnswer   *KeyAnswer   `json:"keyAnswer,omitempty"`
+	KeyClose    *KeyClose    `json:"keyClose,omitempty"`
+	KeyHandover *KeyHandover `json:"keyHandover,omitempty"`
+	ConfigAsk   *ConfigAsk   `json:"configAsk,omitempty"`
+	ConfigText  *ConfigText  `json:"configText,omitempty"`
+	ListText    *ListText    `json:"listText,omitempty"`
 }
--- a/core/keys/home.go
+++ b/core/keys/home.go
@@ -16,6 +16,7 @@
 	FutureLimit time.Duration // how far ahead of this router's wall clock a key may be minted
 	ClockError  time.Duration // largest error of any router's wall clock
 	HoldFresh   time.Duration // how long after Hold a slot may be answered for
+	SettleTime  time.Duration // how long a home that took over no records runs nothing
 }
 
 // Defaults of Settings.
@@ -26,6 +27,7 @@
 	DefaultFutureLimit = 2 * time.Second
 	DefaultClockError  = 500 * time.Millisecond
 	DefaultHoldFresh   = 250 * time.Millisecond
+	DefaultSettleTime  = 3 * time.Second
 )
 
 // freedLeast is how many freed records stay in the lists before these are swept.
@@ -49,10 +51,13 @@
 
 // slot says whether and since when this router is a slot's home.
 type slot struct {
-	holds bool
-	since time.Time     // on the wall clock
-	begun time.Duration // the same moment on the monotonic clock
-	heard time.Duration // of the last Hold
+	holds     bool
+	since     time.Time     // on the wall clock: of a key that was run after it, this home would have a record
+	wall      time.Time     // begin of the hold on the wall clock
+	begun     time.Duration // the same moment on the monotonic clock
+	heard     time.Duration // of the last Hold
+	inherited bool
+	waits     time.Duration // until then a handover may come, and nothing is answered
 }
 
 type recordKey struct {
@@ -63,6 +68,7 @@
 // record is one key's request.
 type record struct {
 	key     recordKey
+	slot    int
 	router  string // that was permitted to send the request
 	ticket  uint64 // of its question
 	digest  uint64
@@ -87,6 +93,7 @@
 	s.FutureLimit = orDefault(s.FutureLimit, DefaultFutureLimit)
 	s.ClockError = orDefault(s.ClockError, DefaultClockError)
 	s.HoldFresh = orDefault(s.HoldFresh, DefaultHoldFresh)
+	s.SettleTime = orDefault(s.SettleTime, DefaultSettleTime)
 	if s.Bytes == 0 {
 		s.Bytes = DefaultBytes
 	}
@@ -115,7 +122,7 @@
 	case !holds:
 		s.holds = false
 	case !s.holds:
-		*s = slot{holds: true, since: wall, begun: now}
+		*s = slot{holds: true, since: wall, wall: wall, begun: now}
 	default:
 		h.check(now, number, wall)
 	}
@@ -125,10 +132,10 @@
 // check begins the hold of a slot anew when the wall clock moved otherwise than the monotonic clock since.
 func (h *Home) check(now time.Duration, number int, wall time.Time) {
 	s := &h.slots[number]
-	moved := wall.Sub(s.since) - (now - s.begun)
+	moved := wall.Sub(s.wall) - (now - s.begun)
 	if moved.Abs() > h.Settings.ClockError {
 		h.ClockJumps++
-		s.since, s.begun = wall, now
+		s.since, s.wall, s.begun, s.inherited = wall, wall, now, false
 	}
 }
 
@@ -148,7 +155,7 @@
 		return refused(fleet.KeyRefused, fleet.ReasonKeyInvalid)
 	}
 	number := Slot(o.Team, o.Key)
-	if !h.holds(now, number) {
+	if !h.holds(now, number) || h.Waits(now, number) {
 		return refused(fleet.KeyRefused, fleet.ReasonNoMajority)
 	}
 	h.check(now, number, wall)
@@ -159,14 +166,21 @@
 	switch {
 	case minted.After(wall.Add(h.Settings.FutureLimit)):
 		return refused(fleet.KeyRefused, fleet.ReasonKeyInvalid)
-	case !minted.After(h.slots[number].since.Add(h.Guard())), minted.Before(wall.Add(-h.oldest())):
+	case !h.settled(now, number), !minted.After(h.slots[number].since.Add(h.Guard())), minted.Before(wall.Add(-h.oldest())):
 		return refused(fleet.KeyUnknown, fleet.ReasonKeyTooOld)
-	case !h.begin(now, &record{key: key, router: from, ticket: o.Ticket, digest: o.Digest}):
+	case !h.begin(now, &record{key: key, slot: number, router: from, ticket: o.Ticket, digest: o.Digest}):
 		return refused(fleet.KeyRefused, fleet.ReasonTooManyOpen)
 	}
 	return fleet.KeyAnswer{Ticket: o.Ticket, Verdict: fleet.KeyRun, Reason: fleet.ReasonGranted}
 }
 
+// settled reports whether a slot was inherited or has been held for some time. A former home can hold a slot again without the
+// next one's notice, but not run a key in that time; so a handover that is younger holds all that the former home ran.
+func (h *Home) settled(now time.Duration, number int) bool {
+	s := &h.slots[number]
+	return s.inherited || now-s.begun >= h.Settings.SettleTime
+}
+
 // oldest is the age above which a key is not run: a record of it might have been forgotten.
 func (h *Home) oldest() time.Duration {
 	return h.Settings.Retention - h.Settings.FutureLimit - 2*h.Settings.ClockError
@@ -220,12 +234,12 @@
 }
 
 // Close records how a key's request ended; it has no effect unless it belongs to the question that was answered KeyRun:
-// a router that asked in vain, or no longer waits, must not end another router's attempt.
-func (h *Home) Close(_ time.Duration, from string, c fleet.KeyClose) {
+// a router that asked in vain, or no longer waits, must not end another router's attempt. It reports whether it changed a record.
+func (h *Home) Close(_ time.Duration, from string, c fleet.KeyClose) bool {
 	h.init()
 	r := h.records[recordKey{c.Team, strings.ToLower(c.Key)}]
-	if r == nil || r.verdict == fleet.KeyAnswered || r.router != from || r.ticket != c.Ticket {
-		return
+	if r == nil || r.verdict == fleet.KeyAnswered || r.router != from || r.ticket != c.Ticket || r.verdict == c.Outcome {
+		return false
 	}
 	switch c.Outcome {
 	case fleet.KeyRefused:
@@ -234,7 +248,10 @@
 		h.keep(r, c.Answer)
 	case fleet.KeyUnknown:
 		r.verdict = fleet.KeyUnknown
+	default:
+		return false
 	}
+	return true
 }
 
 func (h *Home) keep(r *record, a fleet.Answer) {
--- a/core/member/beat.go
+++ b/core/member/beat.go
@@ -58,6 +58,7 @@
 	p.answer = p.answer || !slices.Equal(p.views.latest(), view)
 	p.stamp, p.echo = stamp, echo
 	p.views = p.views.take(now, stamp, view, h.ViewAge)
+	p.trail = p.trail.add(h.ViewSeq, view)
 	p.draining, p.version = h.Draining, h.ConfigVersion
 	p.heard, p.heardEver, p.refused = now, true, false
 	if echo > 0 {
@@ -79,8 +80,18 @@
 func (p *peer) restart(now time.Duration, incarnation uint64) {
 	p.incarnation, p.begun = incarnation, now
 	p.stamp, p.echo, p.acked = 0, 0, 0
-	p.views = nil
+	p.views, p.trail = nil, nil
 	p.sentEver = false
+	if p.draining { // it stopped as planned, so its return is no sign of a bad link
+		p.live, p.liveEver, p.back, p.losses, p.confirmed = false, false, false, 0, 0
+	}
+}
+
+// Linked tells that a stream to a peer was opened: what was sent to it before may be lost, so it gets a heartbeat at once.
+func (m *Members) Linked(peer string) {
+	if p, found := m.peers[peer]; found {
+		p.sentEver = false
+	}
 }
 
 // Tick judges who is live and gives the heartbeats that are due; when the own view changes, each peer is told the old one's end and the new one.
@@ -125,7 +136,7 @@
 
 // heartbeat gives what this router tells its peers.
 func (m *Members) heartbeat(now time.Duration) fleet.Heartbeat {
-	h := fleet.Heartbeat{View: m.views.latest(), ConfigVersion: m.ConfigVersion, Draining: m.draining}
+	h := fleet.Heartbeat{View: m.views.latest(), ConfigVersion: m.ConfigVersion, Draining: m.draining, ViewSeq: m.viewSeq}
 	if n := len(m.views); n > 0 {
 		age := now - m.views[n-1].since
 		if m.sole {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -44,6 +44,11 @@
 	opens    map[uint64]keyOpening
 	opened   map[keyName]keyOpening // those answered KeyRun
 	ticket   uint64
+	deferred []keyOpening           // refused for want of a home, to be asked again
+	holds    [keys.Slots]keyHold    // of key slots
+	arrivals [keys.Slots]keyArrival // of handovers
+	handed   uint64                 // number of handovers
+	viewSeqs map[string]uint64      // of the views by which key slots were last held
 	listed   map[string]fleet.VM
 	leaving  map[string]bool
 	carried  carried
@@ -74,6 +79,7 @@
 	}
 	n.deliver(n.room.Expire(now))
 	n.beat()
+	n.moveKeys()
 	n.flush()
 	return n.effects
 }
@@ -93,6 +99,7 @@
 	n.listed = map[string]fleet.VM{}
 	n.leaving = map[string]bool{}
 	n.seen = map[string]uint32{}
+	n.viewSeqs = map[string]uint64{}
 	n.live = map[string]bool{}
 }
 
@@ -115,6 +122,7 @@
 		n.receive(e.Received.From, &e.Received.Message)
 	case e.Linked != nil:
 		n.linked(e.Linked.Peer)
+		n.members.Linked(e.Linked.Peer)
 	case e.Refused != nil:
 		n.count("peers.refused")
 		n.members.Refused(n.now, e.Refused.Peer)
@@ -151,6 +159,9 @@
 	if at, due := n.room.Wake(); due {
 		next = min(next, at)
 	}
+	if len(n.deferred) > 0 {
+		next = min(next, n.deferred[0].again)
+	}
 	for _, c := range n.cells {
 		if at, due := c.scheduler.Wake(); due && c.lenders > 0 {
 			next = min(next, at)
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -11,6 +11,9 @@
 func (n *Node) send(to string, m fleet.Message) {
 	m.Incarnation = n.Start.Incarnation
 	m.Stamp = n.members.Clock(n.now)
+	if m.KeyHandover != nil { // its receiver must know how old it is
+		m.Echo, m.Echoed = n.members.Echo(to), uint32(n.members.EchoOf(to))
+	}
 	n.do(Effect{Send: &Send{To: to, Message: m}})
 }
 
@@ -48,7 +51,9 @@
 	case m.KeyAnswer != nil:
 		n.answerOpen(*m.KeyAnswer, from)
 	case m.KeyClose != nil:
-		n.home.Close(n.now, from, *m.KeyClose)
+		n.closeHere(from, *m.KeyClose)
+	case m.KeyHandover != nil:
+		n.arrive(from, m)
 	case m.ConfigAsk != nil:
 		n.answerConfig(from, m.ConfigAsk.After)
 	case m.ConfigText != nil:
@@ -64,6 +69,7 @@
 		echo = 0
 	}
 	n.members.Receive(n.now, from, uint64(m.Incarnation), m.Stamp, echo, *m.Heartbeat)
+	n.holdKeysBy(from)
 	n.keeper.Heard(n.now, from, m.Heartbeat.ConfigVersion)
 	for _, id := range n.order {
 		n.cells[id].scheduler.Heard(n.now, from, m.Stamp)
--- /dev/null
+++ b/router/boot/conns.go
@@ -0,0 +1,44 @@
+package boot
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// idleConns knows since when callers' connections have been idle.
+type idleConns struct {
+	mutex sync.Mutex             // guards conns; the server calls from each connection's goroutine
+	conns map[net.Conn]time.Time // open connections; the zero time while a request is served
+}
+
+// note follows a connection's state, as http.Server.ConnState.
+func (i *idleConns) note(c net.Conn, state http.ConnState) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if i.conns == nil {
+		i.conns = map[net.Conn]time.Time{}
+	}
+	switch state {
+	case http.StateNew, http.StateIdle:
+		i.conns[c] = time.Now()
+	case http.StateActive:
+		i.conns[c] = time.Time{}
+	case http.StateClosed, http.StateHijacked:
+		delete(i.conns, c)
+	}
+}
+
+// quiet says whether no connection was in use within the given time: those that are idle for long can be closed without
+// cutting a request that is just being sent on one.
+func (i *idleConns) quiet(length time.Duration) bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	for _, since := range i.conns {
+		if since.IsZero() || time.Since(since) < length {
+			return false
+		}
+	}
+	return true
+}
