Keep a slot for a while after its caller hung up, and set callers' limits by flags

Cause: a cancelled grant's slot was given again before the backend server had noticed the hang-up; and the limits on callers, though settings of the callers' interface, could be set by no flag. Ruled out: counting cancelled grants as lost until three load reports agree, which idles the slot for 1.5 s.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -22,7 +22,9 @@
 	Policy      sched.Policy  `json:"policy,omitempty"`
 	Alone       bool          `json:"alone,omitempty"` // a baseline: this router schedules all that arrives here, without its peers
 	Seed        uint64        `json:"seed,omitempty"`
-	Anticipate  time.Duration `json:"anticipate,omitempty"` // see sched.Settings
+	Anticipate  time.Duration `json:"anticipate,omitempty"`  // see sched.Settings
+	QueueLength int           `json:"queueLength,omitempty"` // see entry.Settings
+	QueueBytes  int64         `json:"queueBytes,omitempty"`  // see entry.Settings
 }
 
 // Node is one router's control state; set Start and call Step.
@@ -89,6 +91,7 @@
 		return
 	}
 	n.begun = true
+	n.room.Settings = entry.Settings{QueueLength: n.Start.QueueLength, QueueBytes: n.Start.QueueBytes}
 	n.keeper.Self, n.room.Self, n.room.Seed = n.Start.Self, n.Start.Self, n.Start.Seed
 	n.members.Self, n.members.DataCentre = n.Start.Self, n.Start.DataCentre
 	n.members.Incarnation = uint64(n.Start.Incarnation)
--- a/core/sched/next.go
+++ b/core/sched/next.go
@@ -9,6 +9,7 @@
 // Next gives the grants that may be given now; afterwards no request waits beside a free slot.
 func (s *Scheduler) Next(now time.Duration) []Batch {
 	s.prepare()
+	s.endHangUps(now)
 	s.reviewServers(now)
 	var batches []Batch
 	for s.room > 0 {
@@ -122,6 +123,9 @@
 	if len(s.expected) > 0 {
 		wake = min(wake, s.expected[0].until)
 	}
+	if len(s.hungUp) > 0 {
+		wake = min(wake, s.hungUp[0].until)
+	}
 	return wake, true
 }
 
--- a/core/sched/router.go
+++ b/core/sched/router.go
@@ -163,7 +163,7 @@
 		running[g.Grant] = true
 	}
 	for _, g := range s.grantsOf(r) {
-		if g.seen && !running[g.id] {
+		if g.seen && !running[g.id] && !g.ended {
 			g.server.limiter.Lost()
 			s.release(now, g, g.charged)
 		}
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -84,6 +84,7 @@
 	lost     map[uint64]*server // orphans
 	memory   memory
 	expected []expectation
+	hungUp   []hangUp // oldest first
 }
 
 // Configure sets the cell's servers, the data centres out of service and the leaving servers.
--- a/core/sched/team.go
+++ b/core/sched/team.go
@@ -35,6 +35,7 @@
 	seen    bool
 	seenAt  time.Duration // when it was known to be seen
 
+	ended    bool // its caller hung up; the slot is kept for hangUpGrace
 	doubtful bool // sent before a full demand that did not know it: it may be lost
 }
 
@@ -224,7 +225,7 @@
 // done takes in the end of a grant.
 func (s *Scheduler) done(now time.Duration, r *router, d fleet.Done) {
 	g := s.grants[d.Grant]
-	if g == nil || g.router != r {
+	if g == nil || g.router != r || g.ended {
 		s.found(d.Grant)
 		return
 	}
@@ -241,6 +242,10 @@
 		s.memory.all = s.memory.all.with(g.hint, cost)
 		g.team.habit = g.team.habit.with(g.hint, cost)
 	}
+	if mayRunOn(d.Outcome) {
+		s.hangUp(now, g, cost)
+		return
+	}
 	s.release(now, g, cost)
 	s.expect(now, g.team.name)
 }
--- a/router/boot/router.go
+++ b/router/boot/router.go
@@ -76,7 +76,7 @@
 		Start: node.Start{
 			Self: s.Name, DataCentre: s.DataCentre, Incarnation: uint32(began.UnixNano() / int64(incarnationStep)),
 			Policy: s.policy(), Alone: s.Policy == "alone", Seed: uint64(began.UnixNano()),
-			Anticipate: s.Anticipate,
+			Anticipate: s.Anticipate, QueueLength: s.Callers.QueueLength, QueueBytes: s.Callers.QueueBytes,
 		},
 		Began:  began,
 		Send:   func(peer string, m *fleet.Message) { r.links.Send(peer, wire.Encode(m)) },
@@ -91,7 +91,7 @@
 	r.front = &front.Front{
 		Self: s.Name, Rules: r.loop.Rules, Ready: r.loop.Ready, Admit: r.loop.Admit, Finish: r.loop.Finish,
 		Progress: r.loop.Progress, OpenKey: r.loop.OpenKey, CloseKey: r.loop.CloseKey, Clock: r.loop.Now,
-		Note: r.note, Client: r.client, Log: r.log, Metrics: r.registry,
+		Note: r.note, Client: r.client, Log: r.log, Metrics: r.registry, Settings: s.Callers.front(),
 	}
 	return r, nil
 }
--- a/router/boot/settings.go
+++ b/router/boot/settings.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"mangolug.org/core/sched"
+	"mangolug.org/router/front"
 	"mangolug.org/router/peers"
 )
 
@@ -33,9 +34,59 @@
 	DrainDelay  time.Duration `long:"drain-delay" env:"MANGOLUG_DRAIN_DELAY" default:"2s" description:"how long a stopping router still takes callers, while the balancer learns of it"`
 	DrainLimit  time.Duration `long:"drain-limit" env:"MANGOLUG_DRAIN_LIMIT" default:"60s" description:"how long a stopping router lets requests finish"`
 	TraceBytes  int64         `long:"trace-bytes" env:"MANGOLUG_TRACE_BYTES" default:"0" description:"memory, compressed, for a trace of all control decisions since the start; 0 records none"`
+	Callers     Callers       `group:"Limits on callers"`
 	LogLevel    string        `long:"log-level" env:"MANGOLUG_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level that is logged"`
 }
 
+// Callers are the limits on what callers may use; 0 takes the default of the callers' interface.
+type Callers struct {
+	HeaderBytes  int           `long:"header-bytes" env:"MANGOLUG_HEADER_BYTES" default:"32768" description:"of a request's header"`
+	BodyBytes    int64         `long:"body-bytes" env:"MANGOLUG_BODY_BYTES" default:"4194304" description:"of a request's body"`
+	HeldBytes    int64         `long:"held-bytes" env:"MANGOLUG_HELD_BYTES" default:"134217728" description:"of all bodies held at once"`
+	Open         int           `long:"open" env:"MANGOLUG_OPEN" default:"8192" description:"requests open at once"`
+	OpenPerTeam  int           `long:"open-per-team" env:"MANGOLUG_OPEN_PER_TEAM" default:"2048" description:"requests of one team open at once"`
+	Timeout      time.Duration `long:"timeout" env:"MANGOLUG_TIMEOUT" default:"30s" description:"deadline of a request that names none"`
+	TimeoutLimit time.Duration `long:"timeout-limit" env:"MANGOLUG_TIMEOUT_LIMIT" default:"2m" description:"longest deadline that a request may name"`
+	ReadTimeout  time.Duration `long:"read-timeout" env:"MANGOLUG_READ_TIMEOUT" default:"10s" description:"for a caller to send its header, and again its body"`
+	WriteTimeout time.Duration `long:"write-timeout" env:"MANGOLUG_WRITE_TIMEOUT" default:"10s" description:"for a caller to take one part of its answer"`
+	QueueLength  int           `long:"queue-length" env:"MANGOLUG_QUEUE_LENGTH" default:"512" description:"requests that one team may have waiting here for one product"`
+	QueueBytes   int64         `long:"queue-bytes" env:"MANGOLUG_QUEUE_BYTES" default:"16777216" description:"bytes that one team's waiting requests may hold here for one product"`
+}
+
+// check refuses limits below 0.
+func (c *Callers) check() error {
+	limits := []struct {
+		setting string
+		value   int64
+	}{
+		{"header-bytes", int64(c.HeaderBytes)},
+		{"body-bytes", c.BodyBytes},
+		{"held-bytes", c.HeldBytes},
+		{"open", int64(c.Open)},
+		{"open-per-team", int64(c.OpenPerTeam)},
+		{"timeout", int64(c.Timeout)},
+		{"timeout-limit", int64(c.TimeoutLimit)},
+		{"read-timeout", int64(c.ReadTimeout)},
+		{"write-timeout", int64(c.WriteTimeout)},
+		{"queue-length", int64(c.QueueLength)},
+		{"queue-bytes", c.QueueBytes},
+	}
+	for _, l := range limits {
+		if l.value < 0 {
+			return &SettingError{l.setting, fmt.Sprint(l.value), "0 for the default, or more"}
+		}
+	}
+	return nil
+}
+
+// front gives the limits as the callers' interface takes them.
+func (c *Callers) front() front.Settings {
+	return front.Settings{
+		HeaderBytes: c.HeaderBytes, BodyBytes: c.BodyBytes, HeldBytes: c.HeldBytes, Open: c.Open, OpenPerTeam: c.OpenPerTeam,
+		Timeout: c.Timeout, TimeoutLimit: c.TimeoutLimit, ReadTimeout: c.ReadTimeout, WriteTimeout: c.WriteTimeout,
+	}
+}
+
 // SettingError says which setting is wrong and what would be right.
 type SettingError struct {
 	Setting, Value, Want string
@@ -101,6 +152,9 @@
 	if s.Anticipate < 0 || s.Anticipate > maxAnticipate {
 		return &SettingError{"anticipate", s.Anticipate.String(), "0s to " + maxAnticipate.String()}
 	}
+	if err := s.Callers.check(); err != nil {
+		return err
+	}
 	if s.TraceBytes < 0 {
 		return &SettingError{"trace-bytes", fmt.Sprint(s.TraceBytes), "0 or a number of bytes"}
 	}
--- a/router/boot/settings_test.go
+++ b/router/boot/settings_test.go
@@ -20,6 +20,7 @@
 		"platform":       {extra: []string{"--platform=127.0.0.1:8500"}, setting: "platform"},
 		"short secret":   {extra: []string{"--secret=short"}, setting: "secret"},
 		"source":         {extra: []string{"--source=eth0"}, setting: "source"},
+		"limit below 0":  {extra: []string{"--open=-1"}, setting: "open"},
 		"anticipate":     {extra: []string{"--anticipate=1s"}, setting: "anticipate"},
 		"drain":          {extra: []string{"--drain-limit=1s", "--drain-delay=2s"}, setting: "drain-limit"},
 	}
