Compare live routers once, prove the rule that is used, and make counters once

Cause: read anew, noticePeers worked out the live routers three times and kept them as a map that it sorted again; Holds, which the property tests of membership prove, was a copy of the check in Loans, which the router uses; the links' byte counters were built in two places. Ruled out: one constructor for the stand-ins' main programs, which are modules of their own and share only the shape of a listener loop. Before and after: the same behaviour; go test -race of core/node, core/trace, core/member and router passes, lint and vet are clean. Conclusion: Holds now asks Loans, so what is proved is what runs.

--- a/core/member/lend.go
+++ b/core/member/lend.go
@@ -31,8 +31,8 @@
 
 // Holds reports whether this router is a duty's only holder: a majority of each recent list lends itself.
 func (m *Members) Holds(now time.Duration, duty string) bool {
-	lenders, _ := m.Lenders(now, duty)
-	return m.isMajority(lenders)
+	_, holds := m.Loans(now, duty)
+	return holds
 }
 
 // Majority reports whether this router lately exchanged heartbeats with a majority of the listed routers, itself included.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"mangolug.org/core/conf"
@@ -55,7 +56,7 @@
 	leaving  map[string]bool
 	carried  carried
 	seen     map[string]uint32 // incarnation last heard of each peer
-	live     map[string]bool   // peers last noticed to be live
+	live     []string          // routers last noticed to be live, ascending
 
 	begun    bool
 	settled  bool
@@ -103,7 +104,6 @@
 	n.leaving = map[string]bool{}
 	n.seen = map[string]uint32{}
 	n.viewSeqs = map[string]uint64{}
-	n.live = map[string]bool{}
 }
 
 // handle changes the state by one event; most of its effects come from the flush behind all events.
@@ -188,36 +188,27 @@
 // noticePeers tells of routers that came or went. What a lost one asked for is forgotten, and it is asked for all when it is
 // heard again: it may not have noticed that it was lost.
 func (n *Node) noticePeers() {
-	if len(n.members.Live()) == len(n.live) && n.allLive() {
+	live := n.members.Live()
+	if slices.Equal(live, n.live) {
 		return
 	}
-	now := map[string]bool{}
-	for _, name := range n.members.Live() {
-		now[name] = true
-		if !n.live[name] && name != n.Start.Self {
-			n.notice(Notice{Kind: NoticePeerLive, From: name})
-			for _, id := range n.order {
-				n.askAllOf(id, name)
-			}
+	for _, name := range live {
+		if slices.Contains(n.live, name) || name == n.Start.Self {
+			continue
+		}
+		n.notice(Notice{Kind: NoticePeerLive, From: name})
+		for _, id := range n.order {
+			n.askAllOf(id, name)
 		}
 	}
-	for _, name := range sorted(n.live) {
-		if !now[name] {
+	for _, name := range n.live {
+		if !slices.Contains(live, name) {
 			n.count("peerLost")
 			n.notice(Notice{Kind: NoticePeerLost, From: name})
 			n.forget(name)
 		}
 	}
-	n.live = now
-}
-
-func (n *Node) allLive() bool {
-	for _, name := range n.members.Live() {
-		if !n.live[name] {
-			return false
-		}
-	}
-	return true
+	n.live = live
 }
 
 func (n *Node) do(e Effect) { n.effects = append(n.effects, e) }
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -1,9 +1,6 @@
 package node
 
 import (
-	"maps"
-	"slices"
-
 	"mangolug.org/core/fleet"
 )
 
@@ -107,6 +104,3 @@
 		}}})
 	}
 }
-
-// sorted gives the names of a set, ascending, so that no step depends on the order of a map.
-func sorted(set map[string]bool) []string { return slices.Sorted(maps.Keys(set)) }
--- a/router/peers/count.go
+++ b/router/peers/count.go
@@ -11,6 +11,13 @@
 	sent, received metrics.Counter
 }
 
+func newCounters(registry metrics.Registry) counters {
+	return counters{
+		sent:     metrics.GetOrRegisterCounter("control.bytesSent", registry),
+		received: metrics.GetOrRegisterCounter("control.bytesReceived", registry),
+	}
+}
+
 // countedConn counts the bytes of one connection.
 type countedConn struct {
 	net.Conn
--- a/router/peers/links.go
+++ b/router/peers/links.go
@@ -162,7 +162,7 @@
 	if l.Source != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: l.Source}
 	}
-	count := l.counters()
+	count := newCounters(l.Metrics)
 	connect := func(ctx context.Context, address string) (net.Conn, error) {
 		c, err := dialer.DialContext(ctx, "tcp", address)
 		if errors.Is(err, syscall.ECONNREFUSED) && l.Refused != nil {
@@ -184,10 +184,6 @@
 	return connection, errors.Wrap(err, "create connection")
 }
 
-func (l *Links) counters() counters {
-	return counters{sent: l.counter("control.bytesSent"), received: l.counter("control.bytesReceived")}
-}
-
 func (l *Links) counter(name string) metrics.Counter {
 	return metrics.GetOrRegisterCounter(name, l.Metrics)
 }
--- a/router/peers/listen.go
+++ b/router/peers/listen.go
@@ -38,7 +38,7 @@
 	wire.RegisterLinkServer(server, l)
 	stopped := context.AfterFunc(ctx, server.Stop)
 	defer stopped()
-	count := counters{sent: l.counter("control.bytesSent"), received: l.counter("control.bytesReceived")}
+	count := newCounters(l.Metrics)
 	err := server.Serve(&countedListener{Listener: socket, counters: count})
 	if ctx.Err() != nil {
 		return nil
