Skip messages of a later version in place of closing the link

Cause: an envelope with a body that the router does not know ended the stream, as a malformed one does. A rolling upgrade to a version that sends a new message would have cut every later router off from every earlier one. Ruled out: a version told by each side, which needs a table of versions for each message. Skipping an envelope without any body: that is malformed and still ends the stream, as does a known body that breaks a bound. Conclusion: a message may be added without splitting the fleet, if its sender can do without an answer.

--- a/router/peers/listen.go
+++ b/router/peers/listen.go
@@ -53,23 +53,43 @@
 		l.counter("peers.refusedStranger").Inc(1)
 		return err
 	}
+	unknown := false
 	for {
 		e, err := stream.Recv()
 		if err != nil {
 			return err
 		}
 		m, err := wire.Decode(e)
-		if err != nil {
-			l.counter("peers.refusedMessage").Inc(1)
-			if l.Log != nil {
-				l.Log.Warn("peer message refused", "peer", from, "error", err)
-			}
-			return status.Error(codes.InvalidArgument, err.Error())
+		var later *wire.UnknownBodyError
+		switch {
+		case err == nil:
+			l.Receive(from, m)
+		case errors.As(err, &later):
+			l.skip(from, later, !unknown)
+			unknown = true
+		default:
+			return l.refuse(from, err)
 		}
-		l.Receive(from, m)
 	}
 }
 
+// skip counts a message that a later version sent, and logs it when it is the first of a stream.
+func (l *Listener) skip(from string, later *wire.UnknownBodyError, first bool) {
+	l.counter("peers.unknownMessage").Inc(1)
+	if first && l.Log != nil {
+		l.Log.Warn("peer message skipped", "peer", from, "error", later)
+	}
+}
+
+// refuse counts a message that breaks a bound, and gives the status that ends the stream.
+func (l *Listener) refuse(from string, err error) error {
+	l.counter("peers.refusedMessage").Inc(1)
+	if l.Log != nil {
+		l.Log.Warn("peer message refused", "peer", from, "error", err)
+	}
+	return status.Error(codes.InvalidArgument, err.Error())
+}
+
 func (l *Listener) counter(name string) metrics.Counter {
 	return metrics.GetOrRegisterCounter(name, l.Metrics)
 }
--- a/router/peers/peers_test.go
+++ b/router/peers/peers_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/encoding/protowire"
 
 	"mangolug.org/core/fleet"
 	"mangolug.org/router/wire"
@@ -166,6 +167,38 @@
 	}
 }
 
+// TestUnknownBodyIsSkipped sends what only a later version knows, and then a heartbeat on the same stream.
+func TestUnknownBodyIsSkipped(t *testing.T) {
+	address, arrived, registry := listen(t, oldSecret)
+	trust, err := NewTrust("a", []string{oldSecret}, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	later := &wire.Envelope{Incarnation: 1}
+	later.ProtoReflect().SetUnknown(protowire.AppendBytes(protowire.AppendTag(nil, 99, protowire.BytesType), []byte("later")))
+	opened := 0
+	links := &Links{Trust: trust, Metrics: metrics.NewRegistry()}
+	links.Linked = func(p string) {
+		if opened++; opened == 1 {
+			links.Send(p, later)
+			links.Send(p, later)
+			links.Send(p, wire.Encode(&fleet.Message{Heartbeat: &fleet.Heartbeat{}}))
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	links.Set(ctx, map[string]string{"b": address})
+	await(t, "the heartbeat", func() bool { return len(arrived) > 0 || counted(links.Metrics, "peers.linkLost")() })
+	if len(arrived) != 1 || counted(links.Metrics, "peers.linkLost")() {
+		t.Errorf("%d messages were taken; link in trouble: %v", len(arrived), links.Troubles())
+	}
+	for name, want := range map[string]int64{"peers.unknownMessage": 2, "peers.refusedMessage": 0} {
+		if got := metrics.GetOrRegisterCounter(name, registry).Count(); got != want {
+			t.Errorf("%s is %d, want %d", name, got, want)
+		}
+	}
+}
+
 func TestShortSecretIsRefused(t *testing.T) {
 	for name, secrets := range map[string][]string{"none": nil, "short": {"short"}, "second short": {oldSecret, "short"}} {
 		if _, err := NewTrust("a", secrets, time.Now()); err == nil {
--- a/router/wire/message.go
+++ b/router/wire/message.go
@@ -45,7 +45,7 @@
 	return e
 }
 
-// Decode gives a message in the core's types; its error is ErrNoBody or a *FieldError.
+// Decode gives a message in the core's types; its error is ErrNoBody, an *UnknownBodyError or a *FieldError.
 func Decode(e *Envelope) (*fleet.Message, error) {
 	m := &fleet.Message{Incarnation: e.GetIncarnation(), Stamp: e.GetStamp(), Echo: e.GetEcho(), Echoed: e.GetEchoed()}
 	var c checker
@@ -88,7 +88,7 @@
 	case *Envelope_ListText:
 		m.ListText = decodeList(b.ListText, &c)
 	default:
-		return nil, ErrNoBody
+		return nil, absent(e)
 	}
 	if c.failed != nil {
 		return nil, c.failed
--- a/router/wire/wire_test.go
+++ b/router/wire/wire_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"mangolug.org/core/fleet"
@@ -103,6 +104,32 @@
 	}
 }
 
+func TestUnknownBody(t *testing.T) {
+	scalar := protowire.AppendVarint(protowire.AppendTag(nil, 98, protowire.VarintType), 7)
+	body := protowire.AppendBytes(protowire.AppendTag(nil, 99, protowire.BytesType), []byte("later"))
+	cases := map[string]struct {
+		envelope *Envelope
+		unknown  []byte
+		want     error
+	}{
+		"body":                 {&Envelope{}, body, &UnknownBodyError{Number: 99}},
+		"scalar and body":      {&Envelope{}, append(scalar, body...), &UnknownBodyError{Number: 99}},
+		"scalar alone":         {&Envelope{}, scalar, ErrNoBody},
+		"cut short":            {&Envelope{}, body[:3], ErrNoBody},
+		"beside a known body":  {Encode(&fleet.Message{ConfigAsk: &fleet.ConfigAsk{After: 3}}), body, nil},
+		"beside a broken body": {demand(&TeamDemand{Waiting: 1}), body, &FieldError{Field: "team"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			c.envelope.ProtoReflect().SetUnknown(c.unknown)
+			_, err := Decode(c.envelope)
+			if fmt.Sprintf("%T %v", err, err) != fmt.Sprintf("%T %v", c.want, c.want) {
+				t.Errorf("got %v, want %v", err, c.want)
+			}
+		})
+	}
+}
+
 func demand(w *TeamDemand) *Envelope {
 	return &Envelope{Body: &Envelope_Demand{Demand: &Demand{Cell: &Cell{Product: "p"}, Waiting: []*TeamDemand{w}}}}
 }
