--- a/router/peers/peers_test.go
+++ b/router/peers/peers_test.go
@@ -134,6 +134,11 @@
 	}
 }
 
+func TestTroubleWhenNobodyListens(t *testing.T) {
+	_, links := link(t, "127.0.0.1:1", "b", oldSecret)
+	await(t, "its cause", func() bool { return links.Troubles()["b"] == "connection refused" })
+}
+
 func TestStrangerWithoutCertificate(t *testing.T) {
 	address, arrived, _ := listen(t, oldSecret)
 	c, err := tls.Dial("tcp", address, &tls.Config{InsecureSkipVerify: true, NextProtos: []string{"h2"}})
