Accept no more connections before a stop, and only then shut the server down

Cause: net/http drops, without an answer, any request whose header it reads once Shutdown has begun, also on a connection accepted earlier; and a plain close of the listener resets what waits to be accepted. After: the door hands over what waits and closes itself on the goroutine that accepts, so the server's lock is never waited for; then connections fall idle; then the server shuts down. Stops under steady new connections no longer wait the full 3 s. Conclusion: every connection that a router accepted is answered.

--- /dev/null
+++ b/router/boot/entrance_test.go
@@ -0,0 +1,115 @@
+package boot
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+const request = "POST / HTTP/1.1\r\nHost: router\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// Callers whose connection came in before a stop are answered, whenever their request comes.
+func TestStopAnswersConnections(t *testing.T) {
+	tests := map[string]struct {
+		accepted bool // the connection is accepted before the stop begins
+		before   bool // the request is sent before the stop begins
+	}{
+		"accepted, request sent":       {accepted: true, before: true},
+		"accepted, request comes late": {accepted: true},
+		"waiting, request sent":        {before: true},
+		"waiting, request comes late":  {},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e, server := open(t)
+			if c.accepted {
+				go server.Serve(e.door)
+			}
+			caller := dial(t, e)
+			if c.accepted {
+				until(t, e.conns.inUse)
+			}
+			if c.before {
+				send(t, caller)
+			}
+			stopped := make(chan error, 1)
+			go func() { stopped <- e.close(t.Context(), server) }()
+			if !c.accepted {
+				until(t, e.door.shutting.Load)
+				go server.Serve(e.door)
+			}
+			until(t, func() bool { return refused(e) })
+			if !c.before {
+				send(t, caller)
+			}
+			answer, err := http.ReadResponse(bufio.NewReader(caller), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if body, err := io.ReadAll(answer.Body); err != nil || string(body) != "whole" {
+				t.Errorf("answer %q, %v", body, err)
+			}
+			if err := <-stopped; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+func open(t *testing.T) (*entrance, *http.Server) {
+	t.Helper()
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &entrance{door: newDoor(socket.(*net.TCPListener))}
+	server := &http.Server{ConnState: e.conns.note, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, "whole")
+	})}
+	t.Cleanup(func() { server.Close() })
+	return e, server
+}
+
+func dial(t *testing.T, e *entrance) net.Conn {
+	t.Helper()
+	caller, err := net.Dial("tcp", e.door.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { caller.Close() })
+	return caller
+}
+
+func send(t *testing.T, caller net.Conn) {
+	t.Helper()
+	if _, err := io.WriteString(caller, request); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// refused says that the door is closed to new connections.
+func refused(e *entrance) bool {
+	select {
+	case <-e.door.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// inUse says that a connection is open.
+func (i *idleConns) inUse() bool { return !i.quiet(time.Hour) }
+
+func until(t *testing.T, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(lingerLimit); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the condition did not come to hold")
+		}
+	}
+}
--- a/router/boot/router.go
+++ b/router/boot/router.go
@@ -40,7 +40,7 @@
 	links    *peers.Links
 	client   *back.Client
 	front    *front.Front
-	conns    idleConns
+	entrance entrance
 	trace    *memory // nil unless steps are recorded
 }
 
@@ -112,6 +112,7 @@
 		}
 		*t.socket = socket
 	}
+	r.entrance.door = newDoor(r.sockets.callers.(*net.TCPListener))
 	return nil
 }
 
@@ -155,7 +156,7 @@
 		{Name: "platform", Run: watcher.Run},
 	}}
 	traffic := &guard.Tree{Name: "traffic", Log: r.log, Metrics: r.registry, Children: []guard.Child{
-		{Name: "callers", Critical: true, Run: func(ctx context.Context) error { return serve(ctx, callers, r.sockets.callers) }},
+		{Name: "callers", Critical: true, Run: func(ctx context.Context) error { return serve(ctx, callers, r.entrance.door) }},
 		{Name: "operators", Critical: true, Run: func(ctx context.Context) error { return serve(ctx, operators, r.sockets.admin) }},
 	}}
 	return &guard.Tree{Name: "router", Log: r.log, Metrics: r.registry, Children: []guard.Child{
--- a/router/boot/stop.go
+++ b/router/boot/stop.go
@@ -12,11 +12,6 @@
 const (
 	// headerTimeout bounds how long an operator may take over a request's header.
 	headerTimeout = 10 * time.Second
-	// lingerLimit bounds how long a stop waits for connections to fall idle; idleLong is how long they must have been idle,
-	// and lingerCheck is the time between two looks.
-	lingerLimit = 3 * time.Second
-	idleLong    = 500 * time.Millisecond
-	lingerCheck = 50 * time.Millisecond
 	// lastAnswers is how long requests that are cut at the time limit have to get their answers.
 	lastAnswers = 2 * time.Second
 )
@@ -31,7 +26,7 @@
 	})
 	server := r.front.Server()
 	server.Handler = handler
-	server.ConnState = r.conns.note
+	server.ConnState = r.entrance.conns.note
 	return server
 }
 
@@ -45,8 +40,7 @@
 	delay, cancelDelay := context.WithTimeout(limit, r.settings.DrainDelay)
 	defer cancelDelay()
 	<-delay.Done()
-	r.linger(limit)
-	err := callers.Shutdown(limit)
+	err := r.entrance.close(limit, callers)
 	if err != nil {
 		r.cut(callers)
 		err = errors.Wrap(err, "requests were cut")
@@ -55,23 +49,6 @@
 	return err
 }
 
-// linger waits, up to lingerLimit, until no caller has used its connection for idleLong. Answers since the stop began told
-// callers to connect elsewhere, but one that began before may be followed by a request on the same connection, which a
-// close at that moment would cut.
-func (r *Router) linger(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, lingerLimit)
-	defer cancel()
-	ticker := time.NewTicker(lingerCheck)
-	defer ticker.Stop()
-	for !r.conns.quiet(idleLong) {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // cut ends the requests that still run, each with a true answer as far as there is time.
 func (r *Router) cut(callers *http.Server) {
 	r.front.Stop()
@@ -87,7 +64,7 @@
 	stopped := context.AfterFunc(ctx, func() { server.Close() })
 	defer stopped()
 	err := server.Serve(socket)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		<-ctx.Done()
 		return nil
 	}
