Give servers that come back as they were their limits back

Cause: a server that came back into service was warmed from what it still ran, while all its slots counted at once: three rounds of requests passed until it was full, also when it was out for seconds and had not restarted. Ruled out: the whole limit without a report, as TestDataCentreOutAndBack then finds 24 requests at once on three servers, restarted ones too; raises by first bytes or by reports without a queue, as a cold engine shows both.

--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -23,6 +23,9 @@
 	raisePeriod   = 250 * time.Millisecond // least time between two raises by reports
 	queueReports  = 2                      // reports of waiting requests in a row that lower the limit
 	reportsMissed = 3                      // failed reads of the load after which the limit rises slowly
+
+	warmTime    = time.Minute            // out of service for longer, a server is taken as cold
+	restartTime = 500 * time.Millisecond // least time a restart takes, so that a younger report is of the life that serves now
 )
 
 // Limiter holds one server's learnt limit; set Ceiling before use.
@@ -41,6 +44,10 @@
 	missed   int // failed reads of the load in a row
 	queued   int // reports of waiting requests in a row
 
+	paused  time.Duration // when the server was last taken out of service
+	resumed time.Duration // when it came back
+	kept    int           // limit that it has back once a report shows that it did not restart; 0 for none
+
 	norm     time.Duration // usual time to the first byte
 	normSeen int
 	slow     int // slow first bytes in a row
@@ -160,7 +167,7 @@
 func (l *Limiter) cut(limit int) {
 	l.threshold = max(floor, l.Limit()/2)
 	l.learnt = max(floor, limit)
-	l.credit = 0
+	l.credit, l.kept = 0, 0
 }
 
 func (l *Limiter) overloaded(now time.Duration) {
@@ -204,6 +211,7 @@
 		l.turnedCold()
 	}
 	l.heard, l.epoch = true, r.Epoch
+	l.restore(now, r)
 	l.state(now, r.Limit)
 	l.queue(r)
 }
@@ -222,7 +230,7 @@
 
 // turnedCold forgets what was learnt of the server before it restarted.
 func (l *Limiter) turnedCold() {
-	l.learnt, l.threshold, l.credit = floor, 0, 0
+	l.learnt, l.threshold, l.credit, l.kept = floor, 0, 0, 0
 	l.norm, l.normSeen, l.slow = 0, 0, 0
 }
 
@@ -248,11 +256,29 @@
 	}
 }
 
-// Resume warms a server that took no work for a while, beginning with the requests it still runs.
-func (l *Limiter) Resume(busy int) {
+// Pause notes that the server was taken out of service.
+func (l *Limiter) Pause(now time.Duration) { l.paused = now }
+
+// Resume warms a server that took no work for a while, beginning with the requests it still runs; one that was out of
+// service for a minute at most has its limit back once a report shows that it did not restart.
+func (l *Limiter) Resume(now time.Duration, busy int) {
+	l.kept = 0
+	if l.heard && l.epoch != 0 && now-l.paused <= warmTime {
+		l.kept, l.resumed = l.Limit(), now
+	}
 	l.learnt = max(floor, min(busy, l.Limit()))
 	l.credit = 0
 }
 
+// restore gives the limit back to a server that came back as it was. A report from before the return tells of a restart
+// since only if it is younger than a restart takes: until then a server that restarts refuses requests.
+func (l *Limiter) restore(now time.Duration, r fleet.Load) {
+	measured := now - time.Duration(r.Age)*time.Millisecond
+	if l.kept == 0 || r.Waiting > 0 || measured < l.resumed && now-measured > restartTime {
+		return
+	}
+	l.learnt, l.kept = max(l.learnt, l.kept), 0
+}
+
 // LoadFailed notes that the server's report could not be read.
 func (l *Limiter) LoadFailed() { l.missed++ }
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -30,6 +30,17 @@
 	return func(l *Limiter) { l.Load(at, r) }
 }
 
+// absent is a server of epoch 1 that learnt 16, was taken out of service at 1 s, and came back with one request.
+func absent(back time.Duration) func(*Limiter) {
+	return func(l *Limiter) {
+		l.Load(0, fleet.Load{Epoch: 1})
+		completed(15)(l)
+		l.Pause(time.Second)
+		l.Load(2*time.Second, fleet.Load{Epoch: 1})
+		l.Resume(back, 1)
+	}
+}
+
 func TestLimit(t *testing.T) {
 	cases := map[string]struct {
 		steps []func(*Limiter)
@@ -90,6 +101,54 @@
 			[]func(*Limiter){completed(15), reported(0, fleet.Load{Running: 6, Waiting: 5}), reported(0, fleet.Load{Running: 6, Waiting: 5})},
 			[]int{16, 16, 6},
 		},
+		"back as it was, a server has its limit back with a report": {
+			[]func(*Limiter){absent(4 * time.Second), reported(4*time.Second, fleet.Load{Epoch: 1, Age: 200})},
+			[]int{1, 16},
+		},
+		"back without a report, it is warmed": {
+			[]func(*Limiter){absent(4 * time.Second), completed(1), completed(2), func(l *Limiter) { l.LoadFailed() }},
+			[]int{1, 2, 4, 4},
+		},
+		"back with a report from before it may have restarted, it is warmed until a later one": {
+			[]func(*Limiter){
+				absent(4 * time.Second), reported(4*time.Second+1, fleet.Load{Epoch: 1, Age: 700}), completed(1),
+				reported(4500*time.Millisecond, fleet.Load{Epoch: 1, Age: 500}),
+			},
+			[]int{1, 1, 2, 16},
+		},
+		"back after a restart, it is cold": {
+			[]func(*Limiter){absent(4 * time.Second), reported(4*time.Second, fleet.Load{Epoch: 2}), reported(5*time.Second, fleet.Load{Epoch: 2})},
+			[]int{1, 1, 1},
+		},
+		"restarted while out of service, it is cold": {
+			[]func(*Limiter){
+				absent(4 * time.Second), func(l *Limiter) { l.Pause(5 * time.Second) }, reported(6*time.Second, fleet.Load{Epoch: 2}),
+				func(l *Limiter) { l.Resume(7*time.Second, 0) }, reported(7*time.Second, fleet.Load{Epoch: 2}),
+			},
+			[]int{1, 1, 1, 1, 1},
+		},
+		"back after long, it is cold": {
+			[]func(*Limiter){absent(time.Second + warmTime + 1), reported(2*time.Minute, fleet.Load{Epoch: 1})},
+			[]int{1, 1},
+		},
+		"back with a queue, it is warmed until that is gone": {
+			[]func(*Limiter){
+				absent(4 * time.Second), reported(4*time.Second, fleet.Load{Epoch: 1, Running: 1, Waiting: 1}),
+				reported(5*time.Second, fleet.Load{Epoch: 1, Running: 1}),
+			},
+			[]int{1, 1, 16},
+		},
+		"in trouble once back, it does not have its limit back": {
+			[]func(*Limiter){absent(4 * time.Second), completed(1), ended(1, fleet.OutcomeOverloaded, 0), reported(5*time.Second, fleet.Load{Epoch: 1})},
+			[]int{1, 2, 1, 1},
+		},
+		"without an epoch a report does not show that it is as it was": {
+			[]func(*Limiter){
+				completed(15), func(l *Limiter) { l.Load(0, fleet.Load{}); l.Pause(0); l.Resume(time.Second, 1) },
+				reported(2*time.Second, fleet.Load{}),
+			},
+			[]int{16, 1, 1},
+		},
 		"without reports the limit rises slowly": {
 			[]func(*Limiter){completed(1), func(l *Limiter) { l.LoadFailed(); l.LoadFailed(); l.LoadFailed() }, completed(2), completed(3)},
 			[]int{2, 2, 3, 4},
--- a/core/node/cells.go
+++ b/core/node/cells.go
@@ -23,6 +23,7 @@
 	lenders   int
 	asked     time.Duration     // last demand or own holding
 	polled    map[string]string // servers asked for their load; nil for none
+	askAgain  bool              // a server came back into service, and its load decides what it takes
 }
 
 // ensureCell gives this router's scheduler of a cell, a new one if there is none.
@@ -72,7 +73,9 @@
 
 func (n *Node) configureCell(id fleet.Cell, c *cell) {
 	if f := n.keeper.Current(); f != nil {
-		c.scheduler.Configure(n.now, f.Servers[id.Product], f.Out, n.leaving)
+		if c.scheduler.Configure(n.now, f.Servers[id.Product], f.Out, n.leaving) {
+			c.askAgain = true
+		}
 	}
 }
 
@@ -203,14 +206,14 @@
 		return
 	}
 	servers := f.Servers[id.Product]
-	same := c.polled != nil && len(servers) == len(c.polled)
+	same := c.polled != nil && !c.askAgain && len(servers) == len(c.polled)
 	for i := range servers {
 		same = same && c.polled[servers[i].Name] == servers[i].Address
 	}
 	if same {
 		return
 	}
-	c.polled = make(map[string]string, len(servers))
+	c.polled, c.askAgain = make(map[string]string, len(servers)), false
 	for i := range servers {
 		c.polled[servers[i].Name] = servers[i].Address
 	}
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -87,25 +87,30 @@
 	hungUp   []hangUp // oldest first
 }
 
-// Configure sets the cell's servers, the data centres out of service and the leaving servers.
-func (s *Scheduler) Configure(now time.Duration, servers []rule.Server, out, leaving map[string]bool) {
+// Configure sets the cell's servers, the data centres out of service and the leaving servers; it says whether any server
+// came back into service.
+func (s *Scheduler) Configure(now time.Duration, servers []rule.Server, out, leaving map[string]bool) bool {
 	s.prepare()
 	for _, v := range s.listed {
 		v.present = false
 	}
 	s.listed = s.listed[:0]
+	back := false
 	for _, r := range servers {
 		if r.Product != s.Cell.Product && s.Cell.Product != "" {
 			continue
 		}
 		v := s.server(r.Name)
+		stopped := v.stopped
 		s.configure(now, v, r, out, leaving)
+		back = back || stopped != fleet.ReasonNone && v.stopped == fleet.ReasonNone
 		s.listed = append(s.listed, v)
 	}
 	sort.Slice(s.listed, func(i, j int) bool { return s.listed[i].rule.Name < s.listed[j].rule.Name })
 	s.dropServers()
 	s.refreshShares()
 	s.review = now
+	return back
 }
 
 // dropServers forgets servers that are neither configured nor in use.
--- a/core/sched/server.go
+++ b/core/sched/server.go
@@ -68,8 +68,11 @@
 	case leaving[r.Name]:
 		stopped = fleet.ReasonServerLeaving
 	}
-	if v.stopped != fleet.ReasonNone && stopped == fleet.ReasonNone {
-		v.limiter.Resume(v.outstanding + v.orphans)
+	switch {
+	case v.stopped == fleet.ReasonNone && stopped != fleet.ReasonNone:
+		v.limiter.Pause(now)
+	case v.stopped != fleet.ReasonNone && stopped == fleet.ReasonNone:
+		v.limiter.Resume(now, v.outstanding+v.orphans)
 	}
 	v.stopped = stopped
 }
--- a/core/sched/stop_test.go
+++ b/core/sched/stop_test.go
@@ -28,6 +28,30 @@
 }
 
 func TestDataCentreOutAndBack(t *testing.T) {
+	cases := map[string]struct {
+		meanwhile func(w *world)
+		least     int // requests in the data centre after the first load report since it came back
+		most      int
+	}{
+		"as it was":        {func(*world) {}, 22, 24},
+		"cold":             {func(w *world) { w.chill("dc-1") }, 3, 6},
+		"without a report": {func(w *world) { w.unheard = true }, 3, 6},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { outAndBack(t, c.meanwhile, c.least, c.most) })
+	}
+}
+
+// chill has the servers of a data centre turn cold.
+func (w *world) chill(dataCentre string) {
+	for _, v := range w.servers {
+		if v.rule.DataCentre == dataCentre {
+			v.epoch++
+		}
+	}
+}
+
+func outAndBack(t *testing.T, meanwhile func(w *world), least, most int) {
 	w := busyWorld(t)
 	before := w.runningIn("dc-1")
 	w.schedulers[0].Configure(w.now, w.rules(), map[string]bool{"dc-1": true}, nil)
@@ -44,11 +68,18 @@
 		t.Errorf("%d of %d requests still run after the longest could have ended", last, before)
 	}
 	w.checks = w.checks[:3]
-	w.schedulers[0].Configure(w.now, w.rules(), nil, nil)
+	meanwhile(w)
+	if !w.schedulers[0].Configure(w.now, w.rules(), nil, nil) {
+		t.Error("not told that servers came back")
+	}
 	w.run(20 * time.Millisecond)
 	if n := w.runningIn("dc-1"); n == 0 || n > 3 {
 		t.Errorf("three servers that came back run %d requests at once, want one each at most", n)
 	}
+	w.run(w.loadPeriod - w.now%w.loadPeriod + 5*time.Millisecond)
+	if n := w.runningIn("dc-1"); n < least || n > most {
+		t.Errorf("after a report the servers that came back run %d requests, want %d to %d", n, least, most)
+	}
 	w.run(3 * time.Second)
 	if n := w.runningIn("dc-1"); n < before-2 {
 		t.Errorf("the servers that came back run %d requests, %d before", n, before)
--- a/stage/proof/centre_test.go
+++ b/stage/proof/centre_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -92,6 +93,54 @@
 	}
 }
 
+// Engines that turned cold while their data centre was out of service, or that restart just before it comes back, get no more
+// than they can serve.
+func TestDataCentreComesBackCold(t *testing.T) {
+	for name, tt := range map[string]struct {
+		order  string
+		before time.Duration // from the order until the data centre comes back
+	}{
+		"turned cold": {"cold", time.Second},
+		"restarted":   {"restart", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := settings(local.Chenab())
+			s.EngineLimit = 8
+			s.EngineArgs = append(s.EngineArgs, "--cold-limit", "1", "--warm-after", "1")
+			f := start(t, s)
+			out := f.Site.DataCentres[0]
+			settled(t, f)
+			l := startLoad(t, f, 30, 0, 20)
+			l.waitFor(t, 15*time.Second, 100, answered)
+			_, err := f.Publish(f.Rules(out), "")
+			must(t, err)
+			elapse(t, outLimit)
+			for _, e := range enginesIn(f, out) {
+				must(t, e.Steer(tt.order))
+			}
+			elapse(t, tt.before)
+			back := time.Now()
+			_, err = f.Publish(f.Rules(), "")
+			must(t, err)
+			within(t, 10*time.Second, func() error {
+				for _, e := range enginesIn(f, out) {
+					if runsSince(t, f, e, back) < 100 {
+						return fmt.Errorf("%s has little work again", e.Name)
+					}
+				}
+				return nil
+			})
+			check(t, f, l.stop())
+			checkLimits(t, f)
+		})
+	}
+}
+
+func enginesIn(f *local.Fleet, dataCentre string) []local.Server {
+	return slices.DeleteFunc(f.ServersOf(f.Site.Model), func(e local.Server) bool { return e.DataCentre != dataCentre })
+}
+
 func TestLeavingServer(t *testing.T) {
 	f := start(t, settings(local.Chenab()))
 	leaving := []local.Server{f.ServersOf(f.Site.Model)[0], f.ServersOf(f.Site.Plain)[0]}
