--- a/mangoctl/status/status.go
+++ b/mangoctl/status/status.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"mangolug.org/core/report"
 	"mangolug.org/mangoctl/admin"
 	"mangolug.org/mangoctl/shell"
 	"mangolug.org/mangoctl/stream"
@@ -17,21 +18,11 @@
 	JSON    bool            `long:"json" description:"write the routers' answers as JSON"`
 }
 
-type action struct {
-	Options
-	run func(*Options) error
-}
-
 // Execute runs the command.
-func (a *action) Execute([]string) error { return a.run(&a.Options) }
+func (o *Options) Execute([]string) error { return statusRun(o) }
 
-// NewCommand makes the command; run replaces statusRun in tests.
-func NewCommand(f *shell.Factory, run func(*Options) error) *shell.Command {
-	if run == nil {
-		run = statusRun
-	}
-	a := &action{run: run}
-	a.Streams, a.Client = f.Streams, &admin.Client{HTTP: f.HTTP}
+// NewCommand makes the command.
+func NewCommand(f *shell.Factory) *shell.Command {
 	return &shell.Command{
 		Name:  "status",
 		Short: "Show routers, data centres, backend servers and teams",
@@ -39,7 +30,7 @@
 		Examples: `mangoctl status --router 127.0.0.1:8101
 MANGOLUG_ROUTER=127.0.0.1:8101 mangoctl status --all
 mangoctl status --all --json | jq '.[].status.configVersion'`,
-		Action: a,
+		Action: &Options{Streams: f.Streams, Client: &admin.Client{HTTP: f.HTTP}},
 	}
 }
 
@@ -93,13 +84,65 @@
 	return nil
 }
 
+// refused is one verdict on a configuration version.
+type refused struct {
+	version uint64
+	why     string
+}
+
 func warn(s *stream.Streams, answers []admin.Status) {
+	warnRefused(s, answers)
 	for _, a := range answers {
-		if a.Status.ConfigRefused != "" {
-			_, _ = fmt.Fprintf(s.ErrOut, "router %s refused a newer configuration: %s\n", a.Status.Router, a.Status.ConfigRefused)
+		if why := notReady(a.Status); why != "" {
+			_, _ = fmt.Fprintf(s.ErrOut, "router %s is not ready: %s\n", a.Status.Router, why)
 		}
 		if !a.Status.Majority {
 			_, _ = fmt.Fprintf(s.ErrOut, "router %s reaches no majority of the listed routers: it refuses keyed non-idempotent calls\n", a.Status.Router)
 		}
 	}
 }
+
+// warnRefused tells each verdict on a configuration once, however many routers gave it.
+func warnRefused(s *stream.Streams, answers []admin.Status) {
+	var order []refused
+	count := map[refused]int{}
+	for _, a := range answers {
+		r := refused{version: a.Status.RefusedNumber, why: a.Status.ConfigRefused}
+		if r.why == "" {
+			continue
+		}
+		if count[r] == 0 {
+			order = append(order, r)
+		}
+		count[r]++
+	}
+	for _, r := range order {
+		_, _ = fmt.Fprintf(s.ErrOut, "configuration %d was refused by %d of %d routers:\n%s\n", r.version, count[r], len(answers), r.why)
+	}
+}
+
+// notReady tells what a router lacks that is neither ready nor draining; empty for all others.
+func notReady(s report.Status) string {
+	if s.Ready || s.Draining {
+		return ""
+	}
+	live, newest := 0, s.ConfigVersion
+	for _, p := range s.Peers {
+		if p.Live && p.Name != s.Router {
+			live++
+			newest = max(newest, p.ConfigVersion)
+		}
+	}
+	switch {
+	case len(s.Peers) == 0:
+		return "it has no list of VMs, from the platform or a peer"
+	case live == 0 && len(s.Peers) > 1:
+		return "it hears no peer"
+	case newest == 0:
+		return "neither it nor a peer has rules in force"
+	case newest > s.ConfigVersion:
+		return fmt.Sprintf("a peer has configuration %d, it has %d", newest, s.ConfigVersion)
+	default:
+		return "it has begun just now"
+	}
+}
