--- a/router/peers/listen.go
+++ b/router/peers/listen.go
@@ -53,13 +53,14 @@
 		l.counter("peers.refusedStranger").Inc(1)
 		return err
 	}
+	var said wire.Said
 	unknown := false
 	for {
 		e, err := stream.Recv()
 		if err != nil {
 			return err
 		}
-		m, err := wire.Decode(e)
+		m, err := decode(&said, e)
 		var later *wire.UnknownBodyError
 		switch {
 		case err == nil:
@@ -73,6 +74,14 @@
 	}
 }
 
+// decode gives the message of the next envelope of a stream.
+func decode(said *wire.Said, e *wire.Envelope) (*fleet.Message, error) {
+	if err := said.Restore(e); err != nil {
+		return nil, err
+	}
+	return wire.Decode(e)
+}
+
 // skip counts a message that a later version sent, and logs it when it is the first of a stream.
 func (l *Listener) skip(from string, later *wire.UnknownBodyError, first bool) {
 	l.counter("peers.unknownMessage").Inc(1)
