Leave out on a stream only what its receiver puts back

Cause: since names and repeated fields are left out on a stream, a router of an earlier version reads an empty product and ends the stream; replacing routers one by one would have split the fleet until the last was replaced. Ruled out: a bit in the envelope from which on both number the names: the sender still has to know that the receiver understands it. Waiting for the header without a bound: an earlier version sends none before the end.

--- a/router/peers/links.go
+++ b/router/peers/links.go
@@ -134,11 +134,14 @@
 	drain(o)
 	l.setTrouble(o, "")
 	l.Linked(o.peer)
-	ended := make(chan error, 1)
+	restores, ended := make(chan bool, 1), make(chan error, 1)
 	go func() {
+		header, _ := stream.Header() // an error comes with the message too
+		restores <- len(header.Get(restoresHeader)) > 0
 		var closed wire.Closed
 		ended <- stream.RecvMsg(&closed)
 	}()
+	shorten := awaitRestores(ctx, restores)
 	var said wire.Said
 	for {
 		select {
@@ -149,7 +152,9 @@
 		case <-o.reopen:
 			return errors.New("peer does not keep up")
 		case e := <-o.outbox:
-			said.Shorten(e)
+			if shorten {
+				said.Shorten(e)
+			}
 			l.count(e)
 			if err := stream.Send(e); err != nil {
 				return errors.Wrap(err, "send")
--- a/router/peers/listen.go
+++ b/router/peers/listen.go
@@ -53,6 +53,9 @@
 		l.counter("peers.refusedStranger").Inc(1)
 		return err
 	}
+	if err := stream.SendHeader(restoresMetadata()); err != nil {
+		return err
+	}
 	var said wire.Said
 	unknown := false
 	for {
--- a/router/peers/peers_test.go
+++ b/router/peers/peers_test.go
@@ -8,7 +8,10 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
 
 	"mangolug.org/core/fleet"
 	"mangolug.org/router/wire"
@@ -204,6 +207,82 @@
 	}
 }
 
+// earlier is a router of a version that restores nothing that is left out.
+type earlier struct {
+	wire.UnimplementedLinkServer
+	teams chan string
+}
+
+func (e *earlier) Send(stream grpc.ClientStreamingServer[wire.Envelope, wire.Closed]) error {
+	for {
+		envelope, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		m, err := wire.Decode(envelope)
+		if err != nil {
+			return err
+		}
+		e.teams <- m.Demand.Waiting[0].Team
+	}
+}
+
+func demand() *fleet.Message {
+	return &fleet.Message{Incarnation: 7, Demand: &fleet.Demand{
+		Cell: fleet.Cell{Product: "stain-llm"}, Waiting: []fleet.TeamDemand{{Team: "carpenters", Waiting: 1}},
+	}}
+}
+
+// demands sends three like demands as a to the peer b.
+func demands(t *testing.T, address string) *Links {
+	t.Helper()
+	trust, err := NewTrust("a", []string{oldSecret}, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	links := &Links{Trust: trust, Metrics: metrics.NewRegistry()}
+	links.Linked = func(p string) {
+		for range 3 {
+			links.Send(p, wire.Encode(demand()))
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	links.Set(ctx, map[string]string{"b": address})
+	return links
+}
+
+func TestEarlierVersionGetsAllWhole(t *testing.T) {
+	trust, err := NewTrust("b", []string{oldSecret}, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &earlier{teams: make(chan string, 64)}
+	server := grpc.NewServer(grpc.Creds(credentials.NewTLS(trust.server())))
+	wire.RegisterLinkServer(server, e)
+	go func() { _ = server.Serve(socket) }()
+	t.Cleanup(server.Stop)
+	links := demands(t, socket.Addr().String())
+	await(t, "the demands", func() bool { return len(e.teams) >= 3 || links.Troubles()["b"] != "" })
+	if why := links.Troubles()["b"]; why != "" || len(e.teams) != 3 {
+		t.Errorf("%d of 3 demands were taken; the link failed for %q", len(e.teams), why)
+	}
+}
+
+func TestSameVersionGetsEachNameOnce(t *testing.T) {
+	address, arrived, _ := listen(t, oldSecret)
+	links := demands(t, address)
+	await(t, "the demands", func() bool { return len(arrived) == 3 })
+	bytes := metrics.GetOrRegisterCounter("sentBytes.demand", links.Metrics).Count()
+	if whole := int64(proto.Size(wire.Encode(demand()))); bytes >= 2*whole {
+		t.Errorf("%d bytes for three demands of %d each when whole", bytes, whole)
+	}
+}
+
 func TestShortSecretIsRefused(t *testing.T) {
 	for name, secrets := range map[string][]string{"none": nil, "short": {"short"}, "second short": {oldSecret, "short"}} {
 		if _, err := NewTrust("a", secrets, time.Now()); err == nil {
