Read the platform no more often as the fleet grows

Ruled out: telling every change of the list to all peers (a list of 222 KB to 469 routers for each replaced VM); no reads at all without a role, as readers may be cut off from the platform. Before: worked out for 470 routers, 94 + 31 reads a second beside the readers' and schedulers'; TestListInALargeFleet fails on the old asking of any peer at 15 s (a changed list is not everywhere within 10 s). After: above 9 routers the periods grow as the fleet does, 2.4 reads a second for all routers without a role together, and each asks a reader for the list when its own is 5 s old. TestReadsDoNotGrowWithTheFleet and TestListInALargeFleet pass; today's fleets read as before. Conclusion: reads grow with data centres and products, not with routers.

--- a/core/fleet/times.go
+++ b/core/fleet/times.go
@@ -17,3 +17,7 @@
 	// ClockDrift is the allowance for clocks that run at different rates.
 	ClockDrift = 50 * time.Millisecond
 )
+
+// FullPace is the largest fleet, in routers, in which all read the platform at full pace. In a larger one the reads of routers
+// without a role become rarer as it grows, and they go by their readers.
+const FullPace = 9
--- a/core/member/list_test.go
+++ b/core/member/list_test.go
@@ -171,6 +171,12 @@
 	if len(first) != ReadersPerDataCentre {
 		t.Fatalf("readers %v", first)
 	}
+	for _, n := range d.nodes {
+		want := slices.DeleteFunc(slices.Clone(first), func(name string) bool { return name == n.name })
+		if got := slices.Sorted(slices.Values(n.members.Readers(d.clock(n)))); !slices.Equal(got, want) {
+			t.Errorf("%s takes %v for readers, want %v", n.name, got, want)
+		}
+	}
 	d.node(first[0]).dead = true
 	d.await("replaced", 2*time.Second, func() bool { return len(readers()) == ReadersPerDataCentre })
 }
--- a/core/node/config.go
+++ b/core/node/config.go
@@ -27,6 +27,9 @@
 // Reader says whether this router is one of those that watch the platform.
 func (n *Node) Reader() bool { return n.reader }
 
+// FleetSize counts the listed routers.
+func (n *Node) FleetSize() int { return len(n.listed) }
+
 // Urgent says whether this router schedules a cell and so needs the list of VMs at once.
 func (n *Node) Urgent() bool {
 	for _, c := range n.cells {
--- a/core/node/list.go
+++ b/core/node/list.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// listFresh is how long a router goes by its own list before it asks peers for a younger one.
-	listFresh = 15 * time.Second
+	// listFresh is how long a router goes by its own list before it asks a reader for a younger one; in a fleet above
+	// fleet.FullPace, where it reads the platform rarely, it is listFreshLarge.
+	listFresh      = 15 * time.Second
+	listFreshLarge = 5 * time.Second
 	// listAskPeriod is the time between two questions for a younger list.
 	listAskPeriod = 5 * time.Second
 	// listAskLimit is how long one peer has to answer, the opening of a link to it included.
@@ -197,7 +199,7 @@
 }
 
 // askList asks a peer for its list: at once while there is none or a peer's is known to be younger than a carried one, and
-// now and then while the platform has not renewed it.
+// a reader now and then while the platform has not renewed it.
 func (n *Node) askList() {
 	c := &n.carried
 	if c.asking.peer != "" {
@@ -213,7 +215,7 @@
 			n.do(Effect{Links: &Links{}}) // so that a link is opened anew, and told of, when the same peer is asked again
 		}
 	}
-	stale := c.digest != 0 && n.listAge() > listFresh
+	stale := c.digest != 0 && n.listAge() > n.listFresh()
 	if c.digest == 0 || c.byPeer || stale {
 		if peer := n.youngest(); peer != "" {
 			n.askYoungest(peer)
@@ -222,12 +224,19 @@
 	}
 	if stale && n.now >= c.next {
 		c.next = n.now + listAskPeriod
-		if peer := n.anyPeer(); peer != "" {
+		if peer := n.anyReader(); peer != "" {
 			n.ask(peer)
 		}
 	}
 }
 
+func (n *Node) listFresh() time.Duration {
+	if n.FleetSize() > fleet.FullPace {
+		return listFreshLarge
+	}
+	return listFresh
+}
+
 // askYoungest asks at once over a link that the list has opened, and else opens one first.
 func (n *Node) askYoungest(peer string) {
 	if n.carried.digest != 0 {
@@ -264,14 +273,14 @@
 	return peers[h.Sum64()%uint64(len(peers))]
 }
 
-// anyPeer gives another live peer each time, in an order of its own at each router.
-func (n *Node) anyPeer() string {
-	live := slices.DeleteFunc(n.members.Live(), func(name string) bool { return name == n.Start.Self })
-	if len(live) == 0 {
+// anyReader gives another live reader of the platform each time, in an order of its own at each router.
+func (n *Node) anyReader() string {
+	readers := n.members.Readers(n.now)
+	if len(readers) == 0 {
 		return ""
 	}
 	n.carried.round++
-	return n.spread(live, n.carried.round)
+	return n.spread(readers, n.carried.round)
 }
 
 // listDigest is a hash of a list; the order counts, and it is never 0.
--- a/core/node/list_test.go
+++ b/core/node/list_test.go
@@ -60,6 +60,20 @@
 	}
 }
 
+// TestListInALargeFleet changes the list where most routers have not read it for long: readers tell them within the lag that
+// membership bears.
+func TestListInALargeFleet(t *testing.T) {
+	w := settled(t, 8, fleet.FullPace+2)
+	for _, p := range w.routers {
+		p.noList = !p.node.Reader()
+	}
+	w.run(time.Minute)
+	w.vms = append(w.vms, fleet.VM{Name: "stain-2", Address: "stain:2", DataCentre: "clew", State: fleet.VMLeaving})
+	w.await("the list at all", listFreshLarge+listAskPeriod, func() bool {
+		return !slices.ContainsFunc(w.routers, func(p *process) bool { return !p.node.leaving["stain-2"] })
+	})
+}
+
 // TestAgesGoWithTheList hands a list from router to router while the platform is down; no router may think it younger than it is.
 func TestAgesGoWithTheList(t *testing.T) {
 	for seed := range uint64(5) {
--- a/router/boot/router.go
+++ b/router/boot/router.go
@@ -170,7 +170,7 @@
 	return &plat.Watcher{
 		Client: &plat.Client{Base: r.settings.Platform},
 		Offer:  r.loop.Offer, List: r.loop.List, Asked: r.loop.Asked, Newest: r.loop.Newest,
-		Reader: r.loop.Reader, Urgent: r.loop.Urgent,
+		Reader: r.loop.Reader, Urgent: r.loop.Urgent, FleetSize: r.loop.FleetSize,
 		Failed: func(err error) {
 			metrics.GetOrRegisterCounter("platform.failed", r.registry).Inc(1)
 			r.log.Warn("platform not read", "error", err)
--- a/router/loop/loop.go
+++ b/router/loop/loop.go
@@ -52,6 +52,7 @@
 	draining atomic.Bool
 	reader   atomic.Bool
 	urgent   atomic.Bool
+	size     atomic.Int64
 	newest   atomic.Uint64
 }
 
@@ -148,6 +149,7 @@
 	l.ready.Store(int32(l.state.Ready()))
 	l.reader.Store(l.state.Reader())
 	l.urgent.Store(l.state.Urgent())
+	l.size.Store(int64(l.state.FleetSize()))
 	l.newest.Store(l.state.Newest())
 }
 
--- a/router/loop/outside.go
+++ b/router/loop/outside.go
@@ -49,6 +49,9 @@
 // Urgent says whether this router schedules a cell and so needs the list of VMs at once.
 func (l *Loop) Urgent() bool { return l.urgent.Load() }
 
+// FleetSize counts the listed routers.
+func (l *Loop) FleetSize() int { return int(l.size.Load()) }
+
 // Status gives the router's status.
 func (l *Loop) Status(ctx context.Context) (*report.Status, error) {
 	var s *report.Status
--- a/router/plat/watcher.go
+++ b/router/plat/watcher.go
@@ -16,9 +16,9 @@
 	DefaultWait = 20 * time.Second
 	// DefaultListPeriod is the time between two reads of the list by readers and schedulers.
 	DefaultListPeriod = time.Second
-	// DefaultSlowPeriod is the time between two reads of the list by the other routers.
+	// DefaultSlowPeriod is the time between two reads of the list by the other routers, in a fleet of up to fleet.FullPace.
 	DefaultSlowPeriod = 5 * time.Second
-	// DefaultRulesPeriod is the time between two reads of the rules by routers that do not watch them.
+	// DefaultRulesPeriod is the time between two reads of the rules by routers that do not watch them, in such a fleet.
 	DefaultRulesPeriod = 15 * time.Second
 	// DefaultBackoff is the first pause after a failure; it doubles with each further one.
 	DefaultBackoff = 200 * time.Millisecond
@@ -58,6 +58,8 @@
 	Reader func() bool                       // this router watches the rules; nil: yes
 	Urgent func() bool                       // this router chooses backend servers and needs the list at once; nil: yes
 	Random func() float64                    // from 0 to below 1; nil: a global source
+
+	FleetSize func() int // routers that read the platform; nil: few
 }
 
 // Run reads until the context ends, and gives its error.
@@ -102,7 +104,7 @@
 			pause(ctx, w.spread(w.Times.backoff()))
 		default:
 			backoff.reset()
-			w.awaitRole(ctx, w.spread(w.Times.rulesPeriod()))
+			w.awaitRole(ctx, w.spread(w.share(w.Times.rulesPeriod())))
 		}
 	}
 }
@@ -130,7 +132,7 @@
 		backoff.reset()
 		w.List(vms)
 		pause(ctx, w.Times.listPeriod())
-		w.awaitUrgent(ctx, w.spread(w.Times.slowPeriod()-w.Times.listPeriod()))
+		w.awaitUrgent(ctx, w.spread(w.share(w.Times.slowPeriod())-w.Times.listPeriod()))
 	}
 }
 
@@ -154,6 +156,15 @@
 	}
 }
 
+// share lengthens a period of routers without a role as the fleet grows, so that all of them together read no more often
+// than a fleet of FullPace routers.
+func (w *Watcher) share(period time.Duration) time.Duration {
+	if w.FleetSize == nil {
+		return period
+	}
+	return period * time.Duration(max(fleet.FullPace, w.FleetSize())) / fleet.FullPace
+}
+
 func (w *Watcher) reader() bool { return w.Reader == nil || w.Reader() }
 
 func (w *Watcher) urgent() bool { return w.Urgent == nil || w.Urgent() }
--- a/router/plat/watcher_test.go
+++ b/router/plat/watcher_test.go
@@ -194,6 +194,26 @@
 	w.expectOffer(t, 4)
 }
 
+// A fleet of any size reads the platform as often as a small one does, but for its readers and schedulers.
+func TestReadsDoNotGrowWithTheFleet(t *testing.T) {
+	for name, tt := range map[string]struct {
+		size int // routers
+		most float64
+	}{
+		"not known": {0, 0}, "one": {1, 0.2}, "three": {3, 0.6}, "nine": {9, 1.8}, "twenty": {20, 1.8}, "two-year size": {470, 1.8},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := &Watcher{FleetSize: func() int { return tt.size }}
+			if got := float64(tt.size) / w.share(DefaultSlowPeriod).Seconds(); got > tt.most+1e-9 {
+				t.Errorf("%.2f reads a second, want %.2f at most", got, tt.most)
+			}
+			if period := w.share(DefaultSlowPeriod); period < DefaultSlowPeriod {
+				t.Errorf("period %v", period)
+			}
+		})
+	}
+}
+
 func TestListFollowsThePlatform(t *testing.T) {
 	p := &platform{vms: `{"name":"pool-1","state":"live"}`}
 	w := watch(t, p, nil)
