Serve on the smaller side of a partition

Cause: what lost routers run filled the part of a limit of a router cut off alone, and the other side's work on the same servers kept reports from freeing it. A router tells its new scheduler what it runs before its part counts there, so the other side's part holds these grants. TestTakeoverKeepsTheLimit has a case with routers that nobody hears for a while and varying demand. A grant whose caller hung up is no longer taken as surely running.

--- a/core/sched/orphan.go
+++ b/core/sched/orphan.go
@@ -9,6 +9,10 @@
 // orphanReports is the number of load reports that must agree before orphans are freed.
 const orphanReports = 3
 
+// handover is the time after a router's loss by which it has left this scheduler, uses no grant of it any more, and has told
+// another scheduler what it runs.
+const handover = fleet.GrantLifetime + fleet.ClockDrift + transit
+
 // freeOrphans drops orphans that several reports in a row, measured since, leave no room for.
 func (v *server) freeOrphans(now time.Duration, l fleet.Load) {
 	measured := now - time.Duration(l.Age)*time.Millisecond
@@ -27,6 +31,29 @@
 	v.orphans = min(v.orphans, most)
 }
 
+// covering says whether a report measured then may show that other schedulers' parts hold the orphans.
+func (v *server) covering(measured time.Duration) bool {
+	return v.orphans > 0 && !v.covered && measured >= v.orphanedAt+handover
+}
+
+// cover counts reports in a row by which others run no more than the parts that are not this scheduler's.
+func (s *Scheduler) cover(v *server, others int) {
+	if others > v.limiter.Bound()-s.part(v.limiter.Bound()) {
+		v.within = 0
+		return
+	}
+	v.within++
+	v.covered = v.within >= orphanReports
+}
+
+// outside counts the orphans that the other schedulers' parts hold.
+func (s *Scheduler) outside(v *server) int {
+	if !v.covered {
+		return 0
+	}
+	return min(v.orphans, v.limiter.Bound()-s.part(v.limiter.Bound()))
+}
+
 // orphan turns a grant into load that only its server's reports, or news of it, can free.
 func (s *Scheduler) orphan(now time.Duration, g *grant) {
 	v := g.server
@@ -35,6 +62,7 @@
 	v.orphans++
 	v.lost++
 	v.orphanedAt, v.spares = now, 0
+	v.covered, v.within = false, 0
 	s.lost[g.id] = v
 }
 
--- a/core/sched/scheduler_test.go
+++ b/core/sched/scheduler_test.go
@@ -141,6 +141,50 @@
 	}
 }
 
+// TestOrphansAreLeftToTheOtherSide cuts a router off from three others, which ran all that a server bears.
+func TestOrphansAreLeftToTheOtherSide(t *testing.T) {
+	const others = 6 // of a limit of 8, for three routers of four
+	cases := map[string]struct {
+		after time.Duration // the first of three reports
+		loads [orphanReports]int
+		want  int
+	}{
+		"the other side within its part":   {handover, [orphanReports]int{others, others, others}, 2},
+		"reports from before the handover": {handover - time.Millisecond, [orphanReports]int{others, others, others}, 0},
+		"the other side over its part":     {handover, [orphanReports]int{others, others + 1, others}, 0},
+		"an idle other side":               {handover, [orphanReports]int{0, 0, 0}, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			servers := twoServers()[:1]
+			servers[0].Limit = 8
+			s := newScheduler(servers, "r1", "r2", "r3", "r4")
+			s.Load(0, fleet.Load{Server: "killary-1", Running: 8})
+			s.Take(0, "r1", "clew", 0, full(1, fleet.TeamDemand{Team: "skippers", Waiting: 8}))
+			for i, name := range []string{"r2", "r3", "r4"} {
+				d := full(1)
+				for n := range 2 + i%2 {
+					d.Running = append(d.Running, fleet.Running{Grant: uint64(10*i + n + 1), Team: "farms", Server: "killary-1"})
+				}
+				s.Take(0, name, "clew", 0, d)
+				s.Forget(0, name)
+			}
+			s.Lend(0, []string{"r1"}, 4)
+			granted := 0
+			for i, load := range c.loads {
+				now := c.after + time.Duration(i)*500*time.Millisecond
+				s.Load(now, fleet.Load{Server: "killary-1", Running: load})
+				now += transit
+				s.Heard(now, "r1", now.Milliseconds())
+				granted += count(s.Next(now))
+			}
+			if granted != c.want {
+				t.Errorf("granted %d, want %d", granted, c.want)
+			}
+		})
+	}
+}
+
 // TestLostGrantIsNotKept has a connection lose a grant and a later acknowledgement cover it.
 func TestLostGrantIsNotKept(t *testing.T) {
 	s := newScheduler(twoServers(), "r1")
--- a/core/sched/server.go
+++ b/core/sched/server.go
@@ -22,8 +22,10 @@
 	outstanding int // grants in the hands of live routers
 	orphans     int // grants of routers that were lost
 	orphanedAt  time.Duration
-	lost        int // orphans, those included that reports freed and that may yet be heard of
-	foreign     int // reported load that no grant explains
+	covered     bool // other schedulers' parts hold the orphans
+	within      int  // reports in a row that show it
+	lost        int  // orphans, those included that reports freed and that may yet be heard of
+	foreign     int  // reported load that no grant explains
 	spare       [orphanReports]int
 	spares      int // reports since the last orphan
 	recent      peak
@@ -187,7 +189,7 @@
 // usable gives how many grants may be outstanding on a server, orphans included.
 func (s *Scheduler) usable(v *server) int {
 	beside := max(0, v.foreign-v.orphans)
-	return min(s.allowed(v), v.limiter.Limit()-beside)
+	return min(s.allowed(v)+s.outside(v), v.limiter.Limit()-beside)
 }
 
 func (s *Scheduler) whyHeld(now time.Duration, v *server) (fleet.Reason, time.Duration) {
--- a/core/sched/settle.go
+++ b/core/sched/settle.go
@@ -50,24 +50,23 @@
 	kept     bool
 }
 
-// keep holds the report that tells soonest about the time after the part grew.
+// keep holds the report that tells soonest about the time after the part grew, or after grants were lost.
 func (s *Scheduler) keep(v *server, measured time.Duration, load int) {
-	if !v.settled && !v.sample.kept && measured >= v.grewAt+transit {
-		v.sample = sample{measured: measured, load: load, kept: true}
-		s.review = min(s.review, measured+transit)
+	if v.sample.kept || !v.growing(measured) && !v.covering(measured) {
+		return
 	}
+	v.sample = sample{measured: measured, load: load, kept: true}
+	s.review = min(s.review, measured+transit)
+}
+
+// growing says whether a report measured then may tell how much of a larger part is free.
+func (v *server) growing(measured time.Duration) bool {
+	return !v.settled && measured >= v.grewAt+transit
 }
 
-// settleServer lets more of the part be used as far as a report shows that others left it.
+// settleServer learns from a report what others run, once all that ended before it was measured is known.
 func (s *Scheduler) settleServer(now time.Duration, v *server) {
-	if v.settled {
-		v.sample.kept = false
-		return
-	}
-	if now >= v.grewAt+s.Settings.Settle {
-		v.settled = true
-		return
-	}
+	v.settled = v.settled || now >= v.grewAt+s.Settings.Settle
 	if !v.sample.kept {
 		return
 	}
@@ -76,19 +75,21 @@
 		return
 	}
 	v.sample.kept = false
-	if v.sample.measured < v.grewAt+transit {
-		return
-	}
 	others := max(0, v.sample.load-s.surelyRan(v))
-	v.allowed = max(v.allowed, v.limiter.Bound()-others)
-	v.settled = v.allowed >= s.part(v.limiter.Bound())
+	if v.growing(v.sample.measured) {
+		v.allowed = max(v.allowed, v.limiter.Bound()-others)
+		v.settled = v.allowed >= s.part(v.limiter.Bound())
+	}
+	if v.covering(v.sample.measured) {
+		s.cover(v, others)
+	}
 }
 
 // surelyRan counts the grants that a server had begun and not ended when its sample was measured.
 func (s *Scheduler) surelyRan(v *server) int {
 	n := 0
 	for _, g := range s.grants {
-		if g.server == v && g.seen && g.seenAt <= v.sample.measured {
+		if g.server == v && g.seen && !g.ended && g.seenAt <= v.sample.measured {
 			n++
 		}
 	}
--- a/core/sched/split_test.go
+++ b/core/sched/split_test.go
@@ -35,20 +35,49 @@
 }
 
 func TestTakeoverKeepsTheLimit(t *testing.T) {
-	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			w := splitWorld(t, seed)
-			for range 6 {
-				w.run(time.Duration(200+w.rng.IntN(2000)) * time.Millisecond)
-				for _, r := range w.routers {
-					if w.rng.IntN(2) == 0 {
-						w.follow(r, 1-r.scheduler)
-					}
+	cases := map[string]takeovers{
+		"quick": {stay: 2 * time.Second},
+		"lost":  {stay: 5 * time.Second, away: 850 * time.Millisecond, lost: true},
+	}
+	for name, c := range cases {
+		for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
+				w := splitWorld(t, seed)
+				for range 6 {
+					w.run(200*time.Millisecond + time.Duration(w.rng.Int64N(int64(c.stay))))
+					w.change(c)
 				}
-				w.lend()
+				w.run(4 * time.Second)
+			})
+		}
+	}
+}
+
+// takeovers says how routers change schedulers.
+type takeovers struct {
+	stay time.Duration // between two changes, at most
+	away time.Duration // that a router which changes is heard by none, at most
+	lost bool          // some are heard by none for longer, and demand varies
+}
+
+// change has about half of the routers follow the other scheduler.
+func (w *world) change(c takeovers) {
+	for _, r := range w.routers {
+		switch {
+		case w.rng.IntN(2) == 0:
+			w.follow(r, 1-r.scheduler)
+			if c.away > 0 {
+				r.cutTill = w.now + time.Duration(w.rng.Int64N(int64(c.away)))
 			}
-			w.run(4 * time.Second)
-		})
+		case c.lost && w.rng.IntN(4) == 0:
+			w.lose(r, time.Duration(w.rng.Int64N(int64(c.stay))))
+		}
+	}
+	w.lend()
+	for _, m := range w.teams {
+		if c.lost {
+			m.keep = w.rng.IntN(5)
+		}
 	}
 }
 
