Tell a stream's cost so far when it has doubled

Cause: a router told the cost of each running stream every 500 ms, at the two-year size up to 12.5 KB a second of 4. A scheduler has charged the expected cost at the grant, so a report changes a level only beyond that. Ruled out: no reports at all, as a server without any news for 30 s counts as stalled; a report beyond the router's own estimate only, as the scheduler charges by its own experience. Streams of 324 tokens need some 4 reports where they had up to 30.

--- a/core/entry/cell.go
+++ b/core/entry/cell.go
@@ -38,14 +38,6 @@
 	id        uint64
 }
 
-// running is a grant in use.
-type running struct {
-	grant fleet.Grant
-	queue *queue
-	cost  int64
-	told  int64
-}
-
 func (r *Room) cell(id fleet.Cell) *cell {
 	c := r.cells[id]
 	if c == nil {
@@ -224,21 +216,6 @@
 	c.hurry(now)
 }
 
-// Progress notes the cost so far of a grant in use.
-func (r *Room) Progress(now time.Duration, id fleet.Cell, grant uint64, cost int64) {
-	r.init()
-	c := r.cells[id]
-	if c == nil {
-		return
-	}
-	if a := c.running[grant]; a != nil && cost > a.cost {
-		a.cost = cost
-		if !c.grew {
-			c.grew, c.grewAt = true, now
-		}
-	}
-}
-
 // Demands gives what the schedulers must be told now, by cell.
 func (r *Room) Demands(now time.Duration) []Outgoing {
 	r.init()
@@ -320,25 +297,3 @@
 	}
 	return t
 }
-
-// report lists all grants in use when all is to be told, else those whose cost grew since the last period.
-func (c *cell) report(now, period time.Duration) []fleet.Running {
-	timely := c.grew && now-c.progress >= period
-	if !c.full && !timely {
-		return nil
-	}
-	var list []fleet.Running
-	for _, a := range c.running {
-		if c.full || a.cost > a.told {
-			g := fleet.Running{Grant: a.grant.ID, Cost: a.cost}
-			if c.full {
-				g.Team, g.Server = a.grant.Team, a.grant.Server
-			}
-			list = append(list, g)
-			a.told = a.cost
-		}
-	}
-	c.grew, c.progress = false, now
-	sort.Slice(list, func(i, j int) bool { return list[i].Grant < list[j].Grant })
-	return list
-}
--- a/core/entry/room_test.go
+++ b/core/entry/room_test.go
@@ -352,6 +352,42 @@
 				Running: []fleet.Running{{Grant: 1, Cost: 9}},
 			}}},
 		},
+		"a cost that has not doubled": {
+			steps: func(r *Room) time.Duration {
+				r.Arrive(0, request("a", "joiners"))
+				r.Grants(0, scheduler, 0, grant(1, "joiners"))
+				r.Progress(0, testCell, 1, 5)
+				r.Demands(time.Second)
+				r.Progress(2*time.Second, testCell, 1, 9)
+				return 2 * time.Second
+			},
+		},
+		"a cost that has doubled": {
+			steps: func(r *Room) time.Duration {
+				r.Arrive(0, request("a", "joiners"))
+				r.Grants(0, scheduler, 0, grant(1, "joiners"))
+				r.Progress(0, testCell, 1, 5)
+				r.Demands(time.Second)
+				r.Progress(2*time.Second, testCell, 1, 10)
+				return 2 * time.Second
+			},
+			want: []Outgoing{{To: scheduler, Demand: fleet.Demand{
+				Cell: testCell, Seq: 3, SeenTerm: 7, Seen: 1, Running: []fleet.Running{{Grant: 1, Cost: 10}},
+			}}},
+		},
+		"a cost that was told long ago": {
+			steps: func(r *Room) time.Duration {
+				r.Arrive(0, request("a", "joiners"))
+				r.Grants(0, scheduler, 0, grant(1, "joiners"))
+				r.Progress(0, testCell, 1, 5)
+				r.Demands(time.Second)
+				r.Progress(time.Second+tellAgain, testCell, 1, 6)
+				return time.Second + tellAgain
+			},
+			want: []Outgoing{{To: scheduler, Demand: fleet.Demand{
+				Cell: testCell, Seq: 3, SeenTerm: 7, Seen: 1, Running: []fleet.Running{{Grant: 1, Cost: 6}},
+			}}},
+		},
 		"the end of a grant is told once": {
 			steps: func(r *Room) time.Duration {
 				r.Arrive(0, request("a", "joiners"))
