--- a/router/peers/peers_test.go
+++ b/router/peers/peers_test.go
@@ -54,23 +54,30 @@
 // link sends heartbeats to b as a until the test ends, once a stream is open.
 func link(t *testing.T, address, peer string, secrets ...string) (opened chan string, links *Links) {
 	t.Helper()
-	trust, err := NewTrust("a", secrets, time.Now())
-	if err != nil {
-		t.Fatal(err)
-	}
 	opened = make(chan string, 64)
-	links = &Links{Trust: trust, Metrics: metrics.NewRegistry()}
-	links.Linked = func(p string) {
-		links.Send(p, wire.Encode(&fleet.Message{Heartbeat: &fleet.Heartbeat{}}))
+	links = linked(t, address, peer, func(links *Links) {
+		links.Send(peer, wire.Encode(&fleet.Message{Heartbeat: &fleet.Heartbeat{}}))
 		select {
-		case opened <- p:
+		case opened <- peer:
 		default:
 		}
+	}, secrets...)
+	return opened, links
+}
+
+// linked opens links from a to a peer until the test ends, and calls open for each stream.
+func linked(t *testing.T, address, peer string, open func(links *Links), secrets ...string) *Links {
+	t.Helper()
+	trust, err := NewTrust("a", secrets, time.Now())
+	if err != nil {
+		t.Fatal(err)
 	}
+	links := &Links{Trust: trust, Metrics: metrics.NewRegistry()}
+	links.Linked = func(string) { open(links) }
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	links.Set(ctx, map[string]string{peer: address})
-	return opened, links
+	return links
 }
 
 func counted(registry metrics.Registry, name string) func() bool {
@@ -160,15 +167,7 @@
 
 func TestMalformedMessageIsRefused(t *testing.T) {
 	address, arrived, registry := listen(t, oldSecret)
-	trust, err := NewTrust("a", []string{oldSecret}, time.Now())
-	if err != nil {
-		t.Fatal(err)
-	}
-	links := &Links{Trust: trust, Metrics: metrics.NewRegistry()}
-	links.Linked = func(p string) { links.Send(p, &wire.Envelope{}) }
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	links.Set(ctx, map[string]string{"b": address})
+	linked(t, address, "b", func(links *Links) { links.Send("b", &wire.Envelope{}) }, oldSecret)
 	await(t, "the refusal", counted(registry, "peers.refusedMessage"))
 	if len(arrived) > 0 {
 		t.Error("an envelope without a body was taken")
@@ -178,24 +177,16 @@
 // TestUnknownBodyIsSkipped sends what only a later version knows, and then a heartbeat on the same stream.
 func TestUnknownBodyIsSkipped(t *testing.T) {
 	address, arrived, registry := listen(t, oldSecret)
-	trust, err := NewTrust("a", []string{oldSecret}, time.Now())
-	if err != nil {
-		t.Fatal(err)
-	}
 	later := &wire.Envelope{Incarnation: 1}
 	later.ProtoReflect().SetUnknown(protowire.AppendBytes(protowire.AppendTag(nil, 99, protowire.BytesType), []byte("later")))
 	opened := 0
-	links := &Links{Trust: trust, Metrics: metrics.NewRegistry()}
-	links.Linked = func(p string) {
+	links := linked(t, address, "b", func(links *Links) {
 		if opened++; opened == 1 {
-			links.Send(p, later)
-			links.Send(p, later)
-			links.Send(p, wire.Encode(&fleet.Message{Heartbeat: &fleet.Heartbeat{}}))
+			links.Send("b", later)
+			links.Send("b", later)
+			links.Send("b", wire.Encode(&fleet.Message{Heartbeat: &fleet.Heartbeat{}}))
 		}
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	links.Set(ctx, map[string]string{"b": address})
+	}, oldSecret)
 	await(t, "the heartbeat", func() bool { return len(arrived) > 0 || counted(links.Metrics, "peers.linkLost")() })
 	if len(arrived) != 1 || counted(links.Metrics, "peers.linkLost")() {
 		t.Errorf("%d messages were taken; link in trouble: %v", len(arrived), links.Troubles())
@@ -236,20 +227,11 @@
 // demands sends three like demands as a to the peer b.
 func demands(t *testing.T, address string) *Links {
 	t.Helper()
-	trust, err := NewTrust("a", []string{oldSecret}, time.Now())
-	if err != nil {
-		t.Fatal(err)
-	}
-	links := &Links{Trust: trust, Metrics: metrics.NewRegistry()}
-	links.Linked = func(p string) {
+	return linked(t, address, "b", func(links *Links) {
 		for range 3 {
-			links.Send(p, wire.Encode(demand()))
+			links.Send("b", wire.Encode(demand()))
 		}
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	links.Set(ctx, map[string]string{"b": address})
-	return links
+	}, oldSecret)
 }
 
 func TestEarlierVersionGetsAllWhole(t *testing.T) {
