Wait for a server's own report before its first work

Cause: when all routers restart empty they lend themselves at once, and the new scheduler knows of no grant. It gave each server the floor of one request before it had read the server's report, though the server still ran what the lost routers had sent. An engine can now be told to run requests on after their callers went away (POST /control/linger). Ruled out: a wait for parts of limits; all listed routers lend, so the whole part is settled at once. Conclusion: a new scheduler waits for the first report, for 2 s at most.

--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -254,5 +254,8 @@
 	l.credit = 0
 }
 
+// Heard reports whether the server's own report was ever read.
+func (l *Limiter) Heard() bool { return l.heard }
+
 // LoadFailed notes that the server's report could not be read.
 func (l *Limiter) LoadFailed() { l.missed++ }
--- a/core/node/cells.go
+++ b/core/node/cells.go
@@ -15,6 +15,8 @@
 	cellIdle = 30 * time.Second
 	// flushLimit bounds how often one step hands demand and grants to and fro within this router.
 	flushLimit = 8
+	// firstReport is how long a new scheduler waits for a server's own report before it gives it work.
+	firstReport = 2 * time.Second
 )
 
 // cell is a cell that this router schedules or was asked to schedule.
@@ -32,7 +34,7 @@
 	}
 	c := &cell{asked: n.now, scheduler: &sched.Scheduler{
 		Cell: id, Self: n.Start.Self, DataCentre: n.Start.DataCentre, Term: n.term(), Share: n.share,
-		Settings: sched.Settings{Policy: n.Start.Policy, Anticipate: n.Start.Anticipate},
+		Settings: sched.Settings{Policy: n.Start.Policy, FirstReport: firstReport, Anticipate: n.Start.Anticipate},
 	}}
 	n.cells[id] = c
 	n.reorder()
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -35,12 +35,13 @@
 
 // Settings tune a scheduler; zero fields take their defaults.
 type Settings struct {
-	Policy     Policy
-	ReportLag  time.Duration // how old a load report may be beyond its stated age; 500 ms
-	StallLimit time.Duration // time without progress that sets a server aside; 30 s
-	Settle     time.Duration // how long a larger part waits for load reports while routers are missing; 2 s
-	LocalSlack float64       // load fraction by which a server in the router's data centre may be fuller; 0.25
-	Anticipate time.Duration // how long a free slot may wait for a team that is behind and has just been served; 0 s
+	Policy      Policy
+	ReportLag   time.Duration // how old a load report may be beyond its stated age; 500 ms
+	StallLimit  time.Duration // time without progress that sets a server aside; 30 s
+	Settle      time.Duration // how long a larger part waits for load reports while routers are missing; 2 s
+	LocalSlack  float64       // load fraction by which a server in the router's data centre may be fuller; 0.25
+	FirstReport time.Duration // how long a server gets no work until its own report is read; 0 s
+	Anticipate  time.Duration // how long a free slot may wait for a team that is behind and has just been served; 0 s
 }
 
 // Batch is the grants for one router.
--- a/core/sched/scheduler_test.go
+++ b/core/sched/scheduler_test.go
@@ -168,3 +168,34 @@
 		t.Errorf("granted %v and dropped %d, want none and 1", got, s.Dropped)
 	}
 }
+
+// TestFirstReport requires that a server gets no work until its own report is read, or the wait for it is over.
+func TestFirstReport(t *testing.T) {
+	const wait = time.Second
+	cases := map[string]struct {
+		report *fleet.Load
+		after  time.Duration
+		want   int
+	}{
+		"no report yet":   {after: wait / 2, want: 0},
+		"no report comes": {after: wait, want: 1},
+		"full":            {report: &fleet.Load{Running: 2}, after: wait / 2, want: 0},
+		"free":            {report: &fleet.Load{}, after: wait / 2, want: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := &Scheduler{Term: term, Settings: Settings{FirstReport: wait}}
+			s.Configure(0, twoServers()[:1], nil, nil)
+			s.Lend(0, []string{"r1"}, 1)
+			s.Take(0, "r1", "killary", 0, full(1, fleet.TeamDemand{Team: "skippers", Waiting: 5}))
+			if c.report != nil {
+				c.report.Server = "killary-1"
+				s.Load(c.after, *c.report)
+			}
+			s.Heard(c.after, "r1", c.after.Milliseconds())
+			if got := count(s.Next(c.after)); got != c.want {
+				t.Errorf("%d grants, want %d", got, c.want)
+			}
+		})
+	}
+}
--- a/core/sched/server.go
+++ b/core/sched/server.go
@@ -200,5 +200,8 @@
 	if !v.settled && s.allowed(v) == 0 && s.part(v.limiter.Bound()) > 0 {
 		return fleet.ReasonNotReady, v.grewAt + s.Settings.Settle
 	}
+	if until := v.grewAt + s.Settings.FirstReport; !v.limiter.Heard() && now < until {
+		return fleet.ReasonNotReady, until // it may be full of what routers sent before they all restarted
+	}
 	return v.limiter.Held(now)
 }
--- a/engine/batch/control.go
+++ b/engine/batch/control.go
@@ -15,6 +15,7 @@
 //	POST /control/stall?on=true|false  make no progress
 //	POST /control/fail?count=N         fail the next requests after they began
 //	POST /control/cross?count=N        give the next answers another attempt's id
+//	POST /control/linger?count=N       run requests on for N ms after their callers went away
 //	POST /control/leave?on=true|false  refuse new requests, finish the others
 func (e *Engine) control(mux *http.ServeMux) {
 	mux.HandleFunc("GET /control/record", func(w http.ResponseWriter, _ *http.Request) {
@@ -39,6 +40,7 @@
 	post("stall", func(on bool, _ int) { e.stall(on) })
 	post("fail", func(_ bool, count int) { e.failNext = count })
 	post("cross", func(_ bool, count int) { e.crossNext = count })
+	post("linger", func(_ bool, count int) { e.linger = time.Duration(count) * time.Millisecond })
 	post("leave", func(on bool, _ int) { e.leave(on) })
 }
 
--- a/engine/batch/engine.go
+++ b/engine/batch/engine.go
@@ -94,7 +94,8 @@
 	stalled   chan struct{} // closed when the stall ends; nil for none
 	failNext  int
 	crossNext int
-	lastID    string // attempt answered last
+	lastID    string        // attempt answered last
+	linger    time.Duration // that a request runs on after its caller went away
 }
 
 // start sets the first life up; the caller holds the mutex.
--- a/engine/batch/engine_test.go
+++ b/engine/batch/engine_test.go
@@ -123,13 +123,19 @@
 }
 
 func TestCallerGoesAway(t *testing.T) {
-	engine, server := newEngine(t, Settings{Limit: 1, TokenTime: time.Millisecond})
-	ctx, cancel := context.WithCancel(t.Context())
-	post(ctx, t, server, `{"prompt":"x","max_tokens":4000,"stream":true}`, "")
-	cancel()
-	until(t, "cancelled", func() bool { return engine.Record().Runs[0].State == "cancelled" })
-	if load := engine.Load(); load.Running != 0 {
-		t.Errorf("load %+v", load)
+	for name, linger := range map[string]time.Duration{"ends": 0, "lingers": 200 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			engine, server := newEngine(t, Settings{Limit: 1, TokenTime: time.Millisecond})
+			engine.linger = linger
+			ctx, cancel := context.WithCancel(t.Context())
+			post(ctx, t, server, `{"prompt":"x","max_tokens":4000,"stream":true}`, "")
+			gone := time.Now()
+			cancel()
+			until(t, "cancelled", func() bool { return engine.Record().Runs[0].State == "cancelled" })
+			if load := engine.Load(); load.Running != 0 || time.Since(gone) < linger {
+				t.Errorf("%v after its caller went away: load %+v", time.Since(gone), load)
+			}
+		})
 	}
 }
 
--- a/engine/batch/http.go
+++ b/engine/batch/http.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -100,13 +101,26 @@
 		return
 	}
 	a := &answer{writer: w, request: request, chat: chat, attempt: e.echo(run.AttemptID)}
-	err = c.produce(r.Context(), a)
+	ctx, cancel := e.outlive(r.Context())
+	defer cancel()
+	err = c.produce(ctx, a)
 	c.end(err)
 	if err != nil {
 		a.fail()
 	}
 }
 
+// outlive gives a context that ends once its caller has been gone for as long as requests linger.
+func (e *Engine) outlive(caller context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(caller))
+	context.AfterFunc(caller, func() {
+		e.mutex.Lock()
+		defer e.mutex.Unlock()
+		time.AfterFunc(e.linger, cancel)
+	})
+	return ctx, cancel
+}
+
 // produce runs a call to its end.
 func (c *call) produce(ctx context.Context, a *answer) error {
 	if err := c.wait(ctx); err != nil {
@@ -123,9 +137,7 @@
 		if err := c.step(ctx); err != nil {
 			return err
 		}
-		if err := a.token(Token(a.request.Prompt, n)); err != nil {
-			return context.Canceled
-		}
+		_ = a.token(Token(a.request.Prompt, n)) // a caller that went away ends the context
 	}
 	prompt := PromptTokens(a.request.Prompt)
 	tokens := max(length-a.request.ResumeFrom, 0)
--- a/stage/proof/limit_test.go
+++ b/stage/proof/limit_test.go
@@ -77,6 +77,61 @@
 	}
 }
 
+// Every router is killed at once and starts empty, while engines still run what the lost routers had sent.
+func TestLimitsWhenAllRestartEmpty(t *testing.T) {
+	s := settings(local.Chenab())
+	s.ServerFaults = true
+	f := start(t, s)
+	settled(t, f)
+	short := startLoad(t, f, 30, 0, 10)
+	short.waitFor(t, 10*time.Second, 100, answered)
+	results := short.stop()
+	long := startLoad(t, f, 30, 6, longAnswer)
+	most := len(f.ServersOf(f.Site.Model)) * f.EngineLimit
+	within(t, 10*time.Second, func() error { return open(t, f, most) })
+	for _, s := range f.ServersOf(f.Site.Model) {
+		must(t, s.Steer(fmt.Sprintf("linger?count=%d", pastAnswer.Milliseconds())))
+	}
+	for _, r := range f.Routers {
+		must(t, r.Kill())
+	}
+	f.Faults.Set(proxy.Rule{DelayMillis: 30}) // load reports come later than demand
+	results = append(results, long.stop()...)
+	l := startLoad(t, f, 30, 6, 10) // so that requests wait as soon as a router listens
+	for _, r := range f.Routers {
+		must(t, r.Start())
+	}
+	must(t, f.WaitReady(readyLimit))
+	must(t, open(t, f, most)) // else the restart took longer than the old requests
+	l.waitFor(t, pastAnswer+5*time.Second, 200, answered)
+	check(t, f, append(results, l.stop()...))
+	checkLimits(t, f)
+}
+
+// open wants engines to have so many requests open.
+func open(t *testing.T, f *local.Fleet, least int) error {
+	t.Helper()
+	count := 0
+	for _, s := range f.ServersOf(f.Site.Model) {
+		all, err := s.EngineRecord()
+		must(t, err)
+		for _, run := range all.Runs {
+			if run.EndedAt == 0 {
+				count++
+			}
+		}
+	}
+	if count < least {
+		return fmt.Errorf("engines have %d requests open, want %d", count, least)
+	}
+	return nil
+}
+
+const (
+	longAnswer = 1500            // tokens of an answer that outlasts a restart of all routers
+	pastAnswer = 8 * time.Second // longer than such an answer takes
+)
+
 // split holds all that passes between one router and the others.
 func split(f *local.Fleet, alone *local.Router) {
 	for _, r := range f.Routers {
