--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -290,5 +290,8 @@
 	l.learnt, l.kept = max(l.learnt, l.kept), 0
 }
 
+// Heard reports whether the server's own report was ever read.
+func (l *Limiter) Heard() bool { return l.heard }
+
 // LoadFailed notes that the server's report could not be read.
 func (l *Limiter) LoadFailed() { l.missed++ }
