Let learnt limits outlast their scheduler

Cause: a new scheduler knew of a server's limit only what it found running. After a takeover while a cell is idle every server began at one request, and the next burst of work met three to four rounds of warming. Ruled out: load reports alone.

--- a/core/entry/cell.go
+++ b/core/entry/cell.go
@@ -29,6 +29,7 @@
 	grew      bool // a cost so far grew
 	grewAt    time.Duration
 	progress  time.Duration // of the last report of costs so far
+	limits    fleet.Limits  // kept for the cell's next scheduler
 }
 
 // termID is the highest grant number received of a term, and who gave it.
@@ -129,6 +130,7 @@
 		r.Unused.Foreign += int64(len(g.Grants))
 		return nil
 	}
+	c.keep(g)
 	t := c.termID(g.Term, from)
 	left := time.Duration(g.Basis-clock)*time.Millisecond + fleet.GrantLifetime
 	var verdicts []Verdict
@@ -148,6 +150,16 @@
 	return verdicts
 }
 
+// keep keeps the limits that the scheduler learnt; those of an earlier one have reached it with the full demand.
+func (c *cell) keep(g fleet.Grants) {
+	if g.Term != c.limits.Term {
+		c.limits = fleet.Limits{}
+	}
+	if g.Limits != nil {
+		c.limits.Take(*g.Limits)
+	}
+}
+
 // termID finds the record of a term and makes it the latest.
 func (c *cell) termID(term uint64, from string) *termID {
 	t := termID{term: term, scheduler: from}
@@ -274,6 +286,11 @@
 	}
 	d.Waiting = r.waiting(now, c)
 	d.Running = c.report(now, r.Settings.ProgressPeriod)
+	if c.full && c.limits.Term != 0 {
+		limits := c.limits
+		limits.Servers = slices.Clone(limits.Servers)
+		d.Limits = &limits
+	}
 	c.done, c.full, c.urgent, c.unacked = nil, false, false, false
 	return d
 }
--- a/core/entry/room_test.go
+++ b/core/entry/room_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -378,6 +379,48 @@
 	}
 }
 
+// TestLimitsAreKept tells a router of learnt limits, and asks it for all of its demand.
+func TestLimitsAreKept(t *testing.T) {
+	bore := func(server string, limit int) fleet.ServerLimit {
+		return fleet.ServerLimit{Server: server, Epoch: 5, Limit: limit}
+	}
+	change := func(since uint64) fleet.Limits {
+		return fleet.Limits{Term: 7, Since: since, Version: since + 1, Servers: []fleet.ServerLimit{bore("stain-2", 4), bore("stain-3", 2)}}
+	}
+	whole := fleet.Limits{Term: 7, Version: 2, Servers: []fleet.ServerLimit{bore("stain-1", 8), bore("stain-3", 8)}}
+	tests := map[string]struct {
+		told []fleet.Limits
+		term uint64 // of the last grants; 0 for the term of what was told
+		want []fleet.ServerLimit
+	}{
+		"nothing":               {},
+		"all":                   {told: []fleet.Limits{whole}, want: whole.Servers},
+		"a change and a server": {told: []fleet.Limits{whole, change(2)}, want: []fleet.ServerLimit{bore("stain-1", 8), bore("stain-2", 4), bore("stain-3", 2)}},
+		"after a lost change":   {told: []fleet.Limits{whole, change(3)}, want: whole.Servers},
+		"of an earlier term":    {told: []fleet.Limits{whole}, term: 8},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := followed(Settings{})
+			for _, l := range tt.told {
+				l.Servers = slices.Clone(l.Servers)
+				r.Grants(0, scheduler, 0, fleet.Grants{Cell: testCell, Term: l.Term, Limits: &l})
+			}
+			if tt.term != 0 {
+				r.Grants(0, scheduler, 0, fleet.Grants{Cell: testCell, Term: tt.term})
+			}
+			r.Linked(0, scheduler)
+			var got []fleet.ServerLimit
+			if kept := r.Demands(0)[0].Demand.Limits; kept != nil {
+				got = kept.Servers
+			}
+			if d := cmp.Diff(tt.want, got); d != "" {
+				t.Error(d)
+			}
+		})
+	}
+}
+
 func TestExpireRefusesAtOnce(t *testing.T) {
 	r := followed(Settings{})
 	early := request("b", "joiners")
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
 
 // Cell is a group of one product's backend servers that one router at a time schedules.
 type Cell struct {
@@ -66,6 +70,7 @@
 	Waiting  []TeamDemand `json:"waiting,omitempty"`
 	Done     []Done       `json:"done,omitempty"`
 	Running  []Running    `json:"running,omitempty"` // complete when Full, else those whose cost so far grew
+	Limits   *Limits      `json:"limits,omitempty"`  // with Full, what the sender keeps for a new scheduler; nil for none
 }
 
 // TermShift is the number of bits that a grant's ID has for its number within the term.
@@ -87,6 +92,42 @@
 	Basis   int64   `json:"basis,omitempty"`   // receiver's own clock, in milliseconds, as last heard by the scheduler; unused grants lapse GrantLifetime after it
 	TellAll bool    `json:"tellAll,omitempty"` // the scheduler knows nothing or only part of the receiver's demand
 	Grants  []Grant `json:"grants,omitempty"`
+	Limits  *Limits `json:"limits,omitempty"` // to be kept for the cell's next scheduler; nil for none
+}
+
+// Limits is what a cell's scheduler learnt of its servers, for the next one.
+type Limits struct {
+	Term    uint64        `json:"term,omitempty"`
+	Version uint64        `json:"version,omitempty"` // rises with each change within the term
+	Since   uint64        `json:"since,omitempty"`   // version that Servers changes; 0 if it replaces all
+	Servers []ServerLimit `json:"servers,omitempty"` // by name
+}
+
+// ServerLimit is the number of concurrent requests that a server bore in one epoch; 0 for unknown.
+type ServerLimit struct {
+	Server string `json:"server,omitempty"`
+	Epoch  uint64 `json:"epoch,omitempty"`
+	Limit  int    `json:"limit,omitempty"`
+}
+
+// Take takes in limits from a cell's scheduler; changes to what is not kept are dropped.
+func (l *Limits) Take(news Limits) {
+	if news.Since == 0 {
+		*l = news
+		return
+	}
+	if news.Term != l.Term || news.Since != l.Version {
+		return
+	}
+	l.Version = news.Version
+	for _, s := range news.Servers {
+		i, found := slices.BinarySearchFunc(l.Servers, s.Server, func(s ServerLimit, name string) int { return strings.Compare(s.Server, name) })
+		if found {
+			l.Servers[i] = s
+			continue
+		}
+		l.Servers = slices.Insert(l.Servers, i, s)
+	}
 }
 
 // Load is a backend server's own report.
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -45,8 +45,9 @@
 	queued   int // reports of waiting requests in a row
 
 	paused  time.Duration // when the server was last taken out of service
-	resumed time.Duration // when it came back
-	kept    int           // limit that it has back once a report shows that it did not restart; 0 for none
+	resumed time.Duration // when it came back, or its limit was taken over from another scheduler
+	kept    int           // limit that it has once a report shows that it did not restart; 0 for none
+	keptOf  uint64        // epoch of that limit
 
 	norm     time.Duration // usual time to the first byte
 	normSeen int
@@ -264,20 +265,40 @@
 func (l *Limiter) Resume(now time.Duration, busy int) {
 	l.kept = 0
 	if l.heard && l.epoch != 0 && now-l.paused <= warmTime {
-		l.kept, l.resumed = l.Limit(), now
+		l.kept, l.keptOf, l.resumed = l.Limit(), l.epoch, now
 	}
 	l.learnt = max(floor, min(busy, l.Limit()))
 	l.credit = 0
 }
 
+// Learnt gives the limit and the epoch in which it was learnt, 0 for none.
+func (l *Limiter) Learnt() (epoch uint64, limit int) {
+	if !l.heard || l.epoch == 0 {
+		return 0, 0
+	}
+	return l.epoch, l.Limit()
+}
+
+// Inherit takes over the limit that another scheduler learnt in an epoch; it holds once a report shows the same epoch, unless
+// trouble was met before.
+func (l *Limiter) Inherit(now time.Duration, epoch uint64, limit int) {
+	l.kept = 0
+	if epoch != 0 && l.threshold == 0 {
+		l.kept, l.keptOf, l.resumed = limit, epoch, now
+	}
+}
+
 // restore gives the limit back to a server that came back as it was. A report from before the return tells of a restart
 // since only if it is younger than a restart takes: until then a server that restarts refuses requests.
 func (l *Limiter) restore(now time.Duration, r fleet.Load) {
 	measured := now - time.Duration(r.Age)*time.Millisecond
+	if r.Epoch != l.keptOf {
+		l.kept = 0
+	}
 	if l.kept == 0 || r.Waiting > 0 || measured < l.resumed && now-measured > restartTime {
 		return
 	}
-	l.learnt, l.kept = max(l.learnt, l.kept), 0
+	l.learnt, l.kept = max(l.learnt, min(l.kept, l.Ceiling)), 0
 }
 
 // LoadFailed notes that the server's report could not be read.
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -41,6 +41,10 @@
 	}
 }
 
+func inherited(at time.Duration, epoch uint64, limit int) func(*Limiter) {
+	return func(l *Limiter) { l.Inherit(at, epoch, limit) }
+}
+
 func TestLimit(t *testing.T) {
 	cases := map[string]struct {
 		steps []func(*Limiter)
@@ -149,6 +153,30 @@
 			},
 			[]int{16, 1, 1},
 		},
+		"another scheduler's limit holds with a report of its epoch": {
+			[]func(*Limiter){inherited(0, 1, 12), reported(1, fleet.Load{Epoch: 1, Age: 200})},
+			[]int{1, 12},
+		},
+		"another scheduler's limit is bounded by the ceiling": {
+			[]func(*Limiter){inherited(0, 1, 40), reported(1, fleet.Load{Epoch: 1})},
+			[]int{1, 16},
+		},
+		"another scheduler's limit of another epoch is dropped": {
+			[]func(*Limiter){inherited(0, 1, 12), reported(1, fleet.Load{Epoch: 2}), reported(2, fleet.Load{Epoch: 1})},
+			[]int{1, 1, 1},
+		},
+		"another scheduler's limit of no epoch is dropped": {
+			[]func(*Limiter){inherited(0, 0, 12), reported(1, fleet.Load{})},
+			[]int{1, 1},
+		},
+		"another scheduler's limit waits for a young report": {
+			[]func(*Limiter){inherited(time.Second, 1, 12), reported(time.Second, fleet.Load{Epoch: 1, Age: 700}), reported(1500*time.Millisecond, fleet.Load{Epoch: 1, Age: 500})},
+			[]int{1, 1, 12},
+		},
+		"another scheduler's limit does not hold after trouble": {
+			[]func(*Limiter){completed(3), ended(1, fleet.OutcomeOverloaded, 0), inherited(0, 1, 12), reported(1, fleet.Load{Epoch: 1})},
+			[]int{4, 2, 2, 2},
+		},
 		"without reports the limit rises slowly": {
 			[]func(*Limiter){completed(1), func(l *Limiter) { l.LoadFailed(); l.LoadFailed(); l.LoadFailed() }, completed(2), completed(3)},
 			[]int{2, 2, 3, 4},
--- a/core/node/cells.go
+++ b/core/node/cells.go
@@ -147,7 +147,7 @@
 		if c.lenders == 0 {
 			continue
 		}
-		for _, b := range c.scheduler.Next(n.now) {
+		for _, b := range append(c.scheduler.Next(n.now), c.scheduler.TellLimits(n.now)...) {
 			if b.To == n.Start.Self {
 				n.deliver(n.room.Grants(n.now, n.Start.Self, n.members.Clock(n.now), b.Grants))
 				local = true
--- a/core/sched/router.go
+++ b/core/sched/router.go
@@ -27,6 +27,7 @@
 	doubtful   []*grant                 // acknowledged grants that may have been lost, oldest first
 	avoid      map[string]time.Duration // servers that it could not reach, and until when to avoid them
 	batch      int                      // its place in the batches being made
+	limits     uint64                   // version of the limits that it keeps
 	parked     []*entry                 // entries left out of the queues until the router is heard again
 }
 
@@ -78,6 +79,7 @@
 	}
 	if d.Full {
 		s.dropMissing(now, r, d)
+		s.inherit(now, r, d.Limits)
 		r.full = true
 		s.countLent(now)
 	}
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -85,6 +85,8 @@
 	memory   memory
 	expected []expectation
 	hungUp   []hangUp // oldest first
+	limits   uint64   // version of the limits that routers keep
+	limitsAt time.Duration
 }
 
 // Configure sets the cell's servers, the data centres out of service and the leaving servers; it says whether any server
--- a/core/sched/server.go
+++ b/core/sched/server.go
@@ -29,6 +29,11 @@
 	recent      peak
 	progress    time.Duration // last sign that requests move on
 
+	told          fleet.ServerLimit // what the keepers of limits were told
+	toldAs        uint64            // version of the limits in which that changed
+	inheritedTerm uint64            // of the limits that another scheduler left
+	inherited     uint64            // their version
+
 	touched  bool
 	room     int     // requests that it still takes
 	fraction float64 // of its usable limit that is in use
--- a/core/sched/stop_test.go
+++ b/core/sched/stop_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"mangolug.org/core/fleet"
 )
 
 // busyWorld is nine routers before ten servers with three teams that always wait.
@@ -104,6 +106,53 @@
 	}
 }
 
+// TestTakeoverOfLearntLimits has an idle cell lose its scheduler before it is full of work again.
+func TestTakeoverOfLearntLimits(t *testing.T) {
+	cases := map[string]struct {
+		meanwhile func(w *world)
+		least     int // requests that run after the new scheduler's first load reports
+		most      int
+	}{
+		"as they were":    {func(*world) {}, 75, 80},
+		"one centre cold": {func(w *world) { w.chill("dc-1") }, 55, 62},
+		"without reports": {func(w *world) { w.unheard = true }, 10, 20},
+		"nothing kept": {func(w *world) {
+			for _, r := range w.routers {
+				r.limits = fleet.Limits{}
+			}
+		}, 10, 20},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := busyWorld(t)
+			for _, m := range w.teams {
+				m.keep = 0
+			}
+			w.run(5 * time.Second)
+			c.meanwhile(w)
+			w.addScheduler(Settings{})
+			for _, r := range w.routers[1:] {
+				w.follow(r, 1)
+			}
+			w.lose(w.routers[0], time.Hour)
+			w.delisted = true
+			w.lend()
+			w.run(w.loadPeriod + 2*transit)
+			for _, m := range w.teams {
+				m.keep = 20
+			}
+			w.run(20 * time.Millisecond)
+			running := 0
+			for _, v := range w.servers {
+				running += v.running
+			}
+			if running < c.least || running > c.most {
+				t.Errorf("%d requests run, want %d to %d", running, c.least, c.most)
+			}
+		})
+	}
+}
+
 // TestAnticipate shows what the knob trades: service of a team whose callers ask one
 // request after the other beside a flood, against slots in use.
 func TestAnticipate(t *testing.T) {
--- a/core/sched/world_test.go
+++ b/core/sched/world_test.go
@@ -80,6 +80,7 @@
 	forgotten        bool
 	afresh           bool // all demand is to be told
 	acknowledged     uint64
+	limits           fleet.Limits
 }
 
 type fakeMessage struct {
@@ -165,7 +166,7 @@
 		q.server.running--
 	}
 	r.waiting, r.running = map[string][]*fakeRequest{}, map[uint64]*fakeRequest{}
-	r.seq, r.term, r.seen, r.acknowledged = 0, 0, 0, 0
+	r.seq, r.term, r.seen, r.acknowledged, r.limits = 0, 0, 0, 0, fleet.Limits{}
 	r.told, r.done, r.out, r.in, r.afresh = nil, nil, nil, nil, true
 }
 
@@ -279,6 +280,9 @@
 	d := fleet.Demand{Full: r.afresh, SeenTerm: r.term, Seen: r.seen, Done: r.done}
 	if d.Full {
 		r.told, r.afresh = map[string]int{}, false
+		kept := r.limits
+		kept.Servers = slices.Clone(kept.Servers)
+		d.Limits = &kept
 	}
 	for _, m := range w.teams {
 		queue := r.waiting[m.name]
@@ -335,6 +339,9 @@
 }
 
 func (w *world) use(r *fakeRouter, g fleet.Grants) {
+	if g.Limits != nil {
+		r.limits.Take(*g.Limits)
+	}
 	late := w.now.Milliseconds() > g.Basis+fleet.GrantLifetime.Milliseconds()
 	for _, one := range g.Grants {
 		r.term, r.seen = g.Term, one.ID
@@ -400,7 +407,7 @@
 			}
 		}
 	}
-	for _, b := range s.Next(w.now) {
+	for _, b := range append(s.Next(w.now), s.TellLimits(w.now)...) {
 		for _, r := range w.routers {
 			if r.name == b.To {
 				r.in = w.post(r.in, fakeMessage{grants: b.Grants})
--- a/router/wire/convert.go
+++ b/router/wire/convert.go
@@ -42,6 +42,7 @@
 	for _, r := range d.Running {
 		w.Running = append(w.Running, &Running{Grant: relative(r.Grant, d.SeenTerm), Team: r.Team, Server: r.Server, Cost: r.Cost})
 	}
+	w.Limits = encodeLimits(d.Limits)
 	return w
 }
 
@@ -72,6 +73,7 @@
 			Server: c.bounded("server", r.GetServer()), Cost: c.count("cost", r.GetCost()),
 		})
 	}
+	d.Limits = decodeLimits(w.GetLimits(), c)
 	return d
 }
 
@@ -80,6 +82,7 @@
 	for _, o := range g.Grants {
 		w.Grants = append(w.Grants, &Grant{Id: relative(o.ID, g.Term), Team: o.Team, Server: o.Server, Address: o.Address, Fencing: o.Fencing})
 	}
+	w.Limits = encodeLimits(g.Limits)
 	return w
 }
 
@@ -92,9 +95,35 @@
 			Address: c.name("address", o.GetAddress()), Fencing: o.GetFencing(),
 		})
 	}
+	g.Limits = decodeLimits(w.GetLimits(), c)
 	return g
 }
 
+func encodeLimits(l *fleet.Limits) *Limits {
+	if l == nil {
+		return nil
+	}
+	w := &Limits{Term: l.Term, Version: l.Version, Since: l.Since}
+	for _, s := range l.Servers {
+		w.Servers = append(w.Servers, &ServerLimit{Server: s.Server, Epoch: s.Epoch, Limit: int64(s.Limit)})
+	}
+	return w
+}
+
+func decodeLimits(w *Limits, c *checker) *fleet.Limits {
+	if w == nil {
+		return nil
+	}
+	c.items("limits", len(w.GetServers()))
+	l := &fleet.Limits{Term: w.GetTerm(), Version: w.GetVersion(), Since: w.GetSince()}
+	for _, s := range w.GetServers() {
+		l.Servers = append(l.Servers, fleet.ServerLimit{
+			Server: c.name("server", s.GetServer()), Epoch: s.GetEpoch(), Limit: int(c.count("limit", s.GetLimit())),
+		})
+	}
+	return l
+}
+
 func encodeAnswer(a fleet.Answer) *Answer {
 	if a.Status == 0 {
 		return nil
--- a/router/wire/wire_test.go
+++ b/router/wire/wire_test.go
@@ -16,6 +16,7 @@
 // samples holds one message of each kind with all fields set.
 func samples() map[string]*fleet.Message {
 	cell := fleet.Cell{Product: "stain-llm", Part: 2}
+	limits := &fleet.Limits{Term: 9, Version: 2, Since: 1, Servers: []fleet.ServerLimit{{Server: "stain-1", Epoch: 5, Limit: 8}}}
 	answer := fleet.Answer{Status: 201, ContentType: "application/json", Body: []byte(`{"ok":true}`), Truncated: true}
 	return map[string]*fleet.Message{
 		"heartbeat": {Incarnation: 7, Stamp: 100, Echo: 90, Echoed: 3, Heartbeat: &fleet.Heartbeat{
@@ -26,10 +27,11 @@
 			Waiting: []fleet.TeamDemand{{Team: "carpenters", Waiting: 4, Estimate: 300, OldestWait: 12, Prefix: 99}},
 			Done:    []fleet.Done{{Grant: 5, Outcome: fleet.OutcomeFailed, Cost: 10, FirstByte: 200, Service: 900}},
 			Running: []fleet.Running{{Grant: 6, Team: "carpenters", Server: "stain-1", Cost: 40}},
+			Limits:  limits,
 		}},
 		"grants": {Grants: &fleet.Grants{Cell: cell, Term: 9, Basis: 88, TellAll: true, Grants: []fleet.Grant{
 			{ID: 78, Team: "carpenters", Server: "stain-1", Address: "127.0.0.1:9101", Fencing: true},
-		}}},
+		}, Limits: limits}},
 		"keyOpen":   {KeyOpen: &fleet.KeyOpen{Ticket: 1, Team: "farm", Key: "k", Digest: 8}},
 		"keyAnswer": {KeyAnswer: &fleet.KeyAnswer{Ticket: 1, Verdict: fleet.KeyAnswered, Reason: fleet.ReasonKeyTooOld, Answer: answer}},
 		"keyClose":  {KeyClose: &fleet.KeyClose{Ticket: 6, Router: "carraig-1", Team: "farm", Key: "k", Outcome: fleet.KeyAnswered, Answer: answer}},
--- a/stage/proof/takeover_test.go
+++ b/stage/proof/takeover_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"mangolug.org/stage/local"
 )
 
@@ -82,3 +84,70 @@
 		})
 	}
 }
+
+// learnt gives the limit of each engine that its scheduler learnt.
+func learnt(f *local.Fleet) (map[string]int, error) {
+	limits := map[string]int{}
+	for _, r := range f.Routers {
+		if !r.Running() {
+			continue
+		}
+		status, err := r.Status()
+		if err != nil {
+			return nil, err
+		}
+		for _, c := range status.Cells {
+			if c.Cell != f.Site.Model+"/0" || c.Lenders == 0 {
+				continue
+			}
+			for _, v := range c.Servers {
+				limits[v.Name] = v.Learnt
+			}
+		}
+	}
+	if len(limits) == 0 {
+		return nil, errors.Errorf("no router schedules %s", f.Site.Model)
+	}
+	return limits, nil
+}
+
+// The scheduler of an idle cell is lost; the next one goes by the learnt limits, but not for engines that turned cold.
+func TestTakeoverOfLearntLimits(t *testing.T) {
+	for name, cold := range map[string]bool{"as they were": false, "turned cold": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := settings(local.Carraig())
+			s.EngineLimit = 8
+			s.EngineArgs = append(s.EngineArgs, "--cold-limit", "1", "--warm-after", "1")
+			f := start(t, s)
+			settled(t, f)
+			l := startLoad(t, f, 30, 0, 20)
+			l.waitFor(t, 15*time.Second, 100, answered)
+			results := l.stop()
+			elapse(t, 2*time.Second) // limits are told each second
+			before, err := learnt(f)
+			must(t, err)
+			must(t, scheduler(t, f, f.Site.Model).Kill())
+			for _, e := range f.ServersOf(f.Site.Model) {
+				if cold {
+					must(t, e.Steer("cold"))
+				}
+			}
+			if !cold {
+				within(t, 5*time.Second, func() error {
+					after, err := learnt(f)
+					for name, limit := range before {
+						if err == nil && after[name] < limit {
+							err = errors.Errorf("%s has limit %d, had %d", name, after[name], limit)
+						}
+					}
+					return err
+				})
+			}
+			l = startLoad(t, part(f, slices.DeleteFunc(slices.Clone(f.Routers), func(r *local.Router) bool { return !r.Running() })...), 30, 0, 20)
+			l.waitFor(t, 15*time.Second, 100, answered)
+			check(t, f, append(results, l.stop()...))
+			checkLimits(t, f)
+		})
+	}
+}
