--- a/core/node/cells.go
+++ b/core/node/cells.go
@@ -151,7 +151,7 @@
 		}
 		batches := c.scheduler.Next(n.now)
 		n.noticeLowered(id, c)
-		for _, b := range batches {
+		for _, b := range append(batches, c.scheduler.TellLimits(n.now)...) {
 			if b.To == n.Start.Self {
 				n.deliver(n.room.Grants(n.now, n.Start.Self, n.members.Clock(n.now), b.Grants))
 				local = true
--- a/core/sched/lowered.go
+++ b/core/sched/lowered.go
@@ -11,10 +11,10 @@
 // noteCut remembers the latest lowering of a server's limit until it is asked for.
 func (s *Scheduler) noteCut(v *server) {
 	c := v.limiter.Cut()
-	if c == v.told {
+	if c == v.lastCut {
 		return
 	}
-	v.told = c
+	v.lastCut = c
 	if c.Cause != limit.CauseNone {
 		s.lowered = append(s.lowered, Lowering{Server: v.rule.Name, Cut: c})
 	}
