Count service in the loader as routers charge it

Cause: routers charge a token of an answer twice a token of a prompt and share by that; the loader counted both alike, and a prompt only at its answer's end, so the measured gap was that of another quantity, in lumps. Ruled out: charging both alike in the routers, as a token of an answer takes an engine's step and a prompt is read at once (the weights of Sheng et al., 2024). After: a prompt counts with the first token, each token of an answer as two.

--- a/loader/drive/caller.go
+++ b/loader/drive/caller.go
@@ -23,6 +23,7 @@
 	maxAnswer    = 64 << 20 // bytes of an answer that is read whole
 	maxIdle      = 4096     // connections kept for each target
 	plainCost    = 1        // cost units of a plain call
+	answerWeight = 2        // cost units of a token of an answer; one of a prompt is one
 	requestGrace = 500 * time.Millisecond
 )
 
@@ -134,23 +135,24 @@
 	return c.check()
 }
 
-// piece counts one event of a stream; each token is one cost unit as it comes.
+// piece counts one event of a stream: the prompt with the first token, and each token as it comes.
 func (c *call) piece(v *events.Chunk) {
 	now := time.Now()
 	if content := v.Content(); content != "" {
 		if !c.begun {
 			c.begun = true
 			c.count.FirstByte(now.Sub(c.planned))
+			c.serve(int64(batch.PromptTokens(c.request.prompt)))
 		} else {
 			c.count.Between(now.Sub(c.last))
 		}
 		c.last = now
 		c.text = append(c.text, content...)
-		c.serve(1)
+		c.serve(answerWeight)
 	}
 	if v.Usage != nil {
 		c.usage = *v.Usage
-		c.serve(v.Usage.PromptTokens + v.Usage.CompletionTokens - c.served)
+		c.serve(cost(v.Usage) - c.served)
 	}
 }
 
@@ -170,10 +172,13 @@
 		return tally.End{Outcome: tally.OutcomeNotWhole, Reason: "noUsage"}
 	}
 	c.text, c.usage = []byte(v.Content()), *v.Usage
-	c.serve(v.Usage.PromptTokens + v.Usage.CompletionTokens)
+	c.serve(cost(v.Usage))
 	return c.check()
 }
 
+// cost gives the cost units of a model's answer, as routers charge them.
+func cost(u *events.Usage) int64 { return u.PromptTokens + answerWeight*u.CompletionTokens }
+
 // check compares a model's answer with the one that the prompt must give.
 func (c *call) check() tally.End {
 	if int(c.usage.CompletionTokens) != c.request.tokens || string(c.text) != batch.Text(c.request.prompt, c.request.tokens) {
