Let a key's new home ask the other routers what the lost one knew

Cause: a home without a handover knew nothing, so every key minted until its begin plus the guard ended as unknown, although all but those that the lost router was sending itself were known to the routers that had asked. Change: each permission is on record with two routers before it is used, the home and the asking router, or a witness where the home asks itself. A new home asks all listed routers, and with all but one answers it needs no guard. Entry routers hold a call while its key's home is lost or settles, for at most 4 s and within the deadline. Ruled out: copies to successors of the home (their proof rests on who they were); waiting without knowing (the guard is about the mint time). Tests: TestRecalledKeysRunOnce found a key that runs twice in trials without copies, without witnesses, with two missing, without the own time or the others', and without the answers' records; with the withdrawal of questions or the check of the hold left out it did not, and TestLatePermissions does. Tests that asked in a home's first 2 s now see a wait, and the final refusal is asked for after it. "Keyed, no home" and "home unreachable" of router/front have a deadline too near for a wait, and a new case waits. Conclusion: the unplanned loss of one router leaves no key unknown that the others could know; two at once fall back to the guard.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -176,6 +176,20 @@
 	Since   int64       `json:"since,omitempty"` // milliseconds since 1970: every key run after it is on record or did not run
 	Loans   []KeyLoan   `json:"loans,omitempty"` // counted when the sender last held the slot; in the first part
 	Records []KeyRecord `json:"records,omitempty"`
+	Recall  uint64      `json:"recall,omitempty"` // number of the KeyRecall that this answers; 0 for a handover
+}
+
+// KeyRecall asks for all that a router knows of a key slot, and takes back the questions that it has open at other homes.
+type KeyRecall struct {
+	Slot   int    `json:"slot,omitempty"`
+	Number uint64 `json:"number,omitempty"` // of this recall in the sender's incarnation
+}
+
+// KeyCopy asks a router to keep a copy of a permission that the sender, being the key's home, is about to use itself, or answers that.
+type KeyCopy struct {
+	Record KeyRecord `json:"record,omitempty"`
+	Done   bool      `json:"done,omitempty"` // this is the answer
+	Kept   bool      `json:"kept,omitempty"`
 }
 
 // ConfigAsk asks a peer for its configuration when newer than After.
--- a/core/fleet/message.go
+++ b/core/fleet/message.go
@@ -14,6 +14,8 @@
 	KeyAnswer   *KeyAnswer   `json:"keyAnswer,omitempty"`
 	KeyClose    *KeyClose    `json:"keyClose,omitempty"`
 	KeyHandover *KeyHandover `json:"keyHandover,omitempty"`
+	KeyRecall   *KeyRecall   `json:"keyRecall,omitempty"`
+	KeyCopy     *KeyCopy     `json:"keyCopy,omitempty"`
 	ConfigAsk   *ConfigAsk   `json:"configAsk,omitempty"`
 	ConfigText  *ConfigText  `json:"configText,omitempty"`
 	ListText    *ListText    `json:"listText,omitempty"`
--- a/core/keys/handover.go
+++ b/core/keys/handover.go
@@ -24,7 +24,12 @@
 	if s.holds || s.since.IsZero() {
 		return Handover{}, false
 	}
-	o := Handover{Since: s.since}
+	return Handover{Since: s.since, Records: h.Known(now, number)}, true
+}
+
+// Known gives all records of a slot, those of former homes and copies included.
+func (h *Home) Known(now time.Duration, number int) []fleet.KeyRecord {
+	var known []fleet.KeyRecord
 	for _, r := range h.order {
 		if r.slot != number || r.freed {
 			continue
@@ -33,12 +38,12 @@
 		if len(answer.Body) > handoverBody {
 			answer.Body, answer.Truncated = nil, true
 		}
-		o.Records = append(o.Records, fleet.KeyRecord{
+		known = append(known, fleet.KeyRecord{
 			Team: r.key.team, Key: r.key.key, Router: r.router, Ticket: r.ticket, Digest: r.digest,
 			Verdict: r.verdict, Age: (now - r.begun).Milliseconds(), Answer: answer,
 		})
 	}
-	return o, true
+	return known
 }
 
 // Wait makes the home answer nothing for a slot that it has just begun to hold, until a handover comes or a time has passed.
--- a/core/keys/home.go
+++ b/core/keys/home.go
@@ -171,10 +171,12 @@
 	switch {
 	case ahead > h.Settings.FutureLimit:
 		return refused(fleet.KeyRefused, fleet.ReasonKeyInvalid)
-	case !minted.After(h.slots[number].since.Add(h.Guard())), -ahead > h.oldest():
+	case -ahead > h.oldest():
 		return refused(fleet.KeyUnknown, fleet.ReasonKeyTooOld)
-	case settles > 0:
+	case settles > 0: // what others know of older keys may come meanwhile
 		return wait(refused(fleet.KeyUnknown, fleet.ReasonKeyTooOld), max(settles, ahead-h.Settings.RunAhead))
+	case !minted.After(h.slots[number].since.Add(h.Guard())):
+		return refused(fleet.KeyUnknown, fleet.ReasonKeyTooOld)
 	case ahead > h.Settings.RunAhead:
 		return wait(refused(fleet.KeyRefused, fleet.ReasonKeyInvalid), ahead-h.Settings.RunAhead)
 	case !h.begin(now, &record{key: key, slot: number, router: from, ticket: o.Ticket, digest: o.Digest}):
--- a/core/node/keys.go
+++ b/core/node/keys.go
@@ -8,8 +8,16 @@
 	"mangolug.org/core/keys"
 )
 
-// askAgainPeriod is the time between two questions of a key that has no home.
-const askAgainPeriod = 50 * time.Millisecond
+const (
+	// askAgainPeriod is the time between two questions of a key that has no home.
+	askAgainPeriod = 50 * time.Millisecond
+	// earlyCloseTime is how long a close is kept that fits no record, longer than a slot's new home waits for records.
+	earlyCloseTime = 3 * time.Second
+	// earlyCloses is how many of them are kept of a slot.
+	earlyCloses = 64
+	// earlyBody is the longest body of an answer that is kept with them, in bytes.
+	earlyBody = 4 << 10
+)
 
 // keyName is a team's idempotency key.
 type keyName struct {
@@ -23,6 +31,9 @@
 	home  string
 	until time.Duration
 	again time.Duration // when to ask again
+
+	witness string // router that keeps a copy of a permission from the own home
+	era     uint64 // of the hold by which the own home gave it
 }
 
 func (n *Node) openKey(a *KeyAsk) {
@@ -38,7 +49,7 @@
 	case "":
 		n.reply(o, fleet.KeyAnswer{Reason: fleet.ReasonNoMajority})
 	case n.Start.Self:
-		n.reply(o, n.openHere(n.Start.Self, o.open))
+		n.askSelf(o)
 	default:
 		n.opens[n.ticket] = o
 		n.send(o.home, fleet.Message{KeyOpen: &o.open})
@@ -72,6 +83,10 @@
 		n.deferred = append(n.deferred, o)
 		return
 	}
+	if a.Verdict == fleet.KeyRun && o.home != n.Start.Self && !n.home.Copy(n.now, n.recordOf(o)) {
+		n.sendClose(o.home, closeOf(o, fleet.KeyRefused))
+		a = fleet.KeyAnswer{Verdict: fleet.KeyUnknown, Reason: fleet.ReasonOutcomeUnknown}
+	}
 	if a.Verdict == fleet.KeyRun {
 		n.opened[keyName{o.open.Team, o.open.Key}] = o
 	}
@@ -110,9 +125,7 @@
 
 // takeBack refuses a question that got no answer in time and tells the home that nothing was sent.
 func (n *Node) takeBack(o keyOpening) {
-	n.send(o.home, fleet.Message{KeyClose: &fleet.KeyClose{
-		Ticket: o.open.Ticket, Team: o.open.Team, Key: o.open.Key, Outcome: fleet.KeyRefused,
-	}})
+	n.withdraw(o)
 	n.reply(o, fleet.KeyAnswer{Reason: fleet.ReasonKeyHomeUnreachable})
 }
 
@@ -126,6 +139,12 @@
 	delete(n.opened, name)
 	c.Ticket = o.open.Ticket
 	n.sendClose(o.home, c)
+	if o.home != n.Start.Self {
+		n.home.Close(n.now, n.Start.Self, c) // the own copy
+	}
+	if o.witness != "" {
+		n.sendClose(o.witness, c)
+	}
 	if holder := n.members.Holder(keys.Duty(keys.Slot(c.Team, c.Key))); holder != o.home && holder != "" {
 		n.sendClose(holder, c)
 	}
@@ -144,13 +163,48 @@
 	if c.Router == "" {
 		c.Router = from
 	}
-	changed := n.home.Close(n.now, c.Router, c)
-	next := n.holds[keys.Slot(c.Team, c.Key)].next
-	if changed && next != "" {
+	slot := keys.Slot(c.Team, c.Key)
+	if !n.home.Close(n.now, c.Router, c) {
+		n.keepClose(slot, c)
+		return
+	}
+	if next := n.holds[slot].next; next != "" {
 		n.send(next, fleet.Message{KeyClose: &c})
 	}
 }
 
+// earlyClose is a close that came before the record that it belongs to.
+type earlyClose struct {
+	at   time.Duration
+	fits fleet.KeyClose
+}
+
+// keepClose keeps a close for a while that fits no record: the record may be in a handover or an answer that is not taken yet.
+func (n *Node) keepClose(slot int, c fleet.KeyClose) {
+	if len(n.early[slot]) >= earlyCloses {
+		return
+	}
+	if len(c.Answer.Body) > earlyBody {
+		c.Answer.Body, c.Answer.Truncated = nil, true
+	}
+	n.early[slot] = append(n.early[slot], earlyClose{at: n.now, fits: c})
+}
+
+// dropEarly lets go of closes whose records did not come.
+func (n *Node) dropEarly() {
+	for slot := range n.early {
+		n.early[slot] = slices.DeleteFunc(n.early[slot], func(e earlyClose) bool { return n.now-e.at > earlyCloseTime })
+	}
+}
+
+// closeEarly closes what was taken over and had ended before.
+func (n *Node) closeEarly(slot int) {
+	for _, e := range n.early[slot] {
+		n.home.Close(n.now, e.fits.Router, e.fits)
+	}
+	n.early[slot] = nil
+}
+
 // holdKeys tells the home which key slots a majority lends it now.
 func (n *Node) holdKeys() {
 	for slot := range keys.Slots {
@@ -158,4 +212,5 @@
 	}
 	n.home.Tick(n.now, n.wall)
 	n.dropArrivals()
+	n.dropEarly()
 }
--- a/core/node/keyshand.go
+++ b/core/node/keyshand.go
@@ -26,6 +26,13 @@
 	loans []fleet.KeyLoan // at that time
 	owed  bool            // to be handed over
 	next  string          // router that it was handed over to
+
+	era       uint64 // number of this hold
+	begun     time.Duration
+	recall    uint64 // number of the recall of what others know; 0 before it
+	recallAt  time.Duration
+	recalled  bool
+	knowledge map[string]fleet.KeyHandover // answers to the recall
 }
 
 // keyArrival collects the parts of one handover of a key slot.
@@ -71,7 +78,8 @@
 	n.home.Hold(n.now, slot, holds, n.wall)
 	switch {
 	case holds && !s.holds:
-		*s = keyHold{}
+		n.eras++
+		*s = keyHold{era: n.eras, begun: n.now}
 		if n.members.Preceded(n.now, duty) {
 			n.home.Wait(n.now, slot, n.now+handoverWait)
 		}
@@ -82,6 +90,7 @@
 	if holds {
 		s.at, s.loans = n.now, loans
 		n.inherit(slot)
+		n.recall(slot)
 	}
 }
 
@@ -121,17 +130,26 @@
 	parts := [][]fleet.KeyRecord{nil}
 	bytes := 0
 	for i := range records {
-		r := &records[i]
 		if bytes > handoverBytes {
 			parts, bytes = append(parts, nil), 0
 		}
 		last := len(parts) - 1
-		parts[last] = append(parts[last], *r)
-		bytes += len(r.Team) + len(r.Key) + len(r.Router) + len(r.Answer.ContentType) + len(r.Answer.Body) + 64
+		parts[last] = append(parts[last], records[i])
+		bytes += sizeOf(records[i : i+1])
 	}
 	return parts
 }
 
+// sizeOf gives about the bytes that records take in a message.
+func sizeOf(records []fleet.KeyRecord) int {
+	bytes := 0
+	for i := range records {
+		r := &records[i]
+		bytes += len(r.Team) + len(r.Key) + len(r.Router) + len(r.Answer.ContentType) + len(r.Answer.Body) + 64
+	}
+	return bytes
+}
+
 // arrive takes one part of a handover; a part out of turn voids it.
 func (n *Node) arrive(from string, m *fleet.Message) {
 	h := m.KeyHandover
@@ -172,6 +190,8 @@
 	}
 	known := keys.Handover{Since: time.UnixMilli(a.parts.Since), Records: a.parts.Records}
 	if n.home.Inherit(n.now, slot, known) {
+		n.holds[slot].recalled = true // there is nothing more to know
+		n.closeEarly(slot)
 		n.count("keys.inherited")
 		a.taken, a.whole, a.parts.Records = true, false, nil
 	}
--- a/core/node/list.go
+++ b/core/node/list.go
@@ -105,6 +105,9 @@
 		}
 	}
 	maps.DeleteFunc(n.carried.told, func(name string, _ peerList) bool { return addresses[name] == "" })
+	if !maps.EqualFunc(n.listed, listed, func(fleet.VM, fleet.VM) bool { return true }) {
+		n.relisted = n.wall
+	}
 	n.listed, n.leaving = listed, leaving
 	n.members.List(n.now, vms)
 	n.configureCells()
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -47,11 +47,17 @@
 	opens    map[uint64]keyOpening
 	opened   map[keyName]keyOpening // those answered KeyRun
 	ticket   uint64
-	deferred []keyOpening           // refused for want of a home, to be asked again
-	holds    [keys.Slots]keyHold    // of key slots
-	arrivals [keys.Slots]keyArrival // of handovers
-	handed   uint64                 // number of handovers
-	viewSeqs map[string]uint64      // of the views by which key slots were last held
+	deferred []keyOpening             // refused for want of a home, to be asked again
+	holds    [keys.Slots]keyHold      // of key slots
+	arrivals [keys.Slots]keyArrival   // of handovers
+	early    [keys.Slots][]earlyClose // closes that came before their records
+	handed   uint64                   // number of handovers
+	eras     uint64                   // number of holds of key slots
+	recalls  uint64                   // number of recalls
+	known    time.Time                // on the wall clock: of what was permitted after it this router remembers its part
+	knownAt  time.Duration            // the same moment on the monotonic clock
+	relisted time.Time                // on the wall clock: last change of the listed routers
+	viewSeqs map[string]uint64        // of the views by which key slots were last held
 	listed   map[string]fleet.VM
 	leaving  map[string]bool
 	carried  carried
@@ -72,6 +78,7 @@
 	n.begin()
 	n.effects = n.effects[:0]
 	n.now, n.wall = now, wall
+	n.checkKnown()
 	n.noticePause()
 	for i := range events {
 		n.handle(&events[i])
@@ -100,6 +107,7 @@
 	n.opens = map[uint64]keyOpening{}
 	n.opened = map[keyName]keyOpening{}
 	n.ticket = uint64(n.Start.Incarnation) << 32 // so that no ticket of an earlier incarnation is met again
+	n.recalls = n.ticket
 	n.listed = map[string]fleet.VM{}
 	n.leaving = map[string]bool{}
 	n.seen = map[string]uint32{}
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -49,8 +49,16 @@
 		n.answerOpen(*m.KeyAnswer, from)
 	case m.KeyClose != nil:
 		n.closeHere(from, *m.KeyClose)
+	case m.KeyHandover != nil && m.KeyHandover.Recall != 0:
+		n.recalled(from, m.KeyHandover)
 	case m.KeyHandover != nil:
 		n.arrive(from, m)
+	case m.KeyRecall != nil:
+		n.answerRecall(from, *m.KeyRecall)
+	case m.KeyCopy != nil && m.KeyCopy.Done:
+		n.copied(from, m.KeyCopy)
+	case m.KeyCopy != nil:
+		n.keepCopy(from, m.KeyCopy)
 	case m.ConfigAsk != nil:
 		n.answerConfig(from, m.ConfigAsk.After)
 	case m.ConfigText != nil:
--- a/router/front/keyed.go
+++ b/router/front/keyed.go
@@ -14,8 +14,12 @@
 	"mangolug.org/core/keys"
 )
 
-// renewAfter is the age at which a permission to run is asked for anew before it is used.
-const renewAfter = fleet.KeyRunLifetime / 2
+const (
+	// renewAfter is the age at which a permission to run is asked for anew before it is used.
+	renewAfter = fleet.KeyRunLifetime / 2
+	// homeWait is how long a request waits for its key's lost home to be replaced: for the leases to lapse and the new home to settle.
+	homeWait = 4 * time.Second
+)
 
 // runKeyed sees a non-idempotent request with a key through; its home is asked first.
 func (c *call) runKeyed(ctx context.Context) error {
@@ -52,23 +56,35 @@
 	return false, c.turnDown(reason, keyMessage(a.Verdict))
 }
 
-// askHome asks the key's home, again once the home may let the key run if that is before the deadline.
+// askHome asks the key's home until it decides, as long as another answer may come before the deadline.
 func (c *call) askHome(ctx context.Context) (fleet.KeyAnswer, error) {
+	began := c.front.Clock()
 	for {
 		c.asked = c.front.Clock()
 		a := c.front.OpenKey(ctx, c.team.Name, c.key, c.digest())
-		wait := time.Duration(a.Wait) * time.Millisecond
-		if wait == 0 || c.front.Clock()+wait >= c.deadline {
+		wait, more := c.homeLater(began, a)
+		if !more {
 			return a, nil
 		}
 		c.front.count("key.held")
-		c.note("waits", fleet.ReasonHeld, "", "the key's home may let it run in "+wait.String())
+		c.note("waits", fleet.ReasonHeld, "", "the key's home may let it run later: "+a.Reason.String())
 		if err := c.pause(ctx, wait); err != nil {
 			return a, err
 		}
 	}
 }
 
+// homeLater says when to ask a key's home again, and false when its answer stands.
+func (c *call) homeLater(began time.Duration, a fleet.KeyAnswer) (time.Duration, bool) {
+	now := c.front.Clock()
+	if a.Wait > 0 {
+		wait := time.Duration(a.Wait) * time.Millisecond
+		return wait, now+wait < c.deadline
+	}
+	lost := a.Reason == fleet.ReasonNoMajority || a.Reason == fleet.ReasonKeyHomeUnreachable
+	return pauseAfterReturn, lost && now-began < homeWait && now+fleet.KeyRunLifetime < c.deadline
+}
+
 func keyMessage(v fleet.KeyVerdict) string {
 	if v == fleet.KeyInProgress {
 		return "another try with this key is in progress; this try was not sent"
--- a/router/peers/kind.go
+++ b/router/peers/kind.go
@@ -15,7 +15,8 @@
 		return "demand"
 	case *wire.Envelope_Grants:
 		return "grants"
-	case *wire.Envelope_KeyOpen, *wire.Envelope_KeyAnswer, *wire.Envelope_KeyClose, *wire.Envelope_KeyHandover:
+	case *wire.Envelope_KeyOpen, *wire.Envelope_KeyAnswer, *wire.Envelope_KeyClose, *wire.Envelope_KeyHandover,
+		*wire.Envelope_KeyRecall, *wire.Envelope_KeyCopy:
 		return "key"
 	case *wire.Envelope_ConfigAsk, *wire.Envelope_ConfigText:
 		return "config"
--- a/router/wire/message.go
+++ b/router/wire/message.go
@@ -4,6 +4,7 @@
 	"github.com/pkg/errors"
 
 	"mangolug.org/core/fleet"
+	"mangolug.org/core/keys"
 )
 
 // ErrNoBody is returned for an envelope without a known body.
@@ -35,6 +36,11 @@
 		}}
 	case m.KeyHandover != nil:
 		e.Body = &Envelope_KeyHandover{KeyHandover: encodeHandover(m.KeyHandover)}
+	case m.KeyRecall != nil:
+		e.Body = &Envelope_KeyRecall{KeyRecall: &KeyRecall{Slot: int64(m.KeyRecall.Slot), Number: m.KeyRecall.Number}}
+	case m.KeyCopy != nil:
+		k := m.KeyCopy
+		e.Body = &Envelope_KeyCopy{KeyCopy: &KeyCopy{Record: encodeRecord(&k.Record), Done: k.Done, Kept: k.Kept}}
 	case m.ConfigAsk != nil:
 		e.Body = &Envelope_ConfigAsk{ConfigAsk: &ConfigAsk{After: m.ConfigAsk.After}}
 	case m.ConfigText != nil:
@@ -82,6 +88,13 @@
 		}
 	case *Envelope_KeyHandover:
 		m.KeyHandover = decodeHandover(b.KeyHandover, &c)
+	case *Envelope_KeyRecall:
+		m.KeyRecall = &fleet.KeyRecall{
+			Slot: int(c.enum("slot", b.KeyRecall.GetSlot(), keys.Slots-1)), Number: b.KeyRecall.GetNumber(),
+		}
+	case *Envelope_KeyCopy:
+		k := b.KeyCopy
+		m.KeyCopy = &fleet.KeyCopy{Record: decodeRecord(k.GetRecord(), &c), Done: k.GetDone(), Kept: k.GetKept()}
 	case *Envelope_ConfigAsk:
 		m.ConfigAsk = &fleet.ConfigAsk{After: b.ConfigAsk.GetAfter()}
 	case *Envelope_ConfigText:
--- a/router/wire/wire_test.go
+++ b/router/wire/wire_test.go
@@ -40,6 +40,11 @@
 				{Team: "farm", Key: "k", Router: "carraig-2", Ticket: 7, Digest: 8, Verdict: fleet.KeyAnswered, Age: 20, Answer: answer},
 			},
 		}},
+		"keyRecall":   {KeyRecall: &fleet.KeyRecall{Slot: 5, Number: 2}},
+		"keyRecalled": {KeyHandover: &fleet.KeyHandover{Slot: 5, Recall: 2, Parts: 1, Since: 1_800_000_000_000}},
+		"keyCopy": {KeyCopy: &fleet.KeyCopy{Done: true, Kept: true, Record: fleet.KeyRecord{
+			Team: "farm", Key: "k", Router: "carraig-2", Ticket: 7, Digest: 8, Verdict: fleet.KeyAnswered, Age: 20, Answer: answer,
+		}}},
 		"configAsk": {ConfigAsk: &fleet.ConfigAsk{After: 4}},
 		"listText": {ListText: &fleet.ListText{Ask: true, Address: "127.0.0.1:7001", Age: 9, Digest: 77, VMs: []fleet.VM{
 			{Name: "r1", Address: "127.0.0.1:7001", Admin: "127.0.0.1:8001", DataCentre: "lahore", Router: true, State: fleet.VMLeaving},
@@ -86,6 +91,8 @@
 		"unknown state":   {list(&ListText{Vms: []*VM{{Name: "r", State: 2}}}), "state"},
 		"long address":    {list(&ListText{Address: strings.Repeat("1", fleet.MaxField+1)}), "address"},
 		"unknown slot":    {&Envelope{Body: &Envelope_KeyHandover{KeyHandover: &KeyHandover{Slot: 64}}}, "slot"},
+		"unknown recall":  {&Envelope{Body: &Envelope_KeyRecall{KeyRecall: &KeyRecall{Slot: -1}}}, "slot"},
+		"empty copy":      {&Envelope{Body: &Envelope_KeyCopy{KeyCopy: &KeyCopy{}}}, "team"},
 		"no cell":         {&Envelope{Body: &Envelope_Grants{Grants: &Grants{}}}, "product"},
 	}
 	for name, c := range cases {
