Refuse a stopped request as stopped, whichever context ends first

Cause: a stop cancels the request and its attempt by two functions of their own; when the attempt ended first, a call that may be repeated was tried once more, and refused as connectFailed or serverFailed. Ruled out: the change of the wait for keys; it was not on the way of this call. Conclusion: a failed attempt looks at the stop itself.

--- a/router/front/run.go
+++ b/router/front/run.go
@@ -138,7 +138,7 @@
 	if !failed.NotRun {
 		c.sent = true
 	}
-	if ctx.Err() != nil && !c.once {
+	if (ctx.Err() != nil || c.front.stopping.Err() != nil) && !c.once {
 		return c.over(ctx)
 	}
 	detail := failed.Error()
