Cut routers off from the platform by links of their own in the proofs

Each router now has a fault link to the platform. A link's address that a process just being started still holds is tried again with another. Ruled out: a watch that was open before; the platform wakes those. The new case cuts one router from platform and peers, publishes, and rejoins it.

--- a/stage/local/fleet.go
+++ b/stage/local/fleet.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,6 +27,7 @@
 	RouterArgs   []string
 	Fencing      bool          // engines check fencing numbers
 	PeerFaults   bool          // a fault link before each router's peer address
+	PlatFaults   bool          // a fault link from each router to the platform
 	ServerFaults bool          // a fault link before each backend server
 	ReadyLimit   time.Duration // for the whole fleet; 0 for 20 s
 }
@@ -39,6 +41,7 @@
 	PeerListen  string // ip:port
 	PeerAddress string // as the platform's list gives it, ip:port
 	Admin       string // ip:port
+	PlatLink    string // name of the fault link to the platform
 }
 
 // Fleet is a running fleet; Close ends it.
@@ -58,6 +61,7 @@
 	secret       = "local-fleet-secret"
 	defaultReady = 20 * time.Second
 	standInIP    = "127.0.0.1"
+	linkTries    = 5 // a process that is just being started may still hold an address that was found free
 )
 
 // Start starts a fleet and waits until it is ready.
@@ -108,15 +112,20 @@
 }
 
 // link puts a fault link before an address when wanted, and gives the address to use.
-func (f *Fleet) link(wanted bool, name, ip, target string) (string, error) {
+func (f *Fleet) link(wanted bool, name, ip, target string) (address string, err error) {
 	if !wanted {
 		return target, nil
 	}
-	listen, err := freeAddress(ip)
-	if err != nil {
-		return "", err
+	for range linkTries {
+		var listen string
+		if listen, err = freeAddress(ip); err != nil {
+			return "", err
+		}
+		if err = f.Faults.Open(fault.Link{Name: name, Listen: listen, Target: target}); err == nil {
+			return listen, nil
+		}
 	}
-	return listen, f.Faults.Open(fault.Link{Name: name, Listen: listen, Target: target})
+	return "", err
 }
 
 func (f *Fleet) placeServers() error {
@@ -206,11 +215,17 @@
 }
 
 func (f *Fleet) startRouters() error {
+	platform := strings.TrimPrefix(f.PlatURL, "http://")
 	for _, r := range f.Routers {
+		r.PlatLink = "platform of " + r.Name
+		address, err := f.link(f.PlatFaults, r.PlatLink, r.IP, platform)
+		if err != nil {
+			return err
+		}
 		process := f.process(r.Name, "router", append([]string{
 			"--name", r.Name, "--data-centre", r.DataCentre,
 			"--listen", r.Listen, "--peer-listen", r.PeerListen, "--peer-address", r.PeerAddress,
-			"--admin", r.Admin, "--platform", f.PlatURL, "--secret", secret, "--source", r.IP,
+			"--admin", r.Admin, "--platform", "http://" + address, "--secret", secret, "--source", r.IP,
 		}, f.RouterArgs...))
 		r.Path, r.Args, r.Log = process.Path, process.Args, process.Log
 		if err := r.Start(); err != nil {
--- a/stage/proof/conf_test.go
+++ b/stage/proof/conf_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	proxy "mangolug.org/faults/fault"
 	"mangolug.org/stage/local"
 )
 
@@ -13,7 +14,9 @@
 
 // One fleet goes through all that the platform's service may do to a configuration.
 func TestConfiguration(t *testing.T) {
-	f := start(t, settings(local.Chenab()))
+	s := settings(local.Chenab())
+	s.PeerFaults, s.PlatFaults = true, true
+	f := start(t, s)
 	rules := func(n int) string { return fmt.Sprintf("# edition %d\n%s", n, f.Rules()) }
 	publish := func(text string) uint64 {
 		version, err := f.Publish(text, "")
@@ -24,6 +27,7 @@
 
 	second := publish(rules(2))
 	inForce(t, f, confLimit, second)
+	watched := watchVersions(t, f)
 
 	// The service is down: a router that starts empty learns the version from its peers.
 	must(t, f.SteerPlatform("down?on=true"))
@@ -40,26 +44,39 @@
 	inForce(t, f, 0, second)
 	must(t, f.SteerPlatform("serve?version=0"))
 
-	// It is down for one router, which learns a new version from its peers.
-	must(t, f.SteerPlatform("down?on=true&reader="+f.Routers[2].IP))
+	// One router does not reach it, and learns a new version from its peers.
+	f.Faults.Set(proxy.Rule{Link: f.Routers[2].PlatLink, Cut: true})
 	third := publish(rules(3))
 	inForce(t, f, confLimit, third)
-	must(t, f.SteerPlatform("down?on=false&reader="+f.Routers[2].IP))
+	f.Faults.Clear(f.Routers[2].PlatLink)
+
+	// One router reaches neither platform nor peers, and comes back with an older version than theirs.
+	split(f, f.Routers[1])
+	f.Faults.Set(proxy.Rule{Link: f.Routers[1].PlatLink, Cut: true})
+	elapse(t, pastLeases)
+	fourth := publish(rules(4))
+	inForce(t, part(f, without(f, f.Routers[1])...), confLimit, fourth)
+	inForce(t, part(f, f.Routers[1]), 0, third)
+	f.Faults.Clear("")
+	inForce(t, f, confLimit, fourth)
+	elapse(t, time.Second)
+	inForce(t, f, 0, fourth)
 
 	// A bad file between two good ones is refused whole.
-	bad := publish(rules(4) + "nonsense here # asked by nobody\n")
+	bad := publish(rules(5) + "nonsense here # asked by nobody\n")
 	refusedEverywhere(t, f, bad)
-	inForce(t, f, 0, third)
-	fifth := publish(rules(5))
-	inForce(t, f, confLimit, fifth)
+	inForce(t, f, 0, fourth)
+	sixth := publish(rules(6))
+	inForce(t, f, confLimit, sixth)
 
 	// Two operators publish at once.
 	var publishers sync.WaitGroup
 	for n := range 2 {
-		publishers.Go(func() { _, _ = f.Publish(rules(6+n), "") })
+		publishers.Go(func() { _, _ = f.Publish(rules(7+n), "") })
 	}
 	publishers.Wait()
-	inForce(t, f, confLimit, fifth+2)
+	inForce(t, f, confLimit, sixth+2)
+	watched()
 
 	counts, err := f.PlatformCounts()
 	must(t, err)
--- a/stage/proof/cut_test.go
+++ b/stage/proof/cut_test.go
@@ -91,31 +91,55 @@
 	checkLimits(t, f)
 }
 
-// The rule arrives while one router reaches no peer and another does not reach the configuration service.
+// The rule arrives while one router reaches no peer, and that one or another does not reach the configuration service. A router that
+// reaches neither goes on under the rules that it has; from the time it reaches a peer again the limit holds for it too.
 func TestDataCentreOutWhileRoutersAreCutOff(t *testing.T) {
-	s := settings(local.Chenab())
-	s.PeerFaults = true
-	f := start(t, s)
-	l := startLoad(t, f, 12, 0, 20)
-	l.waitFor(t, 10*time.Second, 24, answered)
-	split(f, f.Routers[0])
-	must(t, f.SteerPlatform("down?on=true&reader="+f.Routers[1].IP))
-	elapse(t, pastLeases)
-	out := f.Site.DataCentres[2]
-	version, err := f.Publish(f.Rules(out), "")
-	must(t, err)
-	quiet := time.Now().Add(outLimit)
-	inForce(t, f, outLimit, version)
-	elapse(t, time.Until(quiet))
-	l.waitFor(t, 10*time.Second, 24, answered)
-	for _, server := range f.Servers {
-		if ran := runsSince(t, f, server, quiet); server.DataCentre == out && ran > 0 {
-			t.Errorf("%s in %s took %d requests later than %v after the rule", server.Name, out, ran, outLimit)
-		}
+	for name, both := range map[string]bool{"two routers": false, "one router from both": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := settings(local.Chenab())
+			s.PeerFaults, s.PlatFaults = true, true
+			f := start(t, s)
+			l := startLoad(t, f, 12, 0, 20)
+			l.waitFor(t, 10*time.Second, 24, answered)
+			alone := scheduler(t, f, f.Site.Model)
+			others := without(f, alone)
+			split(f, alone)
+			blind := others[0]
+			if both {
+				blind = alone
+			}
+			f.Faults.Set(proxy.Rule{Link: blind.PlatLink, Cut: true})
+			elapse(t, pastLeases)
+			out := others[1].DataCentre
+			version, err := f.Publish(f.Rules(out), "")
+			must(t, err)
+			quiet := time.Now().Add(outLimit)
+			if both {
+				inForce(t, part(f, others...), outLimit, version)
+				elapse(t, pastLeases)
+				status, err := alone.Status()
+				must(t, err)
+				if status.ConfigVersion >= version {
+					t.Errorf("%s has version %d, though it is cut off", alone.Name, status.ConfigVersion)
+				}
+				for _, r := range f.Routers {
+					f.Faults.Clear(r.Name)
+				}
+				quiet = time.Now().Add(outLimit)
+			}
+			inForce(t, f, outLimit, version)
+			elapse(t, time.Until(quiet))
+			l.waitFor(t, 10*time.Second, 24, answered)
+			for _, server := range f.Servers {
+				if ran := runsSince(t, f, server, quiet); server.DataCentre == out && ran > 0 {
+					t.Errorf("%s in %s took %d requests later than %v after the rule", server.Name, out, ran, outLimit)
+				}
+			}
+			f.Faults.Clear("")
+			must(t, f.WaitReady(readyLimit))
+			check(t, f, l.stop())
+			checkLimits(t, f)
+		})
 	}
-	f.Faults.Clear("")
-	must(t, f.SteerPlatform("down?on=false"))
-	must(t, f.WaitReady(readyLimit))
-	check(t, f, l.stop())
-	checkLimits(t, f)
 }
