Run broken streams again and compare what was passed on

Cause: A model's stream that broke off after its first event ended with an explicit error, though other servers could have given the whole answer. A diverging run is not counted against its server. Conclusion: Streams outlast their engine where servers' answers are fixed. Where they sample, the caller gets the same explicit error as before.

--- a/router/front/call.go
+++ b/router/front/call.go
@@ -45,6 +45,7 @@
 	asked    time.Duration // when the key's home was asked
 	record   fleet.Answer  // what the key's home shall record
 	written  bool          // the answer's header has gone to the caller
+	relayed  relayed       // of a stream
 }
 
 // named reports a request whose caller gave it an idempotency key.
@@ -94,6 +95,9 @@
 		f.Log.Info("refused", "request", c.id, "team", team, "product", product, "reason", e.Reason, "notRun", e.NotRun, "detail", detail)
 	}
 	if c.written {
+		if c.relayed.begun && e.Reason != fleet.ReasonCallerGone && e.Reason != fleet.ReasonSlowCaller {
+			c.endStream(e)
+		}
 		return
 	}
 	c.extend()
--- a/router/front/pass.go
+++ b/router/front/pass.go
@@ -46,13 +46,16 @@
 		return &back.ServerError{Server: t.verdict.Grant.Server, Reason: fleet.ReasonServerFailed, Sent: true, Status: a.Status}
 	}
 	events := strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream")
+	if !t.fits(a, events) {
+		return t.cut(errDiverged)
+	}
 	if model && events {
 		return t.passEvents(a)
 	}
 	return t.passWhole(a, model)
 }
 
-// passEvents hands on whole events; until the first has gone the request may still be tried elsewhere.
+// passEvents hands on whole events, but for those which the caller has from a run that broke off.
 func (t *try) passEvents(a *back.Answer) error {
 	c := t.call
 	stall := time.AfterFunc(c.front.Settings.StallTimeout, t.cancel)
@@ -68,14 +71,11 @@
 			return t.cut(err)
 		}
 		t.first()
-		if !c.written {
-			c.begin(a, -1)
-		}
-		c.extend()
-		if _, err := c.writer.Write(event.Text); err != nil {
-			return t.callerLost(err)
+		text, err := t.onward(event)
+		if err != nil {
+			return t.cut(err)
 		}
-		if err := c.control.Flush(); err != nil {
+		if err := c.deliver(a, text); err != nil {
 			return t.callerLost(err)
 		}
 		if event.End {
@@ -86,7 +86,23 @@
 	}
 }
 
-// cut ends a stream without its end marker: tried again if nothing has gone to the caller, else an explicit error.
+// deliver passes a part of a stream on at once.
+func (c *call) deliver(a *back.Answer, text []byte) error {
+	if len(text) == 0 {
+		return nil
+	}
+	if !c.written {
+		c.begin(a, -1)
+		c.relayed.begun = true
+	}
+	c.extend()
+	if _, err := c.writer.Write(text); err != nil {
+		return err
+	}
+	return c.control.Flush()
+}
+
+// cut ends a stream without its end marker: run again if what the caller has can be compared, else an explicit error.
 func (t *try) cut(err error) error {
 	c := t.call
 	if !c.written {
@@ -100,21 +116,17 @@
 	switch {
 	case errors.Is(err, errForeignEvent):
 		reason = fleet.ReasonForeignAnswer
+	case errors.Is(err, errDiverged):
+		c.front.count("streams.diverged")
+		t.useless = true
 	case c.front.stopping.Err() != nil:
 		reason = fleet.ReasonStopped
 	case c.front.Clock() >= c.deadline:
 		reason = fleet.ReasonDeadlinePassed
+	case !c.once && !c.relayed.long:
+		return t.broken(err)
 	}
-	refusal := c.failure(reason, &back.ServerError{Server: t.verdict.Grant.Server, Reason: reason, Sent: true, Err: err})
-	text, err := json.Marshal(refusal.body(c.id))
-	if err != nil {
-		return refusal
-	}
-	c.extend()
-	if _, err := c.writer.Write([]byte("event: error\ndata: " + string(text) + "\n\n")); err == nil {
-		_ = c.control.Flush() // the handler ends next, which flushes too
-	}
-	return refusal
+	return c.failure(reason, &back.ServerError{Server: t.verdict.Grant.Server, Reason: reason, Sent: true, Err: err})
 }
 
 // errForeignEvent is an event of another stream within this one.
@@ -127,8 +139,9 @@
 		return nil
 	}
 	var chunk struct {
-		ID    string `json:"id"`
-		Usage *usage `json:"usage"`
+		ID      string          `json:"id"`
+		Choices json.RawMessage `json:"choices"`
+		Usage   *usage          `json:"usage"`
 	}
 	if err := json.Unmarshal(event.Data, &chunk); err != nil {
 		return err
@@ -141,6 +154,7 @@
 		return errForeignEvent
 	}
 	t.chunks++
+	t.mark = markOf(chunk.Choices, event)
 	if chunk.Usage != nil {
 		t.usage = chunk.Usage
 	}
--- a/router/front/try.go
+++ b/router/front/try.go
@@ -21,9 +21,12 @@
 	firstByte time.Duration
 	answerID  string // of the answer's first event
 	chunks    int64
+	mark      uint64 // of the latest event
+	matched   int    // events that the caller has and that this attempt gave too
 	usage     *usage
 	reported  time.Duration
 	lost      bool // the caller takes its answer no more
+	useless   bool // its answer is not the one that the caller has a part of
 }
 
 // outcome names the end of the attempt for the scheduler.
@@ -32,7 +35,7 @@
 	switch {
 	case err == nil:
 		return fleet.OutcomeCompleted
-	case t.lost:
+	case t.lost, t.useless:
 		return fleet.OutcomeCancelled
 	case !errors.As(err, &failed):
 		return fleet.OutcomeFailed
--- a/stage/proof/stream_test.go
+++ b/stage/proof/stream_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	proxy "mangolug.org/faults/fault"
 	"mangolug.org/stage/local"
 )
@@ -84,3 +86,40 @@
 		t.Errorf("status %d %s %v", a.status, a.body, a.broken)
 	}
 }
+
+// An engine restarts while it streams; the caller gets its whole answer, the rest of it from another run.
+func TestStreamOutlastsItsEngine(t *testing.T) {
+	s := settings(local.Carraig())
+	s.EngineArgs = append(s.EngineArgs, "--token-time", "20ms")
+	f := start(t, s)
+	words := completion{prompt: "mussel", tokens: 40, stream: true}
+	c := words.call(f.Site, f.Routers[0], f.Site.Teams[0])
+	answers := make(chan answer, 1)
+	go func() { answers <- do(t.Context(), c) }()
+	within(t, 5*time.Second, func() error {
+		for _, server := range f.ServersOf(f.Site.Model) {
+			all, err := server.EngineRecord()
+			if err != nil {
+				return err
+			}
+			if len(all.Runs) > 0 && all.Runs[0].Tokens >= 5 {
+				return server.Steer("restart")
+			}
+		}
+		return errors.New("no engine streams")
+	})
+	a := <-answers
+	text, _, whole := words.read(a)
+	if !whole || text != words.want() {
+		t.Errorf("whole %v, %q, want %q", whole, text, words.want())
+	}
+	runs := 0
+	for _, server := range f.ServersOf(f.Site.Model) {
+		all, err := server.EngineRecord()
+		must(t, err)
+		runs += len(all.Runs)
+	}
+	if runs < 2 {
+		t.Errorf("%d runs: the stream did not break", runs)
+	}
+}
