Remember what a frozen scheduler runs until reports show it gone

Cause: a new scheduler took the last load report alone as foreign load. A report that met requests on their way showed none of it, and after 2 s the whole part was used, whatever reports had shown. TestOrphansAreLeftToTheOtherSide now acknowledges its grants, which lapsed and were given again between its reports; it is as strict. Conclusion: foreign load is held for 5 to 10 s unless a weighed report shows less.

--- a/core/sched/orphan.go
+++ b/core/sched/orphan.go
@@ -19,7 +19,7 @@
 	if v.orphans == 0 || measured <= v.orphanedAt {
 		return
 	}
-	v.spare[v.spares%orphanReports] = v.foreign
+	v.spare[v.spares%orphanReports] = v.excess
 	v.spares++
 	if v.spares < orphanReports {
 		return
--- a/core/sched/scheduler_test.go
+++ b/core/sched/scheduler_test.go
@@ -175,7 +175,8 @@
 				now := c.after + time.Duration(i)*500*time.Millisecond
 				s.Load(now, fleet.Load{Server: "killary-1", Running: load})
 				now += transit
-				s.Heard(now, "r1", now.Milliseconds())
+				seen := uint64(term<<fleet.TermShift + granted)
+				s.Take(now, "r1", "clew", now.Milliseconds(), fleet.Demand{Seq: 2 + uint64(i), SeenTerm: term, Seen: seen})
 				granted += count(s.Next(now))
 			}
 			if granted != c.want {
--- a/core/sched/server.go
+++ b/core/sched/server.go
@@ -8,6 +8,9 @@
 	"mangolug.org/core/rule"
 )
 
+// foreignPeriod is how long load that no grant explains is believed at least, unless a report shows it to be gone.
+const foreignPeriod = 5 * time.Second
+
 // server is one backend server and what runs on it.
 type server struct {
 	rule        rule.Server
@@ -18,6 +21,7 @@
 	settled     bool // the whole part may be used
 	allowed     int  // until settled, what may be used
 	grewAt      time.Duration
+	weighed     bool // a report since then was weighed
 	sample      sample
 	outstanding int // grants in the hands of live routers
 	orphans     int // grants of routers that were lost
@@ -25,7 +29,9 @@
 	covered     bool // other schedulers' parts hold the orphans
 	within      int  // reports in a row that show it
 	lost        int  // orphans, those included that reports freed and that may yet be heard of
-	foreign     int  // reported load that no grant explains
+	foreign     int  // load that no grant explains, until reports show less
+	excess      int  // what the last report showed of it at least
+	excesses    peak // the same of late
 	spare       [orphanReports]int
 	spares      int // reports since the last orphan
 	recent      peak
@@ -59,7 +65,7 @@
 func (s *Scheduler) configure(now time.Duration, v *server, r rule.Server, out, leaving map[string]bool) {
 	if v.rule.Name == "" || v.rule.Address != r.Address {
 		v.progress, v.limiter = now, limit.Limiter{}
-		v.grewAt, v.settled = now, s.lent >= s.fleet
+		v.grewAt, v.weighed, v.settled = now, false, s.lent >= s.fleet
 	}
 	v.rule, v.present = r, true
 	v.limiter.Ceiling = r.Limit
@@ -112,9 +118,14 @@
 		return
 	}
 	v.limiter.Load(now, l)
-	s.keep(v, now-time.Duration(l.Age)*time.Millisecond, l.Running+l.Waiting)
+	measured := now - time.Duration(l.Age)*time.Millisecond
+	s.keep(v, measured, l.Running+l.Waiting)
 	v.recent.note(now, s.Settings.ReportLag, v.outstanding)
-	v.foreign = max(0, l.Running+l.Waiting-v.recent.highest())
+	v.excess = max(0, l.Running+l.Waiting-v.recent.highest())
+	if measured >= v.grewAt+s.Settings.ReportLag { // else some of it may be what routers were about to tell
+		v.excesses.note(now, foreignPeriod, v.excess)
+	}
+	v.seeForeign(v.excess)
 	before := v.orphans
 	v.freeOrphans(now, l)
 	if v.orphans < before {
@@ -123,6 +134,11 @@
 	s.touch(v)
 }
 
+// seeForeign counts load that no grant explains; it is believed for a while, as later reports may miss requests on their way.
+func (v *server) seeForeign(least int) {
+	v.foreign = max(least, min(v.foreign, v.excesses.highest()))
+}
+
 // LoadFailed notes that a server's report could not be read; without reports, load that no
 // grant explains is given up step by step, and orphans after the stall limit.
 func (s *Scheduler) LoadFailed(now time.Duration, name string) {
--- a/core/sched/settle.go
+++ b/core/sched/settle.go
@@ -29,7 +29,7 @@
 		v.allowed = min(before[i], part)
 		v.settled = lent >= listed || v.settled && part <= before[i]
 		if part > before[i] {
-			v.grewAt = now
+			v.grewAt, v.weighed = now, false
 		}
 	}
 }
@@ -52,7 +52,7 @@
 
 // keep holds the report that tells soonest about the time after the part grew, or after grants were lost.
 func (s *Scheduler) keep(v *server, measured time.Duration, load int) {
-	if v.sample.kept || !v.growing(measured) && !v.covering(measured) {
+	if v.sample.kept || !v.growing(measured) && !v.covering(measured) && v.foreign == 0 {
 		return
 	}
 	v.sample = sample{measured: measured, load: load, kept: true}
@@ -66,7 +66,14 @@
 
 // settleServer learns from a report what others run, once all that ended before it was measured is known.
 func (s *Scheduler) settleServer(now time.Duration, v *server) {
-	v.settled = v.settled || now >= v.grewAt+s.Settings.Settle
+	if !v.settled && now >= v.grewAt+s.Settings.Settle {
+		v.settled = true
+		if v.weighed { // what no report showed to be free is taken to run
+			shown := v.limiter.Bound() - v.allowed
+			v.excesses.note(now, foreignPeriod, shown)
+			v.seeForeign(shown)
+		}
+	}
 	if !v.sample.kept {
 		return
 	}
@@ -76,7 +83,9 @@
 	}
 	v.sample.kept = false
 	others := max(0, v.sample.load-s.surelyRan(v))
+	v.foreign = min(v.foreign, others)
 	if v.growing(v.sample.measured) {
+		v.weighed = true
 		v.allowed = max(v.allowed, v.limiter.Bound()-others)
 		v.settled = v.allowed >= s.part(v.limiter.Bound())
 	}
--- a/core/sched/split_test.go
+++ b/core/sched/split_test.go
@@ -87,3 +87,35 @@
 	r.scheduler, r.afresh = scheduler, true
 	r.out, r.in, r.done = nil, nil, nil
 }
+
+// TestFrozenRouterKeepsItsRoom freezes a router with long requests running; if it was the scheduler, its successor knows of them from
+// load reports only.
+func TestFrozenRouterKeepsItsRoom(t *testing.T) {
+	for name, scheduler := range map[string]bool{"scheduler": true, "another router": false} {
+		t.Run(name, func(t *testing.T) {
+			for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+				t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { freezeOne(t, seed, scheduler) })
+			}
+		})
+	}
+}
+
+func freezeOne(t *testing.T, seed uint64, scheduler bool) {
+	w := newWorld(t, seed, 9, 10, 8)
+	w.delay = time.Duration(1+w.rng.Int64N(10)) * time.Millisecond
+	w.loadLag = time.Duration(w.rng.Int64N(200)) * time.Millisecond
+	w.teams = append(w.teams,
+		&fakeTeam{name: "long", share: 1, cost: 6000, hint: 1, keep: 4, at: []int{0}},
+		&fakeTeam{name: "short", share: 9, cost: 10 + w.rng.Int64N(100), hint: 1, keep: 12, at: []int{1, 2, 3, 4, 5, 6, 7, 8}},
+	)
+	w.checks = append(w.checks, checkLimits, checkWork, checkCounts)
+	w.run(3 * time.Second)
+	if scheduler {
+		w.addScheduler(Settings{})
+		for _, r := range w.routers[1:] {
+			w.follow(r, 1)
+		}
+	}
+	w.lose(w.routers[0], time.Hour)
+	w.run(8 * time.Second)
+}
--- a/core/sched/team.go
+++ b/core/sched/team.go
@@ -198,6 +198,7 @@
 	g := &grant{id: p.Grant, team: s.team(p.Team), router: r, server: s.server(p.Server), seen: true, seenAt: now}
 	g.charged, g.used = p.Cost, p.Cost
 	s.found(g.id)
+	g.server.foreign = max(0, g.server.foreign-1)
 	s.hold(now, g)
 	g.server.limiter.Found(g.server.outstanding)
 	return g
