--- a/router/boot/router.go
+++ b/router/boot/router.go
@@ -168,7 +168,7 @@
 
 func (r *Router) watcher() *plat.Watcher {
 	return &plat.Watcher{
-		Client: &plat.Client{Base: r.settings.Platform},
+		Client: r.platform(),
 		Offer:  r.loop.Offer, List: r.loop.List, Asked: r.loop.Asked, Newest: r.loop.Newest,
 		Reader: r.loop.Reader, Urgent: r.loop.Urgent, FleetSize: r.loop.FleetSize,
 		Failed: func(err error) {
@@ -178,6 +178,10 @@
 	}
 }
 
+func (r *Router) platform() *plat.Client {
+	return &plat.Client{Base: r.settings.Platform, HTTP: httpFrom(net.ParseIP(r.settings.Source))}
+}
+
 func (r *Router) operators() http.Handler {
 	server := &admin.Server{
 		Ready: r.ready, Status: r.status, Stories: r.stories, Registry: r.registry, Trace: r.trace.dump,
