--- a/router/boot/source_test.go
+++ b/router/boot/source_test.go
@@ -14,19 +14,20 @@
 		_, _ = io.WriteString(w, host)
 	}))
 	defer server.Close()
-	for name, source := range map[string]string{"own address": "127.0.0.9", "any address": "127.0.0.1"} {
+	cases := map[string]struct{ source, want string }{
+		"own address": {"127.0.0.9", "127.0.0.9"},
+		"any address": {"", "127.0.0.1"},
+	}
+	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			r := &Router{settings: &Settings{Platform: server.URL, Source: source}}
-			if name == "any address" {
-				r.settings.Source = ""
-			}
+			r := &Router{settings: &Settings{Platform: server.URL, Source: c.source}}
 			answer, err := r.platform().HTTP.Get(server.URL)
 			if err != nil {
 				t.Fatal(err)
 			}
 			defer answer.Body.Close()
-			if text, err := io.ReadAll(answer.Body); err != nil || string(text) != source {
-				t.Errorf("read from %q, want %s, %v", text, source, err)
+			if text, err := io.ReadAll(answer.Body); err != nil || string(text) != c.want {
+				t.Errorf("read from %q, want %s, %v", text, c.want, err)
 			}
 		})
 	}
