Shorten a stream as soon as its receiver says that it restores

Cause: a sender waited up to 300 ms for the receiver's word; when that came later, as on a busy machine where all routers start at once, the stream was sent whole for good. Change: nobody waits. Until the word comes all is sent whole and both ends note it alike, so that names need not be sent again afterwards. Before: a stream whose receiver answers after 300 ms is never shortened. Conclusion: a late word costs the messages before it, no more.

--- a/router/peers/links.go
+++ b/router/peers/links.go
@@ -141,8 +141,8 @@
 		var closed wire.Closed
 		ended <- stream.RecvMsg(&closed)
 	}()
-	shorten := awaitRestores(ctx, restores)
 	var said wire.Said
+	shorten := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -151,9 +151,12 @@
 			return errors.Wrap(err, "closed by peer")
 		case <-o.reopen:
 			return errors.New("peer does not keep up")
+		case shorten = <-restores:
 		case e := <-o.outbox:
 			if shorten {
 				said.Shorten(e)
+			} else {
+				said.Learn(e)
 			}
 			l.count(e)
 			if err := stream.Send(e); err != nil {
--- a/router/peers/restores.go
+++ b/router/peers/restores.go
@@ -1,31 +1,10 @@
 package peers
 
-import (
-	"context"
-	"time"
+import "google.golang.org/grpc/metadata"
 
-	"google.golang.org/grpc/metadata"
-)
-
-const (
-	// restoresHeader is sent at the start of a stream by a receiver that puts back what wire.Said leaves out.
-	restoresHeader = "mangolug-restores"
-	// restoresWait is how long a sender waits for it.
-	restoresWait = 300 * time.Millisecond
-)
+// restoresHeader is sent at the start of a stream by a receiver that puts back what wire.Said leaves out. Until it comes, and to
+// a router of an earlier version, all is sent whole.
+const restoresHeader = "mangolug-restores"
 
 // restoresMetadata says that the receiver restores.
 func restoresMetadata() metadata.MD { return metadata.Pairs(restoresHeader, "1") }
-
-// awaitRestores says whether the receiver restores; one that does not say so in time gets all whole.
-func awaitRestores(ctx context.Context, restores <-chan bool) bool {
-	timer := time.NewTimer(restoresWait)
-	defer timer.Stop()
-	select {
-	case yes := <-restores:
-		return yes
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return false
-}
--- a/router/wire/names.go
+++ b/router/wire/names.go
@@ -12,8 +12,8 @@
 
 // table numbers the names of one kind.
 type table struct {
-	numbers map[string]uint32 // at the sender
-	list    []string          // at the receiver
+	numbers map[string]uint32
+	list    []string // at the receiver, by number
 }
 
 // field is a name in a message, with the number that may stand in its place.
@@ -47,6 +47,13 @@
 	return list
 }
 
+// learn numbers the names of a message that is sent whole.
+func (n *names) learn(e *Envelope) {
+	for _, f := range n.fields(e) {
+		f.table.learn(*f.name)
+	}
+}
+
 // shorten puts numbers in the place of names that the stream carried before.
 func (n *names) shorten(e *Envelope) {
 	for _, f := range n.fields(e) {
@@ -72,21 +79,25 @@
 		*f.name, *f.number = "", number
 		return
 	}
-	if len(t.numbers) >= maxNames {
+	t.learn(*f.name)
+}
+
+// learn numbers a name that is not known yet.
+func (t *table) learn(name string) {
+	if name == "" || t.numbers[name] > 0 || len(t.numbers) >= maxNames {
 		return
 	}
 	if t.numbers == nil {
 		t.numbers = map[string]uint32{}
 	}
-	t.numbers[*f.name] = uint32(len(t.numbers) + 1)
+	t.numbers[name] = uint32(len(t.numbers) + 1)
 }
 
 func (t *table) restore(f field) error {
 	number := *f.number
 	switch {
-	case number == 0 && *f.name != "" && len(t.list) < maxNames && len(*f.name) <= MaxName:
-		t.list = append(t.list, *f.name)
 	case number == 0:
+		t.hear(*f.name)
 	case int64(number) > int64(len(t.list)) || *f.name != "":
 		return &FieldError{Field: f.title, Value: fmt.Sprint(number)}
 	default:
@@ -94,3 +105,14 @@
 	}
 	return nil
 }
+
+// hear numbers a whole name as its sender did.
+func (t *table) hear(name string) {
+	if len(name) > MaxName {
+		return
+	}
+	t.learn(name)
+	if len(t.numbers) > len(t.list) {
+		t.list = append(t.list, name)
+	}
+}
--- a/router/wire/said.go
+++ b/router/wire/said.go
@@ -21,6 +21,12 @@
 	names               names
 }
 
+// Learn notes an envelope that is sent whole, as its receiver does too.
+func (s *Said) Learn(e *Envelope) {
+	s.note(e)
+	s.names.learn(e)
+}
+
 // Shorten leaves out what the stream's last envelope with that field said too; it changes the envelope.
 func (s *Said) Shorten(e *Envelope) {
 	if e.Incarnation != 0 && e.Incarnation == s.incarnation {
