Hash the readers' duty once

Cause: since readers are ranked in one place, the duty's name was hashed anew for each live router at each step of the control loop. After: once a process; core/member and core/trace pass with the race detector. Conclusion: the ranking is the same.

--- a/core/member/reader.go
+++ b/core/member/reader.go
@@ -11,8 +11,8 @@
 // ReadersPerDataCentre is how many routers in each data centre watch the platform's configuration.
 const ReadersPerDataCentre = 2
 
-// readerDuty is the name under which routers are ranked as readers.
-const readerDuty = "platform reader"
+// readerSeed ranks routers as readers.
+var readerSeed = hashText("platform reader")
 
 // Reader reports whether this router should watch the platform: it ranks among the first live routers of its data centre, or knows of none.
 func (m *Members) Reader(now time.Duration) bool {
@@ -53,7 +53,7 @@
 // mayRead says whether a live router takes the duty of a reader.
 func (m *Members) mayRead(name string) bool { return name == m.Self || !m.peers[name].draining }
 
-func readerScore(name string) uint64 { return score(hashText(readerDuty), Hash(name)) }
+func readerScore(name string) uint64 { return score(readerSeed, Hash(name)) }
 
 // Peers gives the listed routers for the status report, ascending by name.
 func (m *Members) Peers(now time.Duration) []report.Peer {
