--- a/router/boot/entrance_test.go
+++ b/router/boot/entrance_test.go
@@ -107,8 +107,13 @@
 
 func until(t *testing.T, holds func() bool) {
 	t.Helper()
-	for end := time.Now().Add(lingerLimit); !holds(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
+	ticker := time.NewTicker(time.Millisecond)
+	defer ticker.Stop()
+	limit := time.After(lingerLimit)
+	for !holds() {
+		select {
+		case <-ticker.C:
+		case <-limit:
 			t.Fatal("the condition did not come to hold")
 		}
 	}
