--- /dev/null
+++ b/mangoctl/admin/client.go
@@ -0,0 +1,139 @@
+package admin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"sort"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"mangolug.org/core/report"
+)
+
+// maxAnswer bounds the bytes read of one answer.
+const maxAnswer = 64 << 20
+
+// StatusError is an answer with a status other than 200.
+type StatusError struct {
+	Router string
+	Status int
+}
+
+// Error names the router and the status.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("router %s answered with status %d", e.Router, e.Status)
+}
+
+// IsNotFound tells whether a router answered that it does not know what was asked for.
+func IsNotFound(err error) bool {
+	var status *StatusError
+	return errors.As(err, &status) && status.Status == http.StatusNotFound
+}
+
+// Client asks routers.
+type Client struct {
+	HTTP *http.Client
+}
+
+// Status is one router's answer to a question for its status.
+type Status struct {
+	Address string        `json:"address"`
+	Status  report.Status `json:"status"`
+	Err     error         `json:"-"`
+}
+
+// Status asks one router for its status.
+func (c *Client) Status(router string) Status {
+	s := Status{Address: router}
+	s.Err = c.get(router, "/status", &s.Status)
+	return s
+}
+
+// Request asks one router for the story of a request.
+func (c *Client) Request(router, id string) (report.Explanation, error) {
+	var e report.Explanation
+	err := c.get(router, "/explain/request/"+url.PathEscape(id), &e)
+	return e, err
+}
+
+// Team asks one router how a team fares.
+func (c *Client) Team(router, name string) (report.TeamExplanation, error) {
+	var e report.TeamExplanation
+	err := c.get(router, "/explain/team/"+url.PathEscape(name), &e)
+	return e, err
+}
+
+// Fleet asks the given routers and every live peer that they name, ordered by router name.
+func (c *Client) Fleet(routers []string) []Status {
+	answers := c.statuses(routers)
+	asked := make(map[string]bool)
+	for _, r := range routers {
+		asked[r] = true
+	}
+	known := make(map[string]bool)
+	for _, a := range answers {
+		known[a.Status.Router] = true
+	}
+	var more []string
+	for _, a := range answers {
+		for _, p := range a.Status.Peers {
+			if p.Admin == "" || asked[p.Admin] || known[p.Name] {
+				continue
+			}
+			asked[p.Admin] = true
+			more = append(more, p.Admin)
+		}
+	}
+	answers = append(answers, c.statuses(more)...)
+	sort.SliceStable(answers, func(i, j int) bool {
+		return answers[i].Status.Router < answers[j].Status.Router
+	})
+	return answers
+}
+
+// Addresses gives the admin addresses of all answers.
+func Addresses(answers []Status) []string {
+	list := make([]string, 0, len(answers))
+	for _, a := range answers {
+		list = append(list, a.Address)
+	}
+	return list
+}
+
+// Each calls ask once for every address, several at a time.
+func Each(addresses []string, ask func(i int, address string)) {
+	const parallel = 16
+	room := make(chan struct{}, parallel)
+	var wait sync.WaitGroup
+	for i, a := range addresses {
+		room <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-room }()
+			ask(i, a)
+		})
+	}
+	wait.Wait()
+}
+
+func (c *Client) statuses(routers []string) []Status {
+	answers := make([]Status, len(routers))
+	Each(routers, func(i int, router string) { answers[i] = c.Status(router) })
+	return answers
+}
+
+func (c *Client) get(router, path string, into any) error {
+	answer, err := c.HTTP.Get("http://" + router + path)
+	if err != nil {
+		return errors.Wrapf(err, "ask router %s", router)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return &StatusError{Router: router, Status: answer.StatusCode}
+	}
+	err = json.NewDecoder(io.LimitReader(answer.Body, maxAnswer)).Decode(into)
+	return errors.Wrapf(err, "read answer of router %s", router)
+}
--- /dev/null
+++ b/mangoctl/admin/doc.go
@@ -0,0 +1,2 @@
+// Package admin asks routers on their admin addresses.
+package admin
--- /dev/null
+++ b/mangoctl/compl/compl.go
@@ -0,0 +1,77 @@
+package compl
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"mangolug.org/mangoctl/shell"
+	"mangolug.org/mangoctl/stream"
+)
+
+// scripts call the program with GO_FLAGS_COMPLETION set, on which it lists completions itself.
+var scripts = map[string]string{
+	"bash": `_mangoctl() {
+	local args=("${COMP_WORDS[@]:1:$COMP_CWORD}")
+	local IFS=$'\n'
+	COMPREPLY=($(GO_FLAGS_COMPLETION=1 "${COMP_WORDS[0]}" "${args[@]}"))
+}
+complete -o default -F _mangoctl mangoctl
+`,
+	"zsh": `#compdef mangoctl
+_mangoctl() {
+	local -a found
+	found=("${(@f)$(GO_FLAGS_COMPLETION=1 "${words[1]}" "${(@)words[2,$CURRENT]}")}")
+	compadd -a found || _files
+}
+compdef _mangoctl mangoctl
+`,
+	"fish": `function __mangoctl_complete
+	set -l args (commandline -opc) (commandline -ct)
+	GO_FLAGS_COMPLETION=1 command $args[1] $args[2..-1]
+end
+complete -c mangoctl -a '(__mangoctl_complete)'
+`,
+}
+
+// Options are what a run needs.
+type Options struct {
+	Streams *stream.Streams `no-flag:"yes"`
+	Args    struct {
+		Shell string `positional-arg-name:"SHELL" description:"bash, zsh or fish"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+type action struct {
+	Options
+	run func(*Options) error
+}
+
+// Execute runs the command.
+func (a *action) Execute([]string) error { return a.run(&a.Options) }
+
+// NewCommand makes the command; run replaces completionRun in tests.
+func NewCommand(f *shell.Factory, run func(*Options) error) *shell.Command {
+	if run == nil {
+		run = completionRun
+	}
+	a := &action{run: run}
+	a.Streams = f.Streams
+	return &shell.Command{
+		Name:  "completion",
+		Short: "Write a completion script for bash, zsh or fish",
+		Long:  "Write a script that lets a shell complete commands and flags.",
+		Examples: `source <(mangoctl completion bash)
+mangoctl completion fish > ~/.config/fish/completions/mangoctl.fish`,
+		Action: a,
+	}
+}
+
+func completionRun(o *Options) error {
+	script, ok := scripts[o.Args.Shell]
+	if !ok {
+		return shell.Exitf(shell.ExitUsage, "shell %q is not known: write bash, zsh or fish", o.Args.Shell)
+	}
+	_, err := fmt.Fprint(o.Streams.Out, script)
+	return errors.Wrap(err, "write script")
+}
--- /dev/null
+++ b/mangoctl/compl/doc.go
@@ -0,0 +1,2 @@
+// Package compl is the command that writes completion scripts for shells.
+package compl
--- /dev/null
+++ b/mangoctl/expl/expl.go
@@ -0,0 +1,160 @@
+package expl
+
+import (
+	"fmt"
+
+	"mangolug.org/core/report"
+	"mangolug.org/mangoctl/admin"
+	"mangolug.org/mangoctl/shell"
+	"mangolug.org/mangoctl/stream"
+)
+
+// Options are what a run needs.
+type Options struct {
+	Streams *stream.Streams `no-flag:"yes"`
+	Client  *admin.Client   `no-flag:"yes"`
+	Routers []string        `long:"router" env:"MANGOLUG_ROUTER" env-delim:"," value-name:"IP:PORT" required:"yes" description:"admin address of a router; its peers are asked too"`
+	JSON    bool            `long:"json" description:"write the routers' answers as JSON"`
+	Args    struct {
+		What string `positional-arg-name:"WHAT" choice:"request" choice:"team" description:"request or team"`
+		Name string `positional-arg-name:"NAME" description:"the request's ID, or the team's name"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// RequestAnswer is what one router knows of a request.
+type RequestAnswer struct {
+	Router      string             `json:"router"`
+	Explanation report.Explanation `json:"explanation"`
+}
+
+// TeamAnswer is what one router knows of a team.
+type TeamAnswer struct {
+	Router      string                 `json:"router"`
+	Explanation report.TeamExplanation `json:"explanation"`
+}
+
+type action struct {
+	Options
+	run func(*Options) error
+}
+
+// Execute runs the command.
+func (a *action) Execute([]string) error { return a.run(&a.Options) }
+
+// NewCommand makes the command; run replaces explainRun in tests.
+func NewCommand(f *shell.Factory, run func(*Options) error) *shell.Command {
+	if run == nil {
+		run = explainRun
+	}
+	a := &action{run: run}
+	a.Streams, a.Client = f.Streams, &admin.Client{HTTP: f.HTTP}
+	return &shell.Command{
+		Name:  "explain",
+		Short: "Say why a request or a team waits, was refused, or went where it went",
+		Long:  "Ask every router what it knows of a request or a team. A request's ID is in the header X-Request-Id of its answer, and in the body of a refusal. Exit code 7 if no router knows it.",
+		Examples: `mangoctl explain request 0192f3c1-7a52-7c11-8d6e-3a5b0f9e2c44
+mangoctl explain team carpenters --router 127.0.0.1:8101`,
+		Action: a,
+	}
+}
+
+func explainRun(o *Options) error {
+	if err := shell.CheckRouters(o.Routers); err != nil {
+		return err
+	}
+	routers := o.Client.Fleet(o.Routers)
+	silent := 0
+	for _, r := range routers {
+		if r.Err != nil {
+			silent++
+			_, _ = fmt.Fprintln(o.Streams.ErrOut, r.Err)
+		}
+	}
+	if silent == len(routers) {
+		return shell.Exitf(shell.ExitUnreachable, "none of %d routers answered", len(routers))
+	}
+	found, err := o.explain(routers)
+	if err != nil {
+		return err
+	}
+	if !found {
+		return shell.Exitf(shell.ExitNotFound, "no router that answered knows the %s %s (%d of %d routers did not answer)", o.Args.What, o.Args.Name, silent, len(routers))
+	}
+	if silent > 0 {
+		return shell.Exitf(shell.ExitPartial, "%d of %d routers did not answer", silent, len(routers))
+	}
+	return nil
+}
+
+func (o *Options) explain(routers []admin.Status) (bool, error) {
+	switch o.Args.What {
+	case "request":
+		return o.explainRequest(routers)
+	case "team":
+		return o.explainTeam(routers)
+	default:
+		return false, shell.Exitf(shell.ExitUsage, "explain what: %q is neither request nor team", o.Args.What)
+	}
+}
+
+func (o *Options) explainRequest(routers []admin.Status) (bool, error) {
+	known := make([]*RequestAnswer, len(routers))
+	admin.Each(admin.Addresses(routers), func(i int, address string) {
+		if routers[i].Err != nil {
+			return
+		}
+		e, err := o.Client.Request(address, o.Args.Name)
+		if err != nil {
+			o.warn(err)
+			return
+		}
+		known[i] = &RequestAnswer{Router: routers[i].Status.Router, Explanation: e}
+	})
+	answers := make([]RequestAnswer, 0, 1)
+	for _, a := range known {
+		if a != nil {
+			answers = append(answers, *a)
+		}
+	}
+	if o.JSON {
+		return len(answers) > 0, o.Streams.WriteJSON(answers)
+	}
+	for _, a := range answers {
+		if err := writeRequest(o.Streams, a); err != nil {
+			return true, err
+		}
+	}
+	return len(answers) > 0, nil
+}
+
+func (o *Options) explainTeam(routers []admin.Status) (bool, error) {
+	known := make([]*TeamAnswer, len(routers))
+	admin.Each(admin.Addresses(routers), func(i int, address string) {
+		if routers[i].Err != nil {
+			return
+		}
+		e, err := o.Client.Team(address, o.Args.Name)
+		if err != nil {
+			o.warn(err)
+			return
+		}
+		known[i] = &TeamAnswer{Router: routers[i].Status.Router, Explanation: e}
+	})
+	answers := make([]TeamAnswer, 0, len(known))
+	for _, a := range known {
+		if a != nil {
+			answers = append(answers, *a)
+		}
+	}
+	if o.JSON {
+		return len(answers) > 0, o.Streams.WriteJSON(answers)
+	}
+	return len(answers) > 0, writeTeam(o.Streams, answers)
+}
+
+// warn tells of a router that failed; a router that does not know the name is no failure.
+func (o *Options) warn(err error) {
+	if !admin.IsNotFound(err) {
+		_, _ = fmt.Fprintln(o.Streams.ErrOut, err)
+	}
+}
--- /dev/null
+++ b/mangoctl/expl/write.go
@@ -0,0 +1,140 @@
+package expl
+
+import (
+	"fmt"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mangolug.org/core/fleet"
+	"mangolug.org/core/report"
+	"mangolug.org/mangoctl/stream"
+	"mangolug.org/mangoctl/table"
+)
+
+func writeRequest(s *stream.Streams, a RequestAnswer) error {
+	e := a.Explanation
+	if s.Terminal {
+		_, err := fmt.Fprintf(s.Out, "request %s of team %s for %s, at router %s: %s\n\n", e.Request, e.Team, e.Product, a.Router, summary(e.Steps))
+		if err != nil {
+			return errors.Wrap(err, "write summary")
+		}
+	}
+	t := &table.Table{Kind: "step", Header: []string{"ROUTER", "AFTER", "STEP", "REASON", "BACKEND SERVER", "BECAUSE"}}
+	for _, v := range e.Steps {
+		t.Add(a.Router, millis(v.AtMillis), v.What, v.Reason.String(), dash(v.Server), because(v))
+	}
+	return t.Write(s)
+}
+
+// summary tells where a request stands by its last step.
+func summary(steps []report.Step) string {
+	if len(steps) == 0 {
+		return "nothing was recorded"
+	}
+	last := steps[len(steps)-1]
+	text := last.What + " after " + millis(last.AtMillis)
+	if last.Server != "" {
+		text += " at " + last.Server
+	}
+	if last.Reason == fleet.ReasonNone {
+		return text
+	}
+	return text + ": " + because(last)
+}
+
+func because(v report.Step) string {
+	text := ""
+	if v.Reason != fleet.ReasonNone {
+		text = Words(v.Reason)
+	}
+	switch {
+	case v.Detail == "":
+		return dash(text)
+	case text == "":
+		return v.Detail
+	default:
+		return text + " (" + v.Detail + ")"
+	}
+}
+
+func writeTeam(s *stream.Streams, answers []TeamAnswer) error {
+	for _, t := range []*table.Table{waiting(answers), service(answers), refusals(answers), recent(answers)} {
+		if len(t.Rows) == 0 {
+			continue
+		}
+		if err := t.Write(s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func waiting(answers []TeamAnswer) *table.Table {
+	t := &table.Table{Kind: "room", Header: []string{"ROUTER", "PRODUCT", "WAITING", "RUNNING", "OLDEST", "SCHEDULER", "BECAUSE"}}
+	for _, a := range answers {
+		for _, r := range a.Explanation.Rooms {
+			why := "-"
+			if r.Waiting > 0 {
+				why = Words(r.Why)
+			}
+			t.Add(a.Router, r.Product, strconv.Itoa(r.Waiting), strconv.Itoa(r.Running), millis(r.OldestWaitMillis), dash(r.Scheduler), why)
+		}
+	}
+	return t
+}
+
+func service(answers []TeamAnswer) *table.Table {
+	t := &table.Table{Kind: "share", Header: []string{"SCHEDULER", "CELL", "SHARE", "WAITING", "RUNNING", "SERVICE", "LEVEL"}}
+	for _, a := range answers {
+		for _, c := range a.Explanation.Cells {
+			for _, v := range c.Teams {
+				t.Add(a.Router, c.Cell, strconv.Itoa(v.Share), strconv.Itoa(v.Waiting), strconv.Itoa(v.Running),
+					strconv.FormatInt(v.Service, 10), strconv.FormatFloat(v.Level, 'f', 1, 64))
+			}
+		}
+	}
+	return t
+}
+
+func refusals(answers []TeamAnswer) *table.Table {
+	t := &table.Table{Kind: "refusal", Header: []string{"REASON", "COUNT", "BECAUSE"}}
+	total := make(map[string]int64)
+	for _, a := range answers {
+		for name, n := range a.Explanation.Refusals {
+			total[name] += n
+		}
+	}
+	names := make([]string, 0, len(total))
+	for name := range total {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		var r fleet.Reason
+		_ = r.UnmarshalText([]byte(name))
+		t.Add(name, strconv.FormatInt(total[name], 10), Words(r))
+	}
+	return t
+}
+
+func recent(answers []TeamAnswer) *table.Table {
+	t := &table.Table{Kind: "recent", Header: []string{"ROUTER", "REQUEST", "PRODUCT", "HOW IT ENDED"}}
+	for _, a := range answers {
+		for _, e := range a.Explanation.Recent {
+			t.Add(a.Router, e.Request, e.Product, summary(e.Steps))
+		}
+	}
+	return t
+}
+
+func millis(n int64) string { return (time.Duration(n) * time.Millisecond).String() }
+
+func dash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
--- a/mangoctl/main.go
+++ b/mangoctl/main.go
@@ -1,3 +1,14 @@
+// Package main is mangoctl, the operators' command line of mangolug.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"mangolug.org/mangoctl/root"
+	"mangolug.org/mangoctl/shell"
+	"mangolug.org/mangoctl/stream"
+)
+
+func main() {
+	os.Exit(int(root.Run(shell.New(stream.System()), os.Args[1:])))
+}
--- /dev/null
+++ b/mangoctl/root/root_test.go
@@ -0,0 +1,119 @@
+package root
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"mangolug.org/core/fleet"
+	"mangolug.org/core/report"
+	"mangolug.org/mangoctl/shell"
+	"mangolug.org/mangoctl/stream"
+)
+
+const rules = `dataCentre lahore in # asked by ops
+product stain-llm model # asked by labs
+server stain-1 product stain-llm dataCentre lahore address 127.0.0.1:9001 limit 8 # asked by labs
+`
+
+// newRouter starts the admin side of a router that names one peer, which is gone.
+func newRouter(t *testing.T, peer string) string {
+	t.Helper()
+	mux := http.NewServeMux()
+	answer := func(path string, value any) {
+		mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(value) })
+	}
+	status := report.Status{
+		Router: "router-1", DataCentre: "lahore", Ready: true, Majority: true, ConfigVersion: 7,
+		DataCentres: []report.DataCentre{{Name: "lahore", InService: true}},
+		Cells:       []report.Cell{{Cell: "stain-llm/0", Servers: []report.Server{{Name: "stain-1", Held: fleet.ReasonServerLeaving}}}},
+	}
+	if peer != "" {
+		status.Peers = []report.Peer{{Name: "router-2", Admin: peer}}
+	}
+	answer("/status", status)
+	answer("/explain/request/42", report.Explanation{Request: "42", Team: "carpenters", Steps: []report.Step{
+		{What: "arrived"}, {What: "refused", Reason: fleet.ReasonQueueFull, AtMillis: 3},
+	}})
+	answer("/explain/team/carpenters", report.TeamExplanation{Team: "carpenters", Refusals: map[string]int64{"queueFull": 9}})
+	s := httptest.NewServer(mux)
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func TestRun(t *testing.T) {
+	folder := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(folder, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	good, bad := write("good", rules), write("bad", rules+"team carpenters share x\n")
+	out := write("out", strings.Replace(rules, "lahore in", "lahore out", 1))
+	router, lonely := newRouter(t, ""), newRouter(t, "127.0.0.1:1")
+	tests := map[string]struct {
+		args []string
+		code shell.ExitCode
+		out  string
+		talk string
+	}{
+		"check good":        {args: []string{"check", good}, out: "accepted, 1 data centres"},
+		"check bad":         {args: []string{"check", bad}, code: shell.ExitRefused, out: "error\t4\t", talk: "refused whole"},
+		"check JSON":        {args: []string{"check", "--json", bad}, code: shell.ExitRefused, out: `"line": 4`, talk: "refused whole"},
+		"check nothing":     {args: []string{"check"}, code: shell.ExitUsage, talk: "FILE"},
+		"check no file":     {args: []string{"check", good + "x"}, code: shell.ExitFailure, talk: "no such file"},
+		"diff same":         {args: []string{"diff", "--exit-code", good, good}, talk: "no change"},
+		"diff out":          {args: []string{"diff", good, out}, out: "lahore"},
+		"diff exit code":    {args: []string{"diff", "--exit-code", good, out}, code: shell.ExitDifferent, out: "lahore"},
+		"status":            {args: []string{"status", "--router", router}, out: "router\trouter-1\tlahore\tready\t7"},
+		"status server":     {args: []string{"status", "--router", router}, out: "server\tstain-1\tstain-llm/0"},
+		"status JSON":       {args: []string{"status", "--json", "--router", router}, out: `"configVersion": 7`},
+		"status partial":    {args: []string{"status", "--all", "--router", lonely}, code: shell.ExitPartial, out: "router-1", talk: "1 of 2 routers"},
+		"status none":       {args: []string{"status", "--router", "127.0.0.1:1"}, code: shell.ExitUnreachable, talk: "none of 1"},
+		"status no router":  {args: []string{"status"}, code: shell.ExitUsage, talk: "--router"},
+		"explain request":   {args: []string{"explain", "request", "42", "--router", router}, out: "as many requests of this team wait"},
+		"explain unknown":   {args: []string{"explain", "request", "43", "--router", router}, code: shell.ExitNotFound, talk: "no router"},
+		"explain team":      {args: []string{"explain", "team", "carpenters", "--router", router}, out: "refusal\tqueueFull\t9"},
+		"explain what":      {args: []string{"explain", "router", "1", "--router", router}, code: shell.ExitUsage, talk: "neither request nor team"},
+		"completion":        {args: []string{"completion", "bash"}, out: "GO_FLAGS_COMPLETION"},
+		"completion of csh": {args: []string{"completion", "csh"}, code: shell.ExitUsage, talk: "bash, zsh or fish"},
+		"help":              {args: []string{"help"}, out: "Exit codes:"},
+		"help check":        {args: []string{"help", "check"}, out: "Examples:"},
+		"flag help":         {args: []string{"explain", "--help"}, out: "Examples:"},
+		"unknown command":   {args: []string{"mend"}, code: shell.ExitUsage, talk: "mend"},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Setenv("MANGOLUG_ROUTER", "")
+			s, out, talk := stream.Test()
+			if code := Run(shell.New(s), c.args); code != c.code {
+				t.Errorf("exit code %d, want %d", code, c.code)
+			}
+			if !strings.Contains(out.String(), c.out) {
+				t.Errorf("output lacks %q:\n%s", c.out, out)
+			}
+			if !strings.Contains(talk.String(), c.talk) {
+				t.Errorf("talk lacks %q:\n%s", c.talk, talk)
+			}
+		})
+	}
+}
+
+func TestTerminalTable(t *testing.T) {
+	s, out, _ := stream.Test()
+	s.Terminal = true
+	if code := Run(shell.New(s), []string{"status", "--router", newRouter(t, "")}); code != shell.ExitOK {
+		t.Fatalf("exit code %d", code)
+	}
+	for _, want := range []string{"ROUTER", "BACKEND SERVER", "serverLeaving"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("output lacks %q:\n%s", want, out)
+		}
+	}
+}
--- /dev/null
+++ b/mangoctl/shell/factory.go
@@ -0,0 +1,44 @@
+package shell
+
+import (
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"mangolug.org/core/rule"
+	"mangolug.org/mangoctl/stream"
+)
+
+// requestTimeout bounds one question to one router.
+const requestTimeout = 3 * time.Second
+
+// Factory gives commands their dependencies; tests replace its fields.
+type Factory struct {
+	Streams  *stream.Streams
+	HTTP     *http.Client
+	ReadFile func(name string) ([]byte, error)
+	Parse    func(text []byte) (*rule.File, error)
+	Diff     func(from, to *rule.File) []rule.Change
+}
+
+// New gives the factory of the real program.
+func New(s *stream.Streams) *Factory {
+	return &Factory{
+		Streams:  s,
+		HTTP:     &http.Client{Timeout: requestTimeout},
+		ReadFile: os.ReadFile,
+		Parse:    rule.Parse,
+		Diff:     rule.Diff,
+	}
+}
+
+// Command is one command of the program.
+type Command struct {
+	Name     string
+	Short    string
+	Long     string
+	Examples string
+	Action   flags.Commander
+}
--- /dev/null
+++ b/mangoctl/status/status.go
@@ -0,0 +1,105 @@
+package status
+
+import (
+	"fmt"
+
+	"mangolug.org/mangoctl/admin"
+	"mangolug.org/mangoctl/shell"
+	"mangolug.org/mangoctl/stream"
+)
+
+// Options are what a run needs.
+type Options struct {
+	Streams *stream.Streams `no-flag:"yes"`
+	Client  *admin.Client   `no-flag:"yes"`
+	Routers []string        `long:"router" env:"MANGOLUG_ROUTER" env-delim:"," value-name:"IP:PORT" required:"yes" description:"admin address of a router; may be given more than once"`
+	All     bool            `long:"all" description:"also ask every peer that these routers name"`
+	JSON    bool            `long:"json" description:"write the routers' answers as JSON"`
+}
+
+type action struct {
+	Options
+	run func(*Options) error
+}
+
+// Execute runs the command.
+func (a *action) Execute([]string) error { return a.run(&a.Options) }
+
+// NewCommand makes the command; run replaces statusRun in tests.
+func NewCommand(f *shell.Factory, run func(*Options) error) *shell.Command {
+	if run == nil {
+		run = statusRun
+	}
+	a := &action{run: run}
+	a.Streams, a.Client = f.Streams, &admin.Client{HTTP: f.HTTP}
+	return &shell.Command{
+		Name:  "status",
+		Short: "Show routers, data centres, backend servers and teams",
+		Long:  "Ask routers for their status: the fleet, data centres, backend servers, teams, and the configuration version in force at each router. Exit code 5 if none answers, 6 if some do not.",
+		Examples: `mangoctl status --router 127.0.0.1:8101
+MANGOLUG_ROUTER=127.0.0.1:8101 mangoctl status --all
+mangoctl status --all --json | jq '.[].status.configVersion'`,
+		Action: a,
+	}
+}
+
+func statusRun(o *Options) error {
+	if err := shell.CheckRouters(o.Routers); err != nil {
+		return err
+	}
+	answers := o.ask()
+	reached := make([]admin.Status, 0, len(answers))
+	for _, a := range answers {
+		if a.Err != nil {
+			_, _ = fmt.Fprintln(o.Streams.ErrOut, a.Err)
+			continue
+		}
+		reached = append(reached, a)
+	}
+	if len(reached) == 0 {
+		return shell.Exitf(shell.ExitUnreachable, "none of %d routers answered", len(answers))
+	}
+	if err := o.write(reached); err != nil {
+		return err
+	}
+	if len(reached) < len(answers) {
+		return shell.Exitf(shell.ExitPartial, "%d of %d routers did not answer", len(answers)-len(reached), len(answers))
+	}
+	return nil
+}
+
+func (o *Options) ask() []admin.Status {
+	if o.All {
+		return o.Client.Fleet(o.Routers)
+	}
+	answers := make([]admin.Status, len(o.Routers))
+	admin.Each(o.Routers, func(i int, router string) { answers[i] = o.Client.Status(router) })
+	return answers
+}
+
+func (o *Options) write(answers []admin.Status) error {
+	if o.JSON {
+		return o.Streams.WriteJSON(answers)
+	}
+	warn(o.Streams, answers)
+	for _, t := range tables(answers) {
+		if len(t.Rows) == 0 {
+			continue
+		}
+		if err := t.Write(o.Streams); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func warn(s *stream.Streams, answers []admin.Status) {
+	for _, a := range answers {
+		if a.Status.ConfigRefused != "" {
+			_, _ = fmt.Fprintf(s.ErrOut, "router %s refused a newer configuration: %s\n", a.Status.Router, a.Status.ConfigRefused)
+		}
+		if !a.Status.Majority {
+			_, _ = fmt.Fprintf(s.ErrOut, "router %s reaches no majority of the listed routers: it refuses keyed non-idempotent calls\n", a.Status.Router)
+		}
+	}
+}
--- /dev/null
+++ b/mangoctl/status/tables.go
@@ -0,0 +1,153 @@
+package status
+
+import (
+	"fmt"
+	"sort"
+	"strconv"
+	"time"
+
+	"mangolug.org/core/fleet"
+	"mangolug.org/mangoctl/admin"
+	"mangolug.org/mangoctl/table"
+)
+
+func tables(answers []admin.Status) []*table.Table {
+	return []*table.Table{
+		routers(answers), peers(answers), dataCentres(answers), servers(answers), teams(answers), rooms(answers),
+	}
+}
+
+func routers(answers []admin.Status) *table.Table {
+	t := &table.Table{Kind: "router", Header: []string{"ROUTER", "DATA CENTRE", "STATE", "CONFIG", "PEERS LIVE", "UP", "CONTROL BYTES"}}
+	for _, a := range answers {
+		s := a.Status
+		live := 0
+		for _, p := range s.Peers {
+			if p.Live {
+				live++
+			}
+		}
+		t.Add(s.Router, s.DataCentre, state(s.Ready, s.Draining), strconv.FormatUint(s.ConfigVersion, 10),
+			fmt.Sprintf("%d/%d", live, len(s.Peers)), millis(s.UptimeMillis).String(), strconv.FormatInt(s.ControlBytes, 10))
+	}
+	return t
+}
+
+func state(ready, draining bool) string {
+	switch {
+	case draining:
+		return "draining"
+	case ready:
+		return "ready"
+	default:
+		return "notReady"
+	}
+}
+
+// peers lists the routers that are lost to, or behind, the routers that were asked.
+func peers(answers []admin.Status) *table.Table {
+	t := &table.Table{Kind: "peer", Header: []string{"SEEN BY", "PEER", "DATA CENTRE", "STATE", "SILENT", "CONFIG"}}
+	for _, a := range answers {
+		for _, p := range a.Status.Peers {
+			if len(answers) > 1 && p.Live && !p.Draining && p.ConfigVersion == a.Status.ConfigVersion {
+				continue
+			}
+			state := "lost"
+			if p.Live {
+				state = "live"
+			}
+			if p.Draining {
+				state = "draining"
+			}
+			t.Add(a.Status.Router, p.Name, p.DataCentre, state, millis(p.SilentMillis).String(), strconv.FormatUint(p.ConfigVersion, 10))
+		}
+	}
+	return t
+}
+
+// dataCentres shows a data centre once, with how many of the asked routers have it in service.
+func dataCentres(answers []admin.Status) *table.Table {
+	t := &table.Table{Kind: "dataCentre", Header: []string{"DATA CENTRE", "SERVICE", "IN SERVICE AT"}}
+	in, known := map[string]int{}, map[string]int{}
+	for _, a := range answers {
+		for _, d := range a.Status.DataCentres {
+			known[d.Name]++
+			if d.InService {
+				in[d.Name]++
+			}
+		}
+	}
+	for _, name := range sorted(known) {
+		service := "in"
+		switch {
+		case in[name] == 0:
+			service = "out"
+		case in[name] < known[name]:
+			service = "changing"
+		}
+		t.Add(name, service, fmt.Sprintf("%d/%d", in[name], known[name]))
+	}
+	return t
+}
+
+func servers(answers []admin.Status) *table.Table {
+	t := &table.Table{Kind: "server", Header: []string{"BACKEND SERVER", "CELL", "DATA CENTRE", "SCHEDULER", "RUNNING", "FOREIGN", "USABLE", "LEARNT", "LIMIT", "HELD"}}
+	for _, a := range answers {
+		for _, c := range a.Status.Cells {
+			for _, v := range c.Servers {
+				t.Add(v.Name, c.Cell, v.DataCentre, a.Status.Router, strconv.Itoa(v.Running), strconv.Itoa(v.Foreign),
+					strconv.Itoa(v.Usable), strconv.Itoa(v.Learnt), strconv.Itoa(v.Ceiling), held(v.Held))
+			}
+		}
+	}
+	sortRows(t)
+	return t
+}
+
+func teams(answers []admin.Status) *table.Table {
+	t := &table.Table{Kind: "team", Header: []string{"TEAM", "CELL", "SHARE", "WAITING", "RUNNING", "SERVICE", "LEVEL"}}
+	for _, a := range answers {
+		for _, c := range a.Status.Cells {
+			for _, v := range c.Teams {
+				t.Add(v.Name, c.Cell, strconv.Itoa(v.Share), strconv.Itoa(v.Waiting), strconv.Itoa(v.Running),
+					strconv.FormatInt(v.Service, 10), strconv.FormatFloat(v.Level, 'f', 1, 64))
+			}
+		}
+	}
+	sortRows(t)
+	return t
+}
+
+func rooms(answers []admin.Status) *table.Table {
+	t := &table.Table{Kind: "room", Header: []string{"TEAM", "PRODUCT", "ROUTER", "WAITING", "RUNNING", "OLDEST", "SCHEDULER", "WHY"}}
+	for _, a := range answers {
+		for _, r := range a.Status.Rooms {
+			t.Add(r.Team, r.Product, a.Status.Router, strconv.Itoa(r.Waiting), strconv.Itoa(r.Running),
+				millis(r.OldestWaitMillis).String(), r.Scheduler, held(r.Why))
+		}
+	}
+	sortRows(t)
+	return t
+}
+
+func held(r fleet.Reason) string {
+	if r == fleet.ReasonNone {
+		return "-"
+	}
+	return r.String()
+}
+
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func sorted(names map[string]int) []string {
+	list := make([]string, 0, len(names))
+	for name := range names {
+		list = append(list, name)
+	}
+	sort.Strings(list)
+	return list
+}
+
+func sortRows(t *table.Table) {
+	sort.SliceStable(t.Rows, func(i, j int) bool { return t.Rows[i][0] < t.Rows[j][0] })
+}
