--- /dev/null
+++ b/stage/root/root.go
@@ -0,0 +1,56 @@
+package root
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"mangolug.org/mangoctl/stream"
+	"mangolug.org/stage/slopes"
+)
+
+// Exit codes.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// command is one command and what it runs.
+type command struct {
+	name, short, long string
+	action            flags.Commander
+}
+
+// Run runs the command that args name and gives the exit code.
+func Run(ctx context.Context, s *stream.Streams, args []string) int {
+	p := flags.NewNamedParser("stage", flags.HelpFlag|flags.PassDoubleDash)
+	for _, c := range commands(ctx, s) {
+		if _, err := p.AddCommand(c.name, c.short, c.long, c.action); err != nil {
+			_, _ = fmt.Fprintln(s.ErrOut, errors.Wrap(err, "add command"))
+			return exitFailure
+		}
+	}
+	_, err := p.ParseArgs(args)
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		_, _ = fmt.Fprintln(s.Out, usage.Message)
+		return exitOK
+	case errors.As(err, &usage):
+		_, _ = fmt.Fprintln(s.ErrOut, usage.Message)
+		return exitUsage
+	}
+	_, _ = fmt.Fprintln(s.ErrOut, err)
+	return exitFailure
+}
+
+func commands(_ context.Context, s *stream.Streams) []command {
+	return []command{
+		{"slopes", "Measure how the decision core's cost grows", "Vary one factor at a time in the decision core, in virtual time, and fit a line: the slopes of docs/CAPACITY.md.", slopes.NewAction(s)},
+	}
+}
--- /dev/null
+++ b/stage/slopes/doc.go
@@ -0,0 +1,2 @@
+// Package slopes is the command that measures how the decision core's cost grows.
+package slopes
