--- a/stage/growth/growth_test.go
+++ b/stage/growth/growth_test.go
@@ -29,3 +29,21 @@
 		t.Error("the holder has no lenders")
 	}
 }
+
+func TestRoomServesWhatArrives(t *testing.T) {
+	w := newWaitingRoom()
+	w.serve(200, 5)
+	if u := w.room.Unused; u.Lapsed+u.Foreign+u.Duplicate+u.Unwanted > 0 {
+		t.Errorf("grants were not used: %+v", u)
+	}
+}
+
+func TestEveryKeyIsLetRun(t *testing.T) {
+	h := newKeyHome()
+	if n := h.run(200); n != 200 {
+		t.Errorf("%d of 200 keys were let run", n)
+	}
+	if n, _ := h.home.Records(); n != 200 {
+		t.Errorf("%d keys are recorded", n)
+	}
+}
--- a/stage/growth/rules.go
+++ b/stage/growth/rules.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 
+	"mangolug.org/core/conf"
 	"mangolug.org/core/rule"
 )
 
@@ -40,5 +41,13 @@
 				return held{file: f}
 			})
 		}),
+		vary(Series{Role: role, Quantity: "heap bytes in force, with text and indexes", Factor: "teams known", Fixed: fixed + ", up to the largest text allowed"},
+			[]int{500, 2000, 4000, 8000}, func(n int) float64 {
+				return heap(func() held {
+					k := &conf.Keeper{}
+					k.Offer(0, 1, ruleText(n, 13), "platform")
+					return held{conf: k}
+				})
+			}),
 	}
 }
--- a/stage/growth/series.go
+++ b/stage/growth/series.go
@@ -4,6 +4,7 @@
 	"runtime"
 	"time"
 
+	"mangolug.org/core/conf"
 	"mangolug.org/core/rule"
 )
 
@@ -48,6 +49,9 @@
 	scheduled *scheduled
 	view      *fleetView
 	file      *rule.File
+	conf      *conf.Keeper
+	room      *waitingRoom
+	keys      *keyHome
 }
 
 // heap gives the bytes that stay in use by what build makes.
@@ -70,7 +74,7 @@
 // All measures every role.
 func All() []Series {
 	var all []Series
-	for _, measure := range []func() []Series{Scheduler, Member, Rules} {
+	for _, measure := range []func() []Series{Entry, Scheduler, Keys, Rules, Member, Wire} {
 		all = append(all, measure()...)
 	}
 	return all
--- a/stage/root/root.go
+++ b/stage/root/root.go
@@ -57,6 +57,6 @@
 		{"demo", "Show mangolug at work on this machine", "Start a fleet for each user in turn, with stand-ins for the platform and the backend servers, put a short mixed load on it, and end in a table.", demo.NewAction(ctx, s)},
 		{"measure", "Measure fairness, utilisation, waiting and control traffic", "Run both users' loads under each policy in turn and write the median and spread as Markdown: docs/MEASURES.md.", gauge.NewAction(ctx, s)},
 		{"latency", "Measure what a router adds to a call", "Put equal loads on the engines directly and through a router, then short calls on one router.", delay.NewAction(ctx, s)},
-		{"slopes", "Measure how the decision core's cost grows", "Vary one factor at a time in the decision core, in virtual time, and fit a line: the slopes of docs/CAPACITY.md.", slopes.NewAction(s)},
+		{"slopes", "Measure how costs grow", "Vary one factor at a time, in the decision core in virtual time or, with --fleet, on running fleets, and fit a line: the slopes of docs/CAPACITY.md.", slopes.NewAction(ctx, s)},
 	}
 }
--- a/stage/slopes/doc.go
+++ b/stage/slopes/doc.go
@@ -1,2 +1,2 @@
-// Package slopes is the command that measures how the decision core's cost grows.
+// Package slopes is the command that measures how costs grow with one factor at a time.
 package slopes
