--- /dev/null
+++ b/mangoctl/record/record.go
@@ -0,0 +1,88 @@
+package record
+
+import (
+	"bufio"
+	"bytes"
+	"compress/gzip"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"mangolug.org/mangoctl/shell"
+	"mangolug.org/mangoctl/stream"
+)
+
+// Options are what a run needs.
+type Options struct {
+	Streams *stream.Streams                          `no-flag:"yes"`
+	Get     func(url string) (*http.Response, error) `no-flag:"yes"`
+	Router  string                                   `long:"router" env:"MANGOLUG_ROUTER" required:"yes" description:"admin address of the router, ip:port"`
+}
+
+type action struct {
+	Options
+	run func(*Options) error
+}
+
+// Execute runs the command.
+func (a *action) Execute([]string) error { return a.run(&a.Options) }
+
+// NewCommand makes the command; run replaces recordRun in tests.
+func NewCommand(f *shell.Factory, run func(*Options) error) *shell.Command {
+	if run == nil {
+		run = recordRun
+	}
+	a := &action{run: run}
+	a.Streams, a.Get = f.Streams, f.HTTP.Get
+	return &shell.Command{
+		Name:  "record",
+		Short: "Fetch the trace of a router's decisions",
+		Long:  "Write all steps of a router's control state since it started, one JSON line a step, to standard output. The router must run with --trace-bytes. Exit code 7 if it keeps no trace.",
+		Examples: `mangoctl record --router 10.0.1.5:8082 > lahore-1.trace
+mangoctl record --router 10.0.1.5:8082 | mangoctl replay -`,
+		Action: a,
+	}
+}
+
+func recordRun(o *Options) error {
+	if err := shell.CheckRouters([]string{o.Router}); err != nil {
+		return err
+	}
+	answer, err := o.Get("http://" + o.Router + "/trace")
+	if err != nil {
+		return shell.Exitf(shell.ExitUnreachable, "router %s does not answer: %v", o.Router, err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	switch answer.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		return shell.Exitf(shell.ExitNotFound, "router %s keeps no trace: start it with --trace-bytes", o.Router)
+	default:
+		return errors.Errorf("router %s answered with status %d", o.Router, answer.StatusCode)
+	}
+	return copyLines(o.Streams.Out, answer.Body)
+}
+
+// copyLines unpacks a trace that is still being written: what follows its last whole line is left out.
+func copyLines(out io.Writer, packed io.Reader) error {
+	unpacked, err := gzip.NewReader(packed)
+	if err != nil {
+		return errors.Wrap(err, "unpack trace")
+	}
+	lines := bufio.NewReader(unpacked)
+	for {
+		line, err := lines.ReadBytes('\n')
+		if bytes.HasSuffix(line, []byte("\n")) {
+			if _, err := out.Write(line); err != nil {
+				return errors.Wrap(err, "write trace")
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+			return nil
+		case err != nil:
+			return errors.Wrap(err, "unpack trace")
+		}
+	}
+}
--- a/mangoctl/root/root.go
+++ b/mangoctl/root/root.go
@@ -11,6 +11,8 @@
 	"mangolug.org/mangoctl/diff"
 	"mangolug.org/mangoctl/expl"
 	"mangolug.org/mangoctl/help"
+	"mangolug.org/mangoctl/record"
+	"mangolug.org/mangoctl/replay"
 	"mangolug.org/mangoctl/shell"
 	"mangolug.org/mangoctl/status"
 )
@@ -25,6 +27,8 @@
 		diff.NewCommand(f, nil),
 		status.NewCommand(f, nil),
 		expl.NewCommand(f, nil),
+		record.NewCommand(f, nil),
+		replay.NewCommand(f, nil),
 		compl.NewCommand(f, nil),
 		help.NewCommand(f, p, func() []*shell.Command { return commands }, nil),
 	}
--- a/mangoctl/shell/factory.go
+++ b/mangoctl/shell/factory.go
@@ -1,6 +1,7 @@
 package shell
 
 import (
+	"io"
 	"net/http"
 	"os"
 	"time"
@@ -19,6 +20,7 @@
 	Streams  *stream.Streams
 	HTTP     *http.Client
 	ReadFile func(name string) ([]byte, error)
+	Open     func(name string) (io.ReadCloser, error) // - is standard input
 	Parse    func(text []byte) (*rule.File, error)
 	Diff     func(from, to *rule.File) []rule.Change
 }
@@ -29,11 +31,19 @@
 		Streams:  s,
 		HTTP:     &http.Client{Timeout: requestTimeout},
 		ReadFile: os.ReadFile,
+		Open:     open,
 		Parse:    rule.Parse,
 		Diff:     rule.Diff,
 	}
 }
 
+func open(name string) (io.ReadCloser, error) {
+	if name == "-" {
+		return io.NopCloser(os.Stdin), nil
+	}
+	return os.Open(name)
+}
+
 // Command is one command of the program.
 type Command struct {
 	Name     string
