--- a/mangoctl/expl/write.go
+++ b/mangoctl/expl/write.go
@@ -22,7 +22,7 @@
 			return errors.Wrap(err, "write summary")
 		}
 	}
-	t := &table.Table{Kind: "step", Header: []string{"ROUTER", "AFTER", "STEP", "REASON", "BACKEND SERVER", "BECAUSE"}}
+	t := &table.Table{Kind: "step", Title: "steps", Header: []string{"ROUTER", "AFTER", "STEP", "REASON", "BACKEND SERVER", "BECAUSE"}}
 	for _, v := range e.Steps {
 		t.Add(a.Router, millis(v.AtMillis), v.What, v.Reason.String(), dash(v.Server), because(v))
 	}
@@ -73,7 +73,7 @@
 }
 
 func waiting(answers []TeamAnswer) *table.Table {
-	t := &table.Table{Kind: "room", Header: []string{"ROUTER", "PRODUCT", "WAITING", "RUNNING", "OLDEST", "SCHEDULER", "BECAUSE"}}
+	t := &table.Table{Kind: "room", Title: "waiting rooms", Header: []string{"ROUTER", "PRODUCT", "WAITING", "RUNNING", "OLDEST", "SCHEDULER", "BECAUSE"}}
 	for _, a := range answers {
 		for _, r := range a.Explanation.Rooms {
 			why := "-"
@@ -87,7 +87,7 @@
 }
 
 func service(answers []TeamAnswer) *table.Table {
-	t := &table.Table{Kind: "share", Header: []string{"SCHEDULER", "CELL", "SHARE", "WAITING", "RUNNING", "SERVICE", "LEVEL"}}
+	t := &table.Table{Kind: "share", Title: "share and service", Header: []string{"SCHEDULER", "CELL", "SHARE", "WAITING", "RUNNING", "SERVICE", "LEVEL"}}
 	for _, a := range answers {
 		for _, c := range a.Explanation.Cells {
 			for _, v := range c.Teams {
@@ -100,7 +100,7 @@
 }
 
 func refusals(answers []TeamAnswer) *table.Table {
-	t := &table.Table{Kind: "refusal", Header: []string{"REASON", "COUNT", "BECAUSE"}}
+	t := &table.Table{Kind: "refusal", Title: "refusals since the routers started", Header: []string{"REASON", "COUNT", "BECAUSE"}}
 	total := make(map[string]int64)
 	for _, a := range answers {
 		for name, n := range a.Explanation.Refusals {
@@ -121,7 +121,7 @@
 }
 
 func recent(answers []TeamAnswer) *table.Table {
-	t := &table.Table{Kind: "recent", Header: []string{"ROUTER", "REQUEST", "PRODUCT", "HOW IT ENDED"}}
+	t := &table.Table{Kind: "recent", Title: "latest refusals and failures", Header: []string{"ROUTER", "REQUEST", "PRODUCT", "HOW IT ENDED"}}
 	for _, a := range answers {
 		for _, e := range a.Explanation.Recent {
 			t.Add(a.Router, e.Request, e.Product, summary(e.Steps))
--- a/mangoctl/status/tables.go
+++ b/mangoctl/status/tables.go
@@ -13,12 +13,12 @@
 
 func tables(answers []admin.Status) []*table.Table {
 	return []*table.Table{
-		routers(answers), peers(answers), dataCentres(answers), servers(answers), teams(answers), rooms(answers),
+		routers(answers), peers(answers), dataCentres(answers), cells(answers), servers(answers), teams(answers), rooms(answers),
 	}
 }
 
 func routers(answers []admin.Status) *table.Table {
-	t := &table.Table{Kind: "router", Header: []string{"ROUTER", "DATA CENTRE", "STATE", "CONFIG", "PEERS LIVE", "UP", "CONTROL BYTES"}}
+	t := &table.Table{Kind: "router", Title: "routers", Header: []string{"ROUTER", "DATA CENTRE", "STATE", "CONFIG", "PEERS LIVE", "UP", "CONTROL BYTES"}}
 	for _, a := range answers {
 		s := a.Status
 		live := 0
@@ -46,7 +46,7 @@
 
 // peers lists the routers that are lost to, or behind, the routers that were asked.
 func peers(answers []admin.Status) *table.Table {
-	t := &table.Table{Kind: "peer", Header: []string{"SEEN BY", "PEER", "DATA CENTRE", "STATE", "SILENT", "CONFIG"}}
+	t := &table.Table{Kind: "peer", Title: "peers lost or behind", Header: []string{"SEEN BY", "PEER", "DATA CENTRE", "STATE", "SILENT", "CONFIG"}}
 	for _, a := range answers {
 		for _, p := range a.Status.Peers {
 			if len(answers) > 1 && p.Live && !p.Draining && p.ConfigVersion == a.Status.ConfigVersion {
@@ -67,7 +67,7 @@
 
 // dataCentres shows a data centre once, with how many of the asked routers have it in service.
 func dataCentres(answers []admin.Status) *table.Table {
-	t := &table.Table{Kind: "dataCentre", Header: []string{"DATA CENTRE", "SERVICE", "IN SERVICE AT"}}
+	t := &table.Table{Kind: "dataCentre", Title: "data centres", Header: []string{"DATA CENTRE", "SERVICE", "IN SERVICE AT"}}
 	in, known := map[string]int{}, map[string]int{}
 	for _, a := range answers {
 		for _, d := range a.Status.DataCentres {
@@ -90,8 +90,25 @@
 	return t
 }
 
+// cells shows who schedules each cell, and how many of the listed routers lend it their part of the servers' limits.
+func cells(answers []admin.Status) *table.Table {
+	t := &table.Table{Kind: "cell", Title: "cells", Header: []string{"CELL", "SCHEDULER", "TERM", "LENDERS", "SERVERS", "WAITING", "RUNNING"}}
+	for _, a := range answers {
+		for _, c := range a.Status.Cells {
+			waiting, running := 0, 0
+			for _, v := range c.Teams {
+				waiting, running = waiting+v.Waiting, running+v.Running
+			}
+			t.Add(c.Cell, a.Status.Router, strconv.FormatUint(c.Term, 10), fmt.Sprintf("%d/%d", c.Lenders, c.Listed),
+				strconv.Itoa(len(c.Servers)), strconv.Itoa(waiting), strconv.Itoa(running))
+		}
+	}
+	sortRows(t)
+	return t
+}
+
 func servers(answers []admin.Status) *table.Table {
-	t := &table.Table{Kind: "server", Header: []string{"BACKEND SERVER", "CELL", "DATA CENTRE", "SCHEDULER", "RUNNING", "FOREIGN", "USABLE", "LEARNT", "LIMIT", "HELD"}}
+	t := &table.Table{Kind: "server", Title: "backend servers", Header: []string{"BACKEND SERVER", "CELL", "DATA CENTRE", "SCHEDULER", "RUNNING", "FOREIGN", "USABLE", "LEARNT", "LIMIT", "HELD"}}
 	for _, a := range answers {
 		for _, c := range a.Status.Cells {
 			for _, v := range c.Servers {
@@ -105,7 +122,7 @@
 }
 
 func teams(answers []admin.Status) *table.Table {
-	t := &table.Table{Kind: "team", Header: []string{"TEAM", "CELL", "SHARE", "WAITING", "RUNNING", "SERVICE", "LEVEL"}}
+	t := &table.Table{Kind: "team", Title: "teams", Header: []string{"TEAM", "CELL", "SHARE", "WAITING", "RUNNING", "SERVICE", "LEVEL"}}
 	for _, a := range answers {
 		for _, c := range a.Status.Cells {
 			for _, v := range c.Teams {
@@ -119,7 +136,7 @@
 }
 
 func rooms(answers []admin.Status) *table.Table {
-	t := &table.Table{Kind: "room", Header: []string{"TEAM", "PRODUCT", "ROUTER", "WAITING", "RUNNING", "OLDEST", "SCHEDULER", "WHY"}}
+	t := &table.Table{Kind: "room", Title: "waiting rooms", Header: []string{"TEAM", "PRODUCT", "ROUTER", "WAITING", "RUNNING", "OLDEST", "SCHEDULER", "WHY"}}
 	for _, a := range answers {
 		for _, r := range a.Status.Rooms {
 			t.Add(r.Team, r.Product, a.Status.Router, strconv.Itoa(r.Waiting), strconv.Itoa(r.Running),
--- a/mangoctl/table/table.go
+++ b/mangoctl/table/table.go
@@ -13,7 +13,8 @@
 
 // Table is a list of rows of one kind.
 type Table struct {
-	Kind   string // first field of each row in a pipe, title on a terminal
+	Kind   string // first field of each row in a pipe
+	Title  string // on a terminal; the kind if empty
 	Header []string
 	Rows   [][]string
 }
@@ -46,6 +47,10 @@
 		StyleFunc(func(_, _ int) lipgloss.Style { return lipgloss.NewStyle().PaddingRight(2) }).
 		Headers(t.Header...).
 		Rows(t.Rows...)
-	_, err := fmt.Fprintf(s.Out, "%s\n%s\n\n", strings.ToUpper(t.Kind), drawn.Render())
+	title := t.Title
+	if title == "" {
+		title = t.Kind
+	}
+	_, err := fmt.Fprintf(s.Out, "%s\n%s\n\n", strings.ToUpper(title), drawn.Render())
 	return errors.Wrap(err, "write table")
 }
--- a/stage/demo/demo.go
+++ b/stage/demo/demo.go
@@ -76,11 +76,11 @@
 }
 
 func (o *Options) write(sites []local.Site, results []*trial.Result) error {
-	all := &table.Table{Kind: "demo", Header: []string{
+	all := &table.Table{Kind: "demo", Title: "both users", Header: []string{
 		"USER", "REQUESTS", "ANSWERED WHOLE", "REFUSED", "OTHER", "FAIRNESS GAP", "OVER MEAN", "UTILISATION", "CONTROL BYTES/S A ROUTER", "OVER LIMIT", "RUN TWICE",
 	}}
-	teams := &table.Table{Kind: "team", Header: []string{"USER", "TEAM", "PRODUCT", "SHARE", "REQUESTS", "ANSWERED", "SERVICE, STEADY", "OVER SHARE", "FIRST BYTE P95"}}
-	reasons := &table.Table{Kind: "reason", Header: []string{"USER", "OUTCOME AND REASON", "COUNT"}}
+	teams := &table.Table{Kind: "team", Title: "teams", Header: []string{"USER", "TEAM", "PRODUCT", "SHARE", "REQUESTS", "ANSWERED", "SERVICE, STEADY", "OVER SHARE", "FIRST BYTE P95"}}
+	reasons := &table.Table{Kind: "reason", Title: "not answered", Header: []string{"USER", "OUTCOME AND REASON", "COUNT"}}
 	for i, r := range results {
 		f := r.Figures(sites[i].Model)
 		refused := ended(r.Load, tally.OutcomeRefused)
