--- a/stage/root/root.go
+++ b/stage/root/root.go
@@ -11,6 +11,7 @@
 	"mangolug.org/stage/delay"
 	"mangolug.org/stage/demo"
 	"mangolug.org/stage/gauge"
+	"mangolug.org/stage/serve"
 	"mangolug.org/stage/slopes"
 )
 
@@ -55,6 +56,7 @@
 func commands(ctx context.Context, s *stream.Streams) []command {
 	return []command{
 		{"demo", "Show mangolug at work on this machine", "Start a fleet for each user in turn, with stand-ins for the platform and the backend servers, put a short mixed load on it, and end in a table.", demo.NewAction(ctx, s)},
+		{"serve", "Start a fleet and keep it", "Start a fleet for one user by its example rule file, say where it is to be reached, and keep it until interrupted.", serve.NewAction(ctx, s)},
 		{"measure", "Measure fairness, utilisation, waiting and control traffic", "Run both users' loads under each policy in turn and write the median and spread as Markdown: docs/MEASURES.md.", gauge.NewAction(ctx, s)},
 		{"latency", "Measure what a router adds to a call", "Put equal loads on the engines directly and through a router, then short calls on one router.", delay.NewAction(ctx, s)},
 		{"slopes", "Measure how costs grow", "Vary one factor at a time, in the decision core in virtual time or, with --fleet, on running fleets, and fit a line: the slopes of docs/CAPACITY.md.", slopes.NewAction(ctx, s)},
