--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -50,6 +50,8 @@
 	backoff  time.Duration
 	until    time.Duration // no request before it while set aside
 	probing  bool          // one request tries the server that was set aside
+
+	last Cut
 }
 
 // Limit gives the learnt number of concurrent requests, at most Bound.
@@ -94,7 +96,7 @@
 	l.probing = false
 	switch d.Outcome {
 	case fleet.OutcomeCompleted:
-		l.completed(time.Duration(d.FirstByte)*time.Microsecond, busy)
+		l.completed(now, time.Duration(d.FirstByte)*time.Microsecond, busy)
 	case fleet.OutcomeOverloaded:
 		l.overloaded(now)
 	case fleet.OutcomeFailed, fleet.OutcomeUnreached:
@@ -102,14 +104,14 @@
 	}
 }
 
-func (l *Limiter) completed(first time.Duration, busy int) {
+func (l *Limiter) completed(now, first time.Duration, busy int) {
 	l.failures = 0
 	l.reason, l.backoff = fleet.ReasonNone, 0
 	if l.isSlow(first) {
 		l.slow++
 		l.norm += (first - l.norm) / slowWeight
 		if l.slow >= slowInRow {
-			l.cut(floor)
+			l.cut(now, CauseSlow, floor)
 			l.slow = 0
 		}
 		return
@@ -157,37 +159,41 @@
 	l.learnt = limit + 1
 }
 
-func (l *Limiter) cut(limit int) {
-	l.threshold = max(floor, l.Limit()/2)
+func (l *Limiter) cut(now time.Duration, cause Cause, limit int) {
+	from := l.Limit()
+	l.threshold = max(floor, from/2)
 	l.learnt = max(floor, limit)
 	l.credit = 0
+	l.lowered(now, cause, from)
 }
 
 func (l *Limiter) overloaded(now time.Duration) {
 	if l.Limit() == floor {
-		l.setAside(now, fleet.ReasonServerOverloaded)
+		l.setAside(now, fleet.ReasonServerOverloaded, CauseOverloaded)
 		return
 	}
-	l.cut(l.Limit() / 2)
+	l.cut(now, CauseOverloaded, l.Limit()/2)
 }
 
 func (l *Limiter) failed(now time.Duration) {
 	l.failures++
 	if l.failures >= failuresKept || l.reason != fleet.ReasonNone {
-		l.setAside(now, fleet.ReasonServerFailed)
+		l.setAside(now, fleet.ReasonServerFailed, CauseFailed)
 		return
 	}
-	l.cut(l.Limit() / 2)
+	l.cut(now, CauseFailed, l.Limit()/2)
 }
 
 // Stall notes that the server's requests have made no progress for too long.
-func (l *Limiter) Stall(now time.Duration) { l.setAside(now, fleet.ReasonServerFailed) }
+func (l *Limiter) Stall(now time.Duration) {
+	l.setAside(now, fleet.ReasonServerFailed, CauseStalled)
+}
 
-func (l *Limiter) setAside(now time.Duration, why fleet.Reason) {
+func (l *Limiter) setAside(now time.Duration, why fleet.Reason, cause Cause) {
 	if l.reason != fleet.ReasonNone && now < l.until {
 		return // answers to requests sent before it was set aside
 	}
-	l.cut(floor)
+	l.cut(now, cause, floor)
 	l.backoff = min(max(2*l.backoff, firstBackoff), lastBackoff)
 	l.reason, l.until, l.probing = why, now+l.backoff, false
 }
@@ -201,29 +207,31 @@
 	case !l.heard && l.learnt == l.found:
 		l.learnt = floor
 	case l.heard && r.Epoch != l.epoch:
-		l.turnedCold()
+		l.turnedCold(now)
 	}
 	l.heard, l.epoch = true, r.Epoch
 	l.state(now, r.Limit)
-	l.queue(r)
+	l.queue(now, r)
 }
 
 // queue lowers the limit when the server keeps requests waiting that it admitted.
-func (l *Limiter) queue(r fleet.Load) {
+func (l *Limiter) queue(now time.Duration, r fleet.Load) {
 	if r.Waiting == 0 {
 		l.queued = 0
 		return
 	}
 	l.queued++
 	if l.queued >= queueReports && r.Running < l.Limit() {
-		l.cut(r.Running)
+		l.cut(now, CauseQueueing, r.Running)
 	}
 }
 
 // turnedCold forgets what was learnt of the server before it restarted.
-func (l *Limiter) turnedCold() {
+func (l *Limiter) turnedCold(now time.Duration) {
+	from := l.Limit()
 	l.learnt, l.threshold, l.credit = floor, 0, 0
 	l.norm, l.normSeen, l.slow = 0, 0, 0
+	l.lowered(now, CauseRestarted, from)
 }
 
 func (l *Limiter) state(now time.Duration, limit int) {
@@ -231,8 +239,10 @@
 	case limit <= 0:
 		l.stated = 0
 	case l.stated == 0 || limit <= l.stated:
+		from := l.Limit()
 		l.stated, l.statedAt = limit, now
 		l.learnt = min(l.Limit(), limit)
+		l.lowered(now, CauseStated, from)
 	case now >= l.statedAt+raisePeriod:
 		l.stated = min(limit, l.stated+max(1, l.stated/4))
 		l.statedAt = now
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -34,42 +34,60 @@
 	cases := map[string]struct {
 		steps []func(*Limiter)
 		want  []int // after each step
+		cause Cause // of the latest lowering
 	}{
 		"unknown starts at the floor and rises by completions": {
 			[]func(*Limiter){completed(0), completed(1), completed(2), completed(4), completed(100)},
 			[]int{1, 2, 4, 8, 16},
+			CauseNone,
 		},
 		"little use proves nothing": {
 			[]func(*Limiter){completed(7), func(l *Limiter) { l.Done(0, fleet.Done{Outcome: fleet.OutcomeCompleted}, 1) }},
 			[]int{8, 8},
+			CauseNone,
 		},
 		"an overload halves at once and the limit then rises slowly": {
 			[]func(*Limiter){completed(15), ended(1, fleet.OutcomeOverloaded, 0), completed(8), completed(9)},
 			[]int{16, 8, 9, 10},
+			CauseOverloaded,
 		},
 		"a burst of overloads leads to the floor": {
 			[]func(*Limiter){completed(15), ended(5, fleet.OutcomeOverloaded, 0)},
 			[]int{16, 1},
+			CauseOverloaded,
 		},
 		"returned and cancelled requests teach nothing": {
 			[]func(*Limiter){completed(7), ended(9, fleet.OutcomeReturned, 0), ended(9, fleet.OutcomeCancelled, 0)},
 			[]int{8, 8, 8},
+			CauseNone,
 		},
 		"a new epoch leads to the floor": {
 			[]func(*Limiter){reported(0, fleet.Load{Epoch: 1}), completed(15), reported(0, fleet.Load{Epoch: 2, Running: 9})},
 			[]int{1, 16, 1},
+			CauseRestarted,
+		},
+		"a restart that broke requests is the cause of their cuts": {
+			[]func(*Limiter){
+				reported(0, fleet.Load{Epoch: 1}), completed(15), ended(3, fleet.OutcomeFailed, 0),
+				reported(time.Second, fleet.Load{Epoch: 2}),
+			},
+			[]int{1, 16, 1, 1},
+			CauseRestarted,
 		},
 		"late first bytes in a row mean a cold server": {
 			[]func(*Limiter){completed(15), ended(2, fleet.OutcomeCompleted, late), ended(1, fleet.OutcomeCompleted, late)},
 			[]int{16, 16, 1},
+			CauseSlow,
 		},
 		"single late first bytes do not": {
 			[]func(*Limiter){completed(15), ended(2, fleet.OutcomeCompleted, late), completed(1), ended(2, fleet.OutcomeCompleted, late)},
 			[]int{16, 16, 16, 16},
+			CauseNone,
 		},
 		"a lasting change becomes the norm": {
 			[]func(*Limiter){completed(15), ended(6, fleet.OutcomeCompleted, late), ended(200, fleet.OutcomeCompleted, late)},
 			[]int{16, 1, 16},
+			CauseSlow,
 		},
 		"a report lowers at once and raises slowly": {
 			[]func(*Limiter){
@@ -77,22 +95,27 @@
 				reported(time.Second, fleet.Load{Limit: 16}), completed(20),
 			},
 			[]int{16, 4, 4, 4, 4, 5},
+			CauseStated,
 		},
 		"a running server found by a new scheduler keeps its work": {
 			[]func(*Limiter){reported(0, fleet.Load{Running: 9})},
 			[]int{9},
+			CauseNone,
 		},
 		"one found with a queue does not": {
 			[]func(*Limiter){reported(0, fleet.Load{Running: 9, Waiting: 1})},
 			[]int{1},
+			CauseNone,
 		},
 		"a lasting queue lowers to what is in service": {
 			[]func(*Limiter){completed(15), reported(0, fleet.Load{Running: 6, Waiting: 5}), reported(0, fleet.Load{Running: 6, Waiting: 5})},
 			[]int{16, 16, 6},
+			CauseQueueing,
 		},
 		"without reports the limit rises slowly": {
 			[]func(*Limiter){completed(1), func(l *Limiter) { l.LoadFailed(); l.LoadFailed(); l.LoadFailed() }, completed(2), completed(3)},
 			[]int{2, 2, 3, 4},
+			CauseNone,
 		},
 	}
 	for name, c := range cases {
@@ -106,13 +129,20 @@
 			if diff := cmp.Diff(c.want, got); diff != "" {
 				t.Errorf("limits differ (-want +got):\n%s", diff)
 			}
+			if cut := l.Cut(); cut.Cause != c.cause {
+				t.Errorf("lowered for %v, want %v", cut.Cause, c.cause)
+			}
 		})
 	}
 }
 
 func TestSetAside(t *testing.T) {
 	l := &Limiter{Ceiling: 16}
+	completed(15)(l)
 	ended(failuresKept, fleet.OutcomeFailed, 0)(l)
+	if diff := cmp.Diff(Cut{Cause: CauseFailed, From: 16, To: 1}, l.Cut()); diff != "" {
+		t.Errorf("cuts differ (-want +got):\n%s", diff)
+	}
 	for now, backoff := time.Duration(0), firstBackoff; backoff < time.Minute; backoff *= 2 {
 		wait := min(backoff, lastBackoff)
 		if why, until := l.Held(now); why != fleet.ReasonServerFailed || until != now+wait {
--- a/core/node/cells.go
+++ b/core/node/cells.go
@@ -144,7 +144,9 @@
 		if c.lenders == 0 {
 			continue
 		}
-		for _, b := range c.scheduler.Next(n.now) {
+		batches := c.scheduler.Next(n.now)
+		n.noticeLowered(id, c)
+		for _, b := range batches {
 			if b.To == n.Start.Self {
 				n.deliver(n.room.Grants(n.now, n.Start.Self, n.members.Clock(n.now), b.Grants))
 				local = true
@@ -156,6 +158,17 @@
 	return local
 }
 
+// noticeLowered tells of servers whose learnt limit was lowered.
+func (n *Node) noticeLowered(id fleet.Cell, c *cell) {
+	for _, l := range c.scheduler.Lowered() {
+		n.count("limitLowered." + l.Cut.Cause.String())
+		n.notice(Notice{
+			Kind: NoticeLimitLowered, Cell: id, Term: c.scheduler.Term, Server: l.Server,
+			Why: l.Cut.Cause.String(), Before: l.Cut.From, Learnt: l.Cut.To,
+		})
+	}
+}
+
 // askAll asks routers that told only part of their demand for all of it.
 func (n *Node) askAll() {
 	for _, id := range n.order {
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -131,6 +131,7 @@
 	NoticePeerLive                       // peer live
 	NoticePeerLost                       // peer lost
 	NoticeListFromPeer                   // list from peer
+	NoticeLimitLowered                   // limit lowered
 )
 
 // MarshalText gives the kind's name.
@@ -139,7 +140,7 @@
 // UnmarshalText reads a kind's name; an unknown name becomes NoticeNone.
 func (k *NoticeKind) UnmarshalText(text []byte) error {
 	*k = NoticeNone
-	for c := NoticeNone; c <= NoticeListFromPeer; c++ {
+	for c := NoticeNone; c <= NoticeLimitLowered; c++ {
 		if c.String() == string(text) {
 			*k = c
 		}
@@ -156,4 +157,7 @@
 	From    string        `json:"from,omitempty"`
 	Why     string        `json:"why,omitempty"`
 	After   time.Duration `json:"after,omitempty"`
+	Server  string        `json:"server,omitempty"`
+	Learnt  int           `json:"learnt,omitempty"` // concurrent requests of the server from now on
+	Before  int           `json:"before,omitempty"` // likewise until now
 }
--- a/core/node/noticekind_string.go
+++ b/core/node/noticekind_string.go
@@ -17,11 +17,12 @@
 	_ = x[NoticePeerLive-6]
 	_ = x[NoticePeerLost-7]
 	_ = x[NoticeListFromPeer-8]
+	_ = x[NoticeLimitLowered-9]
 }
 
-const _NoticeKind_name = "noneconfiguration in forceconfiguration refusedreadyscheduling cellwoke latepeer livepeer lostlist from peer"
+const _NoticeKind_name = "noneconfiguration in forceconfiguration refusedreadyscheduling cellwoke latepeer livepeer lostlist from peerlimit lowered"
 
-var _NoticeKind_index = [...]uint8{0, 4, 26, 47, 52, 67, 76, 85, 94, 108}
+var _NoticeKind_index = [...]uint8{0, 4, 26, 47, 52, 67, 76, 85, 94, 108, 121}
 
 func (i NoticeKind) String() string {
 	idx := int(i) - 0
--- a/core/node/status.go
+++ b/core/node/status.go
@@ -21,7 +21,7 @@
 			s.DataCentres = append(s.DataCentres, report.DataCentre{Name: d.Name, InService: d.InService})
 		}
 	}
-	_, s.ConfigRefused = n.keeper.Refused()
+	s.RefusedNumber, s.ConfigRefused = n.keeper.Refused()
 	for _, id := range n.order {
 		if c := n.cells[id]; c.lenders > 0 {
 			s.Cells = append(s.Cells, c.scheduler.Status(n.now))
@@ -39,6 +39,9 @@
 		}
 	}
 	for _, id := range n.order {
+		if n.cells[id].lenders == 0 {
+			continue // another router schedules the cell now
+		}
 		c := n.cells[id].scheduler.Status(n.now)
 		c.Teams = slices.DeleteFunc(c.Teams, func(o report.Team) bool { return o.Name != team })
 		if len(c.Teams) > 0 {
--- a/core/report/report.go
+++ b/core/report/report.go
@@ -1,6 +1,9 @@
 package report
 
-import "mangolug.org/core/fleet"
+import (
+	"mangolug.org/core/fleet"
+	"mangolug.org/core/limit"
+)
 
 // Status is one router's account of itself and of the fleet as it sees it.
 type Status struct {
@@ -14,6 +17,7 @@
 	ConfigVersion uint64       `json:"configVersion"`
 	ConfigDigest  string       `json:"configDigest"`
 	ConfigRefused string       `json:"configRefused,omitempty"` // why the newest version seen was refused
+	RefusedNumber uint64       `json:"refusedNumber,omitempty"` // that version
 	ControlBytes  int64        `json:"controlBytes"`            // sent to peers since start
 	Peers         []Peer       `json:"peers"`
 	DataCentres   []DataCentre `json:"dataCentres"`
@@ -30,6 +34,7 @@
 	Draining      bool   `json:"draining"`
 	SilentMillis  int64  `json:"silentMillis"`
 	ConfigVersion uint64 `json:"configVersion"`
+	Link          string `json:"link,omitempty"` // why the router that is asked has no stream to it; empty while it has
 }
 
 // DataCentre is a data centre and whether it is in service.
@@ -58,6 +63,11 @@
 	Running    int          `json:"running"` // outstanding grants
 	Foreign    int          `json:"foreign"` // reported load that no grant explains
 	Held       fleet.Reason `json:"held"`    // why it takes no new work; none if it does
+
+	Lowered       limit.Cause `json:"lowered"`       // why the learnt limit was last lowered; none if it never was
+	LoweredMillis int64       `json:"loweredMillis"` // since then
+	LoweredFrom   int         `json:"loweredFrom"`
+	LoweredTo     int         `json:"loweredTo"`
 }
 
 // Team is a scheduler's account of one team.
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -85,6 +85,7 @@
 	memory   memory
 	expected []expectation
 	hungUp   []hangUp // oldest first
+	lowered  []Lowering
 }
 
 // Configure sets the cell's servers, the data centres out of service and the leaving servers.
--- a/core/sched/server.go
+++ b/core/sched/server.go
@@ -34,6 +34,7 @@
 	fraction float64 // of its usable limit that is in use
 	held     fleet.Reason
 	heldTill time.Duration
+	told     limit.Cut // latest lowering of the limit that Lowered gave
 }
 
 // peak keeps the highest count over the last one to two periods.
@@ -153,6 +154,7 @@
 	}
 	for _, v := range s.dirty {
 		v.touched = false
+		s.noteCut(v)
 		if !v.dropped {
 			s.workOut(now, v)
 		}
--- a/core/sched/status.go
+++ b/core/sched/status.go
@@ -14,7 +14,7 @@
 	s.reviewServers(now)
 	c := report.Cell{Cell: s.Cell.String(), Term: s.Term, Lenders: s.lent, Listed: s.fleet}
 	for _, v := range s.listed {
-		c.Servers = append(c.Servers, s.serverStatus(v))
+		c.Servers = append(c.Servers, s.serverStatus(now, v))
 	}
 	least := s.level
 	if n := s.backlog.top(); n != nil {
@@ -27,12 +27,14 @@
 	return c
 }
 
-func (s *Scheduler) serverStatus(v *server) report.Server {
+func (s *Scheduler) serverStatus(now time.Duration, v *server) report.Server {
 	held := v.held
 	if held == fleet.ReasonNone && v.room == 0 {
 		held = fleet.ReasonHeld
 	}
+	lowered := v.limiter.Cut()
 	return report.Server{
+		Lowered: lowered.Cause, LoweredMillis: (now - lowered.At).Milliseconds(), LoweredFrom: lowered.From, LoweredTo: lowered.To,
 		Name: v.rule.Name, DataCentre: v.rule.DataCentre, Ceiling: v.rule.Limit,
 		Learnt: v.limiter.Limit(), Usable: max(0, s.usable(v)),
 		Running: v.outstanding + v.orphans, Foreign: max(0, v.foreign-v.orphans), Held: held,
--- a/mangoctl/expl/write.go
+++ b/mangoctl/expl/write.go
@@ -87,11 +87,11 @@
 }
 
 func service(answers []TeamAnswer) *table.Table {
-	t := &table.Table{Kind: "share", Title: "share and service", Header: []string{"SCHEDULER", "CELL", "SHARE", "WAITING", "RUNNING", "SERVICE", "LEVEL"}}
+	t := &table.Table{Kind: "share", Title: "share and service", Header: []string{"SCHEDULER", "CELL", "LENDERS", "SHARE", "WAITING", "RUNNING", "SERVICE", "LEVEL"}}
 	for _, a := range answers {
 		for _, c := range a.Explanation.Cells {
 			for _, v := range c.Teams {
-				t.Add(a.Router, c.Cell, strconv.Itoa(v.Share), strconv.Itoa(v.Waiting), strconv.Itoa(v.Running),
+				t.Add(a.Router, c.Cell, fmt.Sprintf("%d/%d", c.Lenders, c.Listed), strconv.Itoa(v.Share), strconv.Itoa(v.Waiting), strconv.Itoa(v.Running),
 					strconv.FormatInt(v.Service, 10), strconv.FormatFloat(v.Level, 'f', 1, 64))
 			}
 		}
--- a/mangoctl/status/status.go
+++ b/mangoctl/status/status.go
@@ -93,13 +93,36 @@
 	return nil
 }
 
+// refused is one verdict on a configuration version.
+type refused struct {
+	version uint64
+	why     string
+}
+
 func warn(s *stream.Streams, answers []admin.Status) {
+	warnRefused(s, answers)
 	for _, a := range answers {
-		if a.Status.ConfigRefused != "" {
-			_, _ = fmt.Fprintf(s.ErrOut, "router %s refused a newer configuration: %s\n", a.Status.Router, a.Status.ConfigRefused)
-		}
 		if !a.Status.Majority {
 			_, _ = fmt.Fprintf(s.ErrOut, "router %s reaches no majority of the listed routers: it refuses keyed non-idempotent calls\n", a.Status.Router)
 		}
 	}
 }
+
+// warnRefused tells each verdict on a configuration once, however many routers gave it.
+func warnRefused(s *stream.Streams, answers []admin.Status) {
+	var order []refused
+	count := map[refused]int{}
+	for _, a := range answers {
+		r := refused{version: a.Status.RefusedNumber, why: a.Status.ConfigRefused}
+		if r.why == "" {
+			continue
+		}
+		if count[r] == 0 {
+			order = append(order, r)
+		}
+		count[r]++
+	}
+	for _, r := range order {
+		_, _ = fmt.Fprintf(s.ErrOut, "configuration %d was refused by %d of %d routers:\n%s\n", r.version, count[r], len(answers), r.why)
+	}
+}
--- a/mangoctl/status/tables.go
+++ b/mangoctl/status/tables.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"mangolug.org/core/fleet"
+	"mangolug.org/core/limit"
+	"mangolug.org/core/report"
 	"mangolug.org/mangoctl/admin"
 	"mangolug.org/mangoctl/table"
 )
@@ -46,10 +48,10 @@
 
 // peers lists the routers that are lost to, or behind, the routers that were asked.
 func peers(answers []admin.Status) *table.Table {
-	t := &table.Table{Kind: "peer", Title: "peers lost or behind", Header: []string{"SEEN BY", "PEER", "DATA CENTRE", "STATE", "SILENT", "CONFIG"}}
+	t := &table.Table{Kind: "peer", Title: "peers lost or behind", Header: []string{"SEEN BY", "PEER", "DATA CENTRE", "STATE", "SILENT", "CONFIG", "LINK"}}
 	for _, a := range answers {
 		for _, p := range a.Status.Peers {
-			if len(answers) > 1 && p.Live && !p.Draining && p.ConfigVersion == a.Status.ConfigVersion {
+			if len(answers) > 1 && p.Live && !p.Draining && p.Link == "" && p.ConfigVersion == a.Status.ConfigVersion {
 				continue
 			}
 			state := "lost"
@@ -59,12 +61,20 @@
 			if p.Draining {
 				state = "draining"
 			}
-			t.Add(a.Status.Router, p.Name, p.DataCentre, state, millis(p.SilentMillis).String(), strconv.FormatUint(p.ConfigVersion, 10))
+			t.Add(a.Status.Router, p.Name, p.DataCentre, state, millis(p.SilentMillis).String(), strconv.FormatUint(p.ConfigVersion, 10), link(p))
 		}
 	}
 	return t
 }
 
+// link tells why there is no stream to a peer.
+func link(p report.Peer) string {
+	if p.Link == "" {
+		return "-"
+	}
+	return p.Link
+}
+
 // dataCentres shows a data centre once, with how many of the asked routers have it in service.
 func dataCentres(answers []admin.Status) *table.Table {
 	t := &table.Table{Kind: "dataCentre", Title: "data centres", Header: []string{"DATA CENTRE", "SERVICE", "IN SERVICE AT"}}
@@ -108,12 +118,12 @@
 }
 
 func servers(answers []admin.Status) *table.Table {
-	t := &table.Table{Kind: "server", Title: "backend servers", Header: []string{"BACKEND SERVER", "CELL", "DATA CENTRE", "SCHEDULER", "RUNNING", "FOREIGN", "USABLE", "LEARNT", "LIMIT", "HELD"}}
+	t := &table.Table{Kind: "server", Title: "backend servers", Header: []string{"BACKEND SERVER", "CELL", "DATA CENTRE", "SCHEDULER", "RUNNING", "FOREIGN", "USABLE", "LEARNT", "LIMIT", "HELD", "LOWERED"}}
 	for _, a := range answers {
 		for _, c := range a.Status.Cells {
 			for _, v := range c.Servers {
 				t.Add(v.Name, c.Cell, v.DataCentre, a.Status.Router, strconv.Itoa(v.Running), strconv.Itoa(v.Foreign),
-					strconv.Itoa(v.Usable), strconv.Itoa(v.Learnt), strconv.Itoa(v.Ceiling), held(v.Held))
+					strconv.Itoa(v.Usable), strconv.Itoa(v.Learnt), strconv.Itoa(v.Ceiling), heldAt(c, v), lowered(v))
 			}
 		}
 	}
@@ -147,6 +157,30 @@
 	return t
 }
 
+// heldAt tells why a server takes nothing. One of which nothing may be used is full without a request of this scheduler:
+// with load that no grant explains, or as too few routers lend to the scheduler for it to have a part of the limit.
+func heldAt(c report.Cell, v report.Server) string {
+	if v.Held != fleet.ReasonHeld || v.Usable > 0 {
+		return held(v.Held)
+	}
+	switch {
+	case v.Foreign > 0:
+		return "foreign"
+	case c.Lenders < c.Listed:
+		return "noPart"
+	}
+	return held(v.Held)
+}
+
+// lowered tells why, how far and how long ago a server's learnt limit was last lowered.
+func lowered(v report.Server) string {
+	if v.Lowered == limit.CauseNone {
+		return "-"
+	}
+	ago := millis(v.LoweredMillis).Truncate(time.Second)
+	return fmt.Sprintf("%v %d to %d, %v ago", v.Lowered, v.LoweredFrom, v.LoweredTo, ago)
+}
+
 func held(r fleet.Reason) string {
 	if r == fleet.ReasonNone {
 		return "-"
--- a/router/admin/server_test.go
+++ b/router/admin/server_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -65,3 +66,23 @@
 		t.Errorf("%d stories are kept, want %d", len(s.stories), storyLimit)
 	}
 }
+
+func TestFloodBuriesNoOthersStories(t *testing.T) {
+	var s Stories
+	note := func(request, team string) {
+		s.Note(0, request, team, "p", report.Step{What: "refused", Reason: fleet.ReasonQueueFull})
+	}
+	note("calm-1", "calm")
+	for i := range 10 * storyLimit {
+		note("flood-"+strconv.Itoa(i), "flood")
+		if i == 5*storyLimit {
+			note("calm-2", "calm")
+		}
+	}
+	if _, found := s.Find("calm-2"); !found {
+		t.Error("the story of a calm team was pushed out by a flood")
+	}
+	if _, found := s.Find("flood-" + strconv.Itoa(10*storyLimit-1)); !found || len(s.stories) != storyLimit {
+		t.Errorf("%d stories, the latest among them: %v", len(s.stories), found)
+	}
+}
--- a/router/boot/router.go
+++ b/router/boot/router.go
@@ -179,7 +179,7 @@
 
 func (r *Router) operators() http.Handler {
 	server := &admin.Server{
-		Ready: r.ready, Status: r.loop.Status, Stories: r.stories, Registry: r.registry, Trace: r.trace.dump,
+		Ready: r.ready, Status: r.status, Stories: r.stories, Registry: r.registry, Trace: r.trace.dump,
 		Team: func(ctx context.Context, team string) (*report.TeamExplanation, error) {
 			t, err := r.loop.Team(ctx, team)
 			if err == nil {
@@ -192,6 +192,19 @@
 	return server.Handler()
 }
 
+// status gives the control state's account, with the links that are broken.
+func (r *Router) status(ctx context.Context) (*report.Status, error) {
+	s, err := r.loop.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	troubles := r.links.Troubles()
+	for i := range s.Peers {
+		s.Peers[i].Link = troubles[s.Peers[i].Name]
+	}
+	return s, nil
+}
+
 // recentStories is how many of a team's latest refusals and failures are explained.
 const recentStories = 20
 
--- a/router/front/call.go
+++ b/router/front/call.go
@@ -90,7 +90,8 @@
 	}
 	c.note("refused", e.Reason, "", detail)
 	if f.Log != nil {
-		f.Log.Info("refused", "request", c.id, "reason", e.Reason, "notRun", e.NotRun, "detail", detail)
+		team, product := c.names()
+		f.Log.Info("refused", "request", c.id, "team", team, "product", product, "reason", e.Reason, "notRun", e.NotRun, "detail", detail)
 	}
 	if c.written {
 		return
@@ -114,17 +115,22 @@
 	if c.front.Note == nil {
 		return
 	}
-	team, product := "", ""
+	team, product := c.names()
+	c.front.Note(c.id, team, product, report.Step{
+		AtMillis: (c.front.Clock() - c.arrived).Milliseconds(),
+		What:     what, Reason: reason, Server: server, Detail: detail,
+	})
+}
+
+// names gives the team and the product, as far as they are known.
+func (c *call) names() (team, product string) {
 	if c.team != nil {
 		team = c.team.Name
 	}
 	if c.product != nil {
 		product = c.product.Name
 	}
-	c.front.Note(c.id, team, product, report.Step{
-		AtMillis: (c.front.Clock() - c.arrived).Milliseconds(),
-		What:     what, Reason: reason, Server: server, Detail: detail,
-	})
+	return team, product
 }
 
 func (c *call) release() {
--- a/router/loop/effect.go
+++ b/router/loop/effect.go
@@ -105,8 +105,11 @@
 	if n.After > 0 {
 		line = line.With("after", n.After)
 	}
+	if n.Server != "" {
+		line = line.With("server", n.Server, "before", n.Before, "learnt", n.Learnt)
+	}
 	switch n.Kind {
-	case node.NoticeRefused:
+	case node.NoticeRefused, node.NoticeLimitLowered:
 		line.Warn(n.Kind.String(), "why", n.Why)
 	case node.NoticeWokeLate, node.NoticePeerLost:
 		line.Warn(n.Kind.String())
--- a/router/peers/links.go
+++ b/router/peers/links.go
@@ -48,6 +48,7 @@
 	outbox        chan *wire.Envelope
 	reopen        chan struct{}
 	cancel        context.CancelFunc
+	trouble       string // why no stream is open, empty while one is; guarded by the links' mutex
 }
 
 // Set opens links to the given peers (name to address) and closes all others.
@@ -108,10 +109,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		l.counter("peers.linkLost").Inc(1)
-		if l.Log != nil {
-			l.Log.Debug("link lost", "peer", o.peer, "address", o.address, "error", err)
-		}
+		l.lost(o, err)
 		if time.Since(began) > reopenLongest {
 			wait = reopenShortest
 		}
@@ -134,6 +132,7 @@
 		return errors.Wrap(err, "open stream")
 	}
 	drain(o)
+	l.setTrouble(o, "")
 	l.Linked(o.peer)
 	ended := make(chan error, 1)
 	go func() {
--- a/stage/serve/serve.go
+++ b/stage/serve/serve.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"time"
@@ -19,6 +21,9 @@
 // loadLength is how long one round of load lasts.
 const loadLength = 10 * time.Second
 
+// headerTimeout bounds the reading of a steering call's header.
+const headerTimeout = 5 * time.Second
+
 // Options are what a run needs.
 type Options struct {
 	Context context.Context `no-flag:"yes"`
@@ -26,6 +31,7 @@
 	User    string          `long:"user" default:"chenab" choice:"chenab" choice:"carraig" description:"whose example rule file"`
 	Routers int             `long:"routers" default:"9" description:"routers, over the data centres in turn"`
 	Load    bool            `long:"load" description:"also keep a load on the fleet"`
+	Faults  string          `long:"faults" value-name:"IP:PORT" description:"put a fault link before each router's peer address, steered at this address"`
 	Seed    uint64          `long:"seed" default:"1" description:"seed of the load"`
 }
 
@@ -58,17 +64,36 @@
 	f, err := local.Start(local.Settings{
 		Site: site, Programs: programs, Routers: o.Routers, Engines: size.Engines, Desks: size.Desks,
 		EngineLimit: size.EngineLimit, DeskLimit: size.DeskLimit, EngineArgs: []string{"--token-time", "20ms"},
+		PeerFaults: o.Faults != "",
 	})
 	if err != nil {
 		return errors.Wrap(err, "start fleet")
 	}
 	defer f.Close()
+	if err := o.steer(f); err != nil {
+		return err
+	}
 	if err := o.show(f); err != nil {
 		return err
 	}
 	return o.keep(f)
 }
 
+// steer serves the fault links' control interface, if wanted, until the run ends.
+func (o *Options) steer(f *local.Fleet) error {
+	if o.Faults == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", o.Faults)
+	if err != nil {
+		return errors.Wrap(err, "--faults")
+	}
+	server := &http.Server{Handler: f.Faults.Handler(), ReadHeaderTimeout: headerTimeout}
+	context.AfterFunc(o.Context, func() { _ = server.Close() })
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
 // show writes where the fleet is to be reached.
 func (o *Options) show(f *local.Fleet) error {
 	t := &table.Table{Kind: "process", Title: "fleet", Header: []string{"NAME", "DATA CENTRE", "CALLERS", "ADMIN OR CONTROL"}}
