--- a/mangoctl/compl/compl.go
+++ b/mangoctl/compl/compl.go
@@ -42,28 +42,18 @@
 	} `positional-args:"yes" required:"yes"`
 }
 
-type action struct {
-	Options
-	run func(*Options) error
-}
-
 // Execute runs the command.
-func (a *action) Execute([]string) error { return a.run(&a.Options) }
+func (o *Options) Execute([]string) error { return completionRun(o) }
 
-// NewCommand makes the command; run replaces completionRun in tests.
-func NewCommand(f *shell.Factory, run func(*Options) error) *shell.Command {
-	if run == nil {
-		run = completionRun
-	}
-	a := &action{run: run}
-	a.Streams = f.Streams
+// NewCommand makes the command.
+func NewCommand(f *shell.Factory) *shell.Command {
 	return &shell.Command{
 		Name:  "completion",
 		Short: "Write a completion script for bash, zsh or fish",
 		Long:  "Write a script that lets a shell complete commands and flags.",
 		Examples: `source <(mangoctl completion bash)
 mangoctl completion fish > ~/.config/fish/completions/mangoctl.fish`,
-		Action: a,
+		Action: &Options{Streams: f.Streams},
 	}
 }
 
--- a/mangoctl/diff/diff.go
+++ b/mangoctl/diff/diff.go
@@ -24,28 +24,18 @@
 	} `positional-args:"yes" required:"yes"`
 }
 
-type action struct {
-	Options
-	run func(*Options) error
-}
-
 // Execute runs the command.
-func (a *action) Execute([]string) error { return a.run(&a.Options) }
+func (o *Options) Execute([]string) error { return diffRun(o) }
 
-// NewCommand makes the command; run replaces diffRun in tests.
-func NewCommand(f *shell.Factory, run func(*Options) error) *shell.Command {
-	if run == nil {
-		run = diffRun
-	}
-	a := &action{run: run}
-	a.Streams, a.ReadFile, a.Parse, a.Diff = f.Streams, f.ReadFile, f.Parse, f.Diff
+// NewCommand makes the command.
+func NewCommand(f *shell.Factory) *shell.Command {
 	return &shell.Command{
 		Name:  "diff",
 		Short: "Say what a new rule file would change",
 		Long:  "Compare two rule files by their rules, so that order, blanks and comments do not count as changes.",
 		Examples: `mangoctl diff rules.now rules.next
 mangoctl diff --exit-code rules.now rules.next`,
-		Action: a,
+		Action: &Options{Streams: f.Streams, ReadFile: f.ReadFile, Parse: f.Parse, Diff: f.Diff},
 	}
 }
 
--- a/mangoctl/expl/expl.go
+++ b/mangoctl/expl/expl.go
@@ -50,28 +50,18 @@
 	Explanation report.TeamExplanation `json:"explanation"`
 }
 
-type action struct {
-	Options
-	run func(*Options) error
-}
-
 // Execute runs the command.
-func (a *action) Execute([]string) error { return a.run(&a.Options) }
+func (o *Options) Execute([]string) error { return explainRun(o) }
 
-// NewCommand makes the command; run replaces explainRun in tests.
-func NewCommand(f *shell.Factory, run func(*Options) error) *shell.Command {
-	if run == nil {
-		run = explainRun
-	}
-	a := &action{run: run}
-	a.Streams, a.Client = f.Streams, &admin.Client{HTTP: f.HTTP}
+// NewCommand makes the command.
+func NewCommand(f *shell.Factory) *shell.Command {
 	return &shell.Command{
 		Name:  "explain",
 		Short: "Say why a request or a team waits, was refused, or went where it went",
 		Long:  "Ask every router what it knows of a request or a team. A request's ID is in the header X-Request-Id of its answer, and in the body of a refusal. Exit code 7 if no router knows it.",
 		Examples: `mangoctl explain request 0192f3c1-7a52-7c11-8d6e-3a5b0f9e2c44
 mangoctl explain team carpenters --router 127.0.0.1:8101`,
-		Action: a,
+		Action: &Options{Streams: f.Streams, Client: &admin.Client{HTTP: f.HTTP}},
 	}
 }
 
--- a/mangoctl/help/help.go
+++ b/mangoctl/help/help.go
@@ -22,27 +22,17 @@
 	} `positional-args:"yes"`
 }
 
-type action struct {
-	Options
-	run func(*Options) error
-}
-
 // Execute runs the command.
-func (a *action) Execute([]string) error { return a.run(&a.Options) }
+func (o *Options) Execute([]string) error { return helpRun(o) }
 
-// NewCommand makes the command; run replaces helpRun in tests.
-func NewCommand(f *shell.Factory, p *flags.Parser, commands func() []*shell.Command, run func(*Options) error) *shell.Command {
-	if run == nil {
-		run = helpRun
-	}
-	a := &action{run: run}
-	a.Streams, a.Parser, a.Commands = f.Streams, p, commands
+// NewCommand makes the command.
+func NewCommand(f *shell.Factory, p *flags.Parser, commands func() []*shell.Command) *shell.Command {
 	return &shell.Command{
 		Name:     "help",
 		Short:    "Explain a command, with examples",
 		Long:     "Explain a command, with examples; without a command, list all commands and exit codes.",
 		Examples: "mangoctl help explain",
-		Action:   a,
+		Action:   &Options{Streams: f.Streams, Parser: p, Commands: commands},
 	}
 }
 
--- a/mangoctl/record/record.go
+++ b/mangoctl/record/record.go
@@ -20,28 +20,18 @@
 	Router  string                                   `long:"router" env:"MANGOLUG_ROUTER" required:"yes" description:"admin address of the router, ip:port"`
 }
 
-type action struct {
-	Options
-	run func(*Options) error
-}
-
 // Execute runs the command.
-func (a *action) Execute([]string) error { return a.run(&a.Options) }
+func (o *Options) Execute([]string) error { return recordRun(o) }
 
-// NewCommand makes the command; run replaces recordRun in tests.
-func NewCommand(f *shell.Factory, run func(*Options) error) *shell.Command {
-	if run == nil {
-		run = recordRun
-	}
-	a := &action{run: run}
-	a.Streams, a.Get = f.Streams, f.HTTP.Get
+// NewCommand makes the command.
+func NewCommand(f *shell.Factory) *shell.Command {
 	return &shell.Command{
 		Name:  "record",
 		Short: "Fetch the trace of a router's decisions",
 		Long:  "Write all steps of a router's control state since it started, one JSON line a step, to standard output. The router must run with --trace-bytes. Exit code 7 if it keeps no trace.",
 		Examples: `mangoctl record --router 10.0.1.5:8082 > lahore-1.trace
 mangoctl record --router 10.0.1.5:8082 | mangoctl replay -`,
-		Action: a,
+		Action: &Options{Streams: f.Streams, Get: f.HTTP.Get},
 	}
 }
 
--- a/mangoctl/replay/replay.go
+++ b/mangoctl/replay/replay.go
@@ -41,28 +41,18 @@
 	Replayed string `json:"replayed"`
 }
 
-type action struct {
-	Options
-	run func(*Options) error
-}
-
 // Execute runs the command.
-func (a *action) Execute([]string) error { return a.run(&a.Options) }
+func (o *Options) Execute([]string) error { return replayRun(o) }
 
-// NewCommand makes the command; run replaces replayRun in tests.
-func NewCommand(f *shell.Factory, run func(*Options) error) *shell.Command {
-	if run == nil {
-		run = replayRun
-	}
-	a := &action{run: run}
-	a.Streams, a.Open = f.Streams, f.Open
+// NewCommand makes the command.
+func NewCommand(f *shell.Factory) *shell.Command {
 	return &shell.Command{
 		Name:  "replay",
 		Short: "Run a recorded trace through the decision core again",
 		Long:  "Feed the events of a trace to the decision core and compare each effect with the recorded one. Says at which step, behind which events and how the outcome differs. Exit code 4 if it differs.",
 		Examples: `mangoctl replay lahore-1.trace
 mangoctl record --router 10.0.1.5:8082 | mangoctl replay -`,
-		Action: a,
+		Action: &Options{Streams: f.Streams, Open: f.Open},
 	}
 }
 
--- a/mangoctl/root/root.go
+++ b/mangoctl/root/root.go
@@ -23,14 +23,14 @@
 	p.LongDescription = "Check rule files, and see what a fleet of mangolug routers does and why."
 	var commands []*shell.Command
 	commands = []*shell.Command{
-		check.NewCommand(f, nil),
-		diff.NewCommand(f, nil),
-		status.NewCommand(f, nil),
-		expl.NewCommand(f, nil),
-		record.NewCommand(f, nil),
-		replay.NewCommand(f, nil),
-		compl.NewCommand(f, nil),
-		help.NewCommand(f, p, func() []*shell.Command { return commands }, nil),
+		check.NewCommand(f),
+		diff.NewCommand(f),
+		status.NewCommand(f),
+		expl.NewCommand(f),
+		record.NewCommand(f),
+		replay.NewCommand(f),
+		compl.NewCommand(f),
+		help.NewCommand(f, p, func() []*shell.Command { return commands }),
 	}
 	for _, c := range commands {
 		if _, err := p.AddCommand(c.Name, c.Short, c.Long, c.Action); err != nil {
--- a/mangoctl/status/status.go
+++ b/mangoctl/status/status.go
@@ -17,21 +17,11 @@
 	JSON    bool            `long:"json" description:"write the routers' answers as JSON"`
 }
 
-type action struct {
-	Options
-	run func(*Options) error
-}
-
 // Execute runs the command.
-func (a *action) Execute([]string) error { return a.run(&a.Options) }
+func (o *Options) Execute([]string) error { return statusRun(o) }
 
-// NewCommand makes the command; run replaces statusRun in tests.
-func NewCommand(f *shell.Factory, run func(*Options) error) *shell.Command {
-	if run == nil {
-		run = statusRun
-	}
-	a := &action{run: run}
-	a.Streams, a.Client = f.Streams, &admin.Client{HTTP: f.HTTP}
+// NewCommand makes the command.
+func NewCommand(f *shell.Factory) *shell.Command {
 	return &shell.Command{
 		Name:  "status",
 		Short: "Show routers, data centres, backend servers and teams",
@@ -39,7 +29,7 @@
 		Examples: `mangoctl status --router 127.0.0.1:8101
 MANGOLUG_ROUTER=127.0.0.1:8101 mangoctl status --all
 mangoctl status --all --json | jq '.[].status.configVersion'`,
-		Action: a,
+		Action: &Options{Streams: f.Streams, Client: &admin.Client{HTTP: f.HTTP}},
 	}
 }
 
