--- a/mangoctl/expl/write.go
+++ b/mangoctl/expl/write.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sort"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -78,7 +79,7 @@
 		for _, r := range a.Explanation.Rooms {
 			why := "-"
 			if r.Waiting > 0 {
-				why = Words(r.Why)
+				why = Words(r.Why) + split(answers, r)
 			}
 			t.Add(a.Router, r.Product, strconv.Itoa(r.Waiting), strconv.Itoa(r.Running), millis(r.OldestWaitMillis), dash(r.Scheduler), why)
 		}
@@ -86,6 +87,21 @@
 	return t
 }
 
+// split tells when the scheduler that a room follows has too few lenders to use each limit whole.
+func split(answers []TeamAnswer, r report.Room) string {
+	for _, a := range answers {
+		if a.Router != r.Scheduler {
+			continue
+		}
+		for _, c := range a.Explanation.Cells {
+			if product, _, _ := strings.Cut(c.Cell, "/"); product == r.Product && c.Lenders < c.Listed {
+				return fmt.Sprintf("; its scheduler uses only the part of each limit that %d of %d routers lend it", c.Lenders, c.Listed)
+			}
+		}
+	}
+	return ""
+}
+
 func service(answers []TeamAnswer) *table.Table {
 	t := &table.Table{Kind: "share", Title: "share and service", Header: []string{"SCHEDULER", "CELL", "LENDERS", "SHARE", "WAITING", "RUNNING", "SERVICE", "LEVEL"}}
 	for _, a := range answers {
--- a/mangoctl/status/status.go
+++ b/mangoctl/status/status.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"mangolug.org/core/report"
 	"mangolug.org/mangoctl/admin"
 	"mangolug.org/mangoctl/shell"
 	"mangolug.org/mangoctl/stream"
@@ -92,6 +93,9 @@
 func warn(s *stream.Streams, answers []admin.Status) {
 	warnRefused(s, answers)
 	for _, a := range answers {
+		if why := notReady(a.Status); why != "" {
+			_, _ = fmt.Fprintf(s.ErrOut, "router %s is not ready: %s\n", a.Status.Router, why)
+		}
 		if !a.Status.Majority {
 			_, _ = fmt.Fprintf(s.ErrOut, "router %s reaches no majority of the listed routers: it refuses keyed non-idempotent calls\n", a.Status.Router)
 		}
@@ -116,3 +120,29 @@
 		_, _ = fmt.Fprintf(s.ErrOut, "configuration %d was refused by %d of %d routers:\n%s\n", r.version, count[r], len(answers), r.why)
 	}
 }
+
+// notReady tells what a router lacks that is neither ready nor draining; empty for all others.
+func notReady(s report.Status) string {
+	if s.Ready || s.Draining {
+		return ""
+	}
+	live, newest := 0, s.ConfigVersion
+	for _, p := range s.Peers {
+		if p.Live && p.Name != s.Router {
+			live++
+			newest = max(newest, p.ConfigVersion)
+		}
+	}
+	switch {
+	case len(s.Peers) == 0:
+		return "it has no list of VMs, from the platform or a peer"
+	case live == 0 && len(s.Peers) > 1:
+		return "it hears no peer"
+	case newest == 0:
+		return "neither it nor a peer has rules in force"
+	case newest > s.ConfigVersion:
+		return fmt.Sprintf("a peer has configuration %d, it has %d", newest, s.ConfigVersion)
+	default:
+		return "it has begun just now"
+	}
+}
