--- a/core/fleet/reason.go
+++ b/core/fleet/reason.go
@@ -44,6 +44,9 @@
 	ReasonSlowCaller                       // slowCaller
 )
 
+// Trouble says whether the reason is one of a refusal, retry or failure, and no part of a request's usual way.
+func (r Reason) Trouble() bool { return r != ReasonNone && r != ReasonGranted && r != ReasonHeld }
+
 // MarshalText gives the reason's name as used in answers and counters.
 func (r Reason) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
 
--- a/mangoctl/expl/write.go
+++ b/mangoctl/expl/write.go
@@ -136,16 +136,50 @@
 	return t
 }
 
+// ending is how some of the latest requests fared.
+type ending struct {
+	product string
+	reason  fleet.Reason // the last that is no part of a request's usual way
+	what    string       // the last step
+}
+
+// recent groups the latest refusals and failures of all routers, with one request of each group to ask for.
 func recent(answers []TeamAnswer) *table.Table {
-	t := &table.Table{Kind: "recent", Title: "latest refusals and failures", Header: []string{"ROUTER", "REQUEST", "PRODUCT", "HOW IT ENDED"}}
+	t := &table.Table{
+		Kind: "recent", Title: "latest refusals, retries and failures",
+		Header: []string{"PRODUCT", "REASON", "ENDED AS", "COUNT", "SUCH AS", "AT ROUTER", "HOW IT ENDED"},
+	}
+	var order []ending
+	count := map[ending]int{}
+	sample := map[ending][]string{}
 	for _, a := range answers {
 		for _, e := range a.Explanation.Recent {
-			t.Add(a.Router, e.Request, e.Product, summary(e.Steps))
+			g := endingOf(e)
+			if count[g] == 0 {
+				order = append(order, g)
+				sample[g] = []string{e.Request, a.Router, summary(e.Steps)}
+			}
+			count[g]++
 		}
 	}
+	sort.SliceStable(order, func(i, j int) bool { return count[order[i]] > count[order[j]] })
+	for _, g := range order {
+		t.Add(append([]string{g.product, g.reason.String(), g.what, strconv.Itoa(count[g])}, sample[g]...)...)
+	}
 	return t
 }
 
+func endingOf(e report.Explanation) ending {
+	g := ending{product: e.Product}
+	for _, v := range e.Steps {
+		g.what = v.What
+		if v.Reason.Trouble() {
+			g.reason = v.Reason
+		}
+	}
+	return g
+}
+
 func millis(n int64) string { return (time.Duration(n) * time.Millisecond).String() }
 
 func dash(text string) string {
--- a/mangoctl/root/root_test.go
+++ b/mangoctl/root/root_test.go
@@ -47,6 +47,11 @@
 		Team: "carpenters", Refusals: map[string]int64{"queueFull": 9},
 		Rooms: []report.Room{{Product: "stain-llm", Waiting: 2, Scheduler: "router-1", Why: fleet.ReasonHeld}},
 		Cells: []report.Cell{{Cell: "stain-llm/0", Lenders: 1, Listed: 3}},
+		Recent: []report.Explanation{
+			{Request: "40", Product: "stain-llm", Steps: []report.Step{{What: "refused", Reason: fleet.ReasonQueueFull}}},
+			{Request: "41", Product: "stain-llm", Steps: []report.Step{{What: "retried", Reason: fleet.ReasonServerFailed}, {What: "answered"}}},
+			{Request: "42", Product: "stain-llm", Steps: []report.Step{{What: "refused", Reason: fleet.ReasonQueueFull, AtMillis: 3}}},
+		},
 	})
 	s := httptest.NewServer(mux)
 	t.Cleanup(s.Close)
@@ -94,6 +99,8 @@
 		"explain request":   {args: []string{"explain", "request", "42", "--router", router}, out: "as many requests of this team wait"},
 		"explain unknown":   {args: []string{"explain", "request", "43", "--router", router}, code: shell.ExitNotFound, talk: "no router"},
 		"explain team":      {args: []string{"explain", "team", "carpenters", "--router", router}, out: "refusal\tqueueFull\t9"},
+		"explain latest":    {args: []string{"explain", "team", "carpenters", "--router", router}, out: "recent\tstain-llm\tqueueFull\trefused\t2\t40\trouter-1\trefused after 0s"},
+		"explain retried":   {args: []string{"explain", "team", "carpenters", "--router", router}, out: "recent\tstain-llm\tserverFailed\tanswered\t1\t41\trouter-1\tanswered after 0s"},
 		"explain split":     {args: []string{"explain", "team", "carpenters", "--router", router}, out: "further behind their share; its scheduler uses only the part of each limit that 1 of 3 routers lend it"},
 		"explain what":      {args: []string{"explain", "router", "1", "--router", router}, code: shell.ExitUsage, talk: "neither request nor team"},
 		"completion":        {args: []string{"completion", "bash"}, out: "GO_FLAGS_COMPLETION"},
