--- a/core/fleet/reason.go
+++ b/core/fleet/reason.go
@@ -42,6 +42,8 @@
 	ReasonGrantExpired                     // grantExpired
 	ReasonStaleTerm                        // staleTerm
 	ReasonSlowCaller                       // slowCaller
+	ReasonUnknownRoute                     // unknownRoute
+	ReasonTeamShare                        // teamShare
 )
 
 // Trouble says whether the reason is one of a refusal, retry or failure, and no part of a request's usual way.
@@ -53,7 +55,7 @@
 // UnmarshalText reads a reason's name; an unknown name becomes ReasonNone.
 func (r *Reason) UnmarshalText(text []byte) error {
 	*r = ReasonNone
-	for c := ReasonNone; c <= ReasonSlowCaller; c++ {
+	for c := ReasonNone; c <= ReasonTeamShare; c++ {
 		if c.String() == string(text) {
 			*r = c
 		}
--- /dev/null
+++ b/core/pool/pick.go
@@ -0,0 +1,192 @@
+package pool
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// backlogShare is the part of the tightest objective of a service for which a server may have work queued: beyond it
+	// requests wait at routers, where they can still be ordered and refused.
+	backlogShare = 0.45
+	// rereadWeight is what reading a shared part once more counts besides its own time, since it delays all others.
+	rereadWeight = 0.6
+	// memoryShare is the part of a server's KV cache that running requests may fill; the rest keeps shared parts.
+	memoryShare = 0.9
+	// abroad is what a server in another data centre counts behind one nearby.
+	abroad = 4 * time.Millisecond
+	// othersAge is how old other routers' summaries may be to count.
+	othersAge = 1500 * time.Millisecond
+	// loadAge is how old a server's own account of its load may be to count.
+	loadAge = 300 * time.Millisecond
+)
+
+// choice is a server that may be sent a request.
+type choice struct {
+	backend *backend
+	unread  int64
+	backlog time.Duration // work ahead of the request
+	cost    time.Duration
+	room    bool // short enough a queue to be sent to at once
+}
+
+// pick gives the best server for a request, and false if none may be sent to.
+func (p *Pool) pick(now time.Duration, v *service, a *Ask) (choice, bool) {
+	home := p.home(now, v, a)
+	best := choice{cost: math.MaxInt64}
+	found := false
+	for _, b := range v.servers {
+		if !p.usable(now, b, a) {
+			continue
+		}
+		c := p.weigh(now, v, b, a, b == home)
+		if !found || c.room && !best.room || c.room == best.room && c.cost < best.cost {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+// usable reports whether a server may be sent a request now, whatever its load.
+func (p *Pool) usable(now time.Duration, b *backend, a *Ask) bool {
+	if !p.open(b) || b.health.aside(now) {
+		return false
+	}
+	for _, id := range a.Tried {
+		if id == b.ID {
+			return false
+		}
+	}
+	if p.cold(now, b) {
+		return b.meter.ready(now, p.coldRate(b, p.coldLimit(b)))
+	}
+	return true
+}
+
+// open reports whether operators and the server itself let it have new work.
+func (p *Pool) open(b *backend) bool { return !b.gone && !b.Draining && !p.evacuated[b.DataCentre] }
+
+// cold reports whether a server has to be warmed slowly; one whose data centre came back may have become cold meanwhile.
+func (p *Pool) cold(now time.Duration, b *backend) bool {
+	if now < b.coldUntil {
+		return true
+	}
+	if p.table == nil {
+		return false
+	}
+	s := p.table.Service(b.Service)
+	at, ok := p.returned[b.DataCentre]
+	return s != nil && ok && s.ColdRate > 0 && now < at+s.ColdStart
+}
+
+func (p *Pool) coldLimit(b *backend) float64 {
+	if p.table == nil {
+		return 0
+	}
+	if s := p.table.Service(b.Service); s != nil {
+		return s.ColdRate
+	}
+	return 0
+}
+
+// home gives the server that requests on the same subject go to, by rendezvous hashing; nil for requests without a subject.
+func (p *Pool) home(now time.Duration, v *service, a *Ask) *backend {
+	subject := a.subject()
+	if subject == 0 {
+		return nil
+	}
+	var home *backend
+	var most uint64
+	for _, b := range v.servers {
+		if !p.open(b) || b.health.aside(now) || p.cold(now, b) {
+			continue
+		}
+		if h := mix(b.hash ^ subject); home == nil || h > most {
+			home, most = b, h
+		}
+	}
+	return home
+}
+
+// weigh tells what sending a request to a server would cost.
+func (p *Pool) weigh(now time.Duration, v *service, b *backend, a *Ask, home bool) choice {
+	u := b.usage()
+	if now-b.othersAt > othersAge {
+		u = b.own
+	}
+	if a.Prompt == 0 {
+		return p.weighPlain(now, b, u)
+	}
+	c := choice{backend: b, unread: a.Prompt}
+	if home {
+		for _, part := range a.shared() {
+			c.unread -= part.Tokens
+		}
+	} else {
+		c.unread -= b.cache.kept(now, a.shared())
+	}
+	c.unread = max(1, c.unread)
+	c.backlog = v.rate.time(u.Prefill)
+	reread := c.unread - a.own()
+	c.cost = c.backlog + v.rate.time(reread) + time.Duration(rereadWeight*float64(v.rate.time(reread)))
+	if b.DataCentre != p.DataCentre {
+		c.cost += abroad
+	}
+	c.room = c.backlog <= p.bound(b.Service) && p.fits(b, u, a)
+	return c
+}
+
+// own gives the tokens of the prompt that no other request shares.
+func (a *Ask) own() int64 {
+	own := a.Prompt
+	for _, part := range a.shared() {
+		own -= part.Tokens
+	}
+	return max(0, own)
+}
+
+// fits reports whether a server has a slot and memory for one more request.
+func (p *Pool) fits(b *backend, u Usage, a *Ask) bool {
+	if b.Slots > 0 && u.Requests >= int64(b.Slots) {
+		return false
+	}
+	if p.table == nil {
+		return true
+	}
+	s := p.table.Service(b.Service)
+	if s == nil || s.CacheTokens == 0 || u.Memory == 0 {
+		return true
+	}
+	return float64(u.Memory+a.own()+a.Output) <= memoryShare*float64(s.CacheTokens)
+}
+
+// weighPlain ranks servers of a plain service by how full they are.
+func (p *Pool) weighPlain(now time.Duration, b *backend, u Usage) choice {
+	busy := u.Requests
+	if now-b.loadAt < loadAge {
+		busy = max(busy, int64(b.load.Running+b.load.Waiting))
+	}
+	slots := max(1, b.Slots)
+	c := choice{backend: b, cost: time.Duration(float64(busy) / float64(slots) * float64(time.Second))}
+	if b.DataCentre != p.DataCentre {
+		c.cost += time.Second / time.Duration(4*slots)
+	}
+	c.room = busy < int64(slots)*plainQueue
+	return c
+}
+
+// plainQueue is how many times its slots a plain server may hold in running and waiting requests.
+const plainQueue = 2
+
+// bound gives how much work a server may have queued.
+func (p *Pool) bound(name string) time.Duration {
+	return time.Duration(backlogShare * float64(p.tightest(name)))
+}
+
+// tightest gives the shortest objective of all routes to a service.
+func (p *Pool) tightest(name string) time.Duration {
+	if p.table == nil {
+		return 0
+	}
+	return p.table.Objective(name)
+}
--- /dev/null
+++ b/core/pool/queue.go
@@ -0,0 +1,180 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"mangolug.org/core/fleet"
+)
+
+const (
+	// turnMisses is how many waiting requests in a row may find no room before a turn ends.
+	turnMisses = 4
+	// waitShare is the part of the time to its objective that a request beyond its team's share may wait.
+	waitShare = 0.125
+	// queueLimit bounds the requests that wait at one router for one service.
+	queueLimit = 2000
+)
+
+// queue holds the requests that wait for a server of one service, the most pressing first.
+type queue struct {
+	asks []*Ask
+}
+
+// before orders waiting requests: those within their team's share first, then by the time at which waiting ends.
+func before(a, b *Ask) int {
+	if a.beyond != b.beyond {
+		if a.beyond {
+			return 1
+		}
+		return -1
+	}
+	return int(a.latest - b.latest)
+}
+
+func (q *queue) add(a *Ask) {
+	at, _ := slices.BinarySearchFunc(q.asks, a, before)
+	q.asks = slices.Insert(q.asks, at, a)
+}
+
+func (q *queue) remove(a *Ask) bool {
+	for i, o := range q.asks {
+		if o == a {
+			q.asks = slices.Delete(q.asks, i, i+1)
+			return true
+		}
+	}
+	return false
+}
+
+// Admit decides on a new request at once, or lets it wait: then Turn gives its verdict later.
+func (p *Pool) Admit(now time.Duration, a *Ask) (Verdict, bool) {
+	p.init()
+	v := p.service(a.Service)
+	if a.Prompt > 0 && !a.Again {
+		a.beyond = p.shares.ask(now, a.Team, float64(a.cost()), p.throughput())
+	}
+	a.latest = p.latest(v, a)
+	if len(v.queue.asks) == 0 || a.Again || a.Prompt == 0 {
+		if verdict, ok := p.decide(now, v, a); ok {
+			return verdict, true
+		}
+	}
+	if len(v.queue.asks) >= queueLimit {
+		return p.refuse(now, v, a, fleet.ReasonQueueFull), true
+	}
+	v.queue.add(a)
+	return Verdict{}, false
+}
+
+// throughput gives the tokens a second that all model servers give by the operator's word; 0 if not told.
+func (p *Pool) throughput() float64 {
+	if p.table == nil {
+		return 0
+	}
+	return p.table.Config.Limits.TokensPerSecond
+}
+
+// latest gives the time until which a request may wait and still be served within its objective.
+func (p *Pool) latest(v *service, a *Ask) time.Duration {
+	whole := a.Objective - a.Arrived
+	if a.beyond {
+		return a.Arrived + time.Duration(waitShare*float64(whole))
+	}
+	need := min(whole/2, v.rate.time(a.own())+paceFixed)
+	return min(a.Objective-need, a.Deadline)
+}
+
+// decide sends a request if a server has room, or refuses it if its time to wait is over.
+func (p *Pool) decide(now time.Duration, v *service, a *Ask) (Verdict, bool) {
+	c, ok := p.pick(now, v, a)
+	if ok && c.room {
+		return p.send(now, a, c), true
+	}
+	if now < a.latest {
+		return Verdict{}, false
+	}
+	if !ok {
+		return p.refuse(now, v, a, fleet.ReasonNoServer), true
+	}
+	if p.half(c.backend) {
+		return p.send(now, a, c), true
+	}
+	if a.beyond {
+		return p.refuse(now, v, a, fleet.ReasonTeamShare), true
+	}
+	return p.refuse(now, v, a, fleet.ReasonWouldMissDeadline), true
+}
+
+// half reports a server of which less than half is in use: refusing a request beside it would waste it.
+func (p *Pool) half(b *backend) bool {
+	return b.Slots > 0 && b.usage().Requests*2 < int64(b.Slots) && b.load.Waiting == 0
+}
+
+// Turn decides on the requests that wait.
+func (p *Pool) Turn(now time.Duration) []Verdict {
+	var verdicts []Verdict
+	for _, v := range p.services {
+		verdicts = append(verdicts, p.turn(now, v)...)
+	}
+	return verdicts
+}
+
+func (p *Pool) turn(now time.Duration, v *service) []Verdict {
+	var verdicts []Verdict
+	misses := 0
+	kept := v.queue.asks[:0]
+	for _, a := range v.queue.asks {
+		if misses >= turnMisses && now < a.latest {
+			kept = append(kept, a)
+			continue
+		}
+		verdict, ok := p.decide(now, v, a)
+		if ok {
+			verdicts = append(verdicts, verdict)
+			continue
+		}
+		misses++
+		kept = append(kept, a)
+	}
+	clear(v.queue.asks[len(kept):])
+	v.queue.asks = kept
+	return verdicts
+}
+
+// Waiting gives how many requests wait at this router.
+func (p *Pool) Waiting() int {
+	n := 0
+	for _, v := range p.services {
+		n += len(v.queue.asks)
+	}
+	return n
+}
+
+// Leave forgets a request that waits, and reports whether it did.
+func (p *Pool) Leave(a *Ask) bool { return p.service(a.Service).queue.remove(a) }
+
+// refuse tells when to come back: when the backlog of the best server will be short again, spread so that not all return at once.
+func (p *Pool) refuse(now time.Duration, v *service, a *Ask, reason fleet.Reason) Verdict {
+	after := p.backlog(now, v)/2 + retryLeast
+	after += time.Duration(p.Random.Float64() * float64(after))
+	return Verdict{Ask: a, Reason: reason, RetryAfter: after, Backlog: p.backlog(now, v), Waited: now - a.Arrived}
+}
+
+// retryLeast is the least advice to come back: about the time in which other routers' load becomes known here.
+const retryLeast = 300 * time.Millisecond
+
+// backlog gives the shortest backlog of all servers of a service that may get work.
+func (p *Pool) backlog(now time.Duration, v *service) time.Duration {
+	var least time.Duration
+	found := false
+	for _, b := range v.servers {
+		if !p.open(b) || b.health.aside(now) {
+			continue
+		}
+		if t := v.rate.time(b.usage().Prefill); !found || t < least {
+			least, found = t, true
+		}
+	}
+	return least
+}
--- /dev/null
+++ b/core/pool/run.go
@@ -0,0 +1,85 @@
+package pool
+
+import (
+	"time"
+
+	"mangolug.org/core/fleet"
+)
+
+// send notes that a request goes to a server.
+func (p *Pool) send(now time.Duration, a *Ask, c choice) Verdict {
+	b := c.backend
+	r := &Run{
+		Server: b.Server, Unread: c.unread, ask: a, backend: b, sent: now, Cold: p.cold(now, b),
+		usage: Usage{Requests: 1, Prefill: c.unread, Memory: a.own() + a.Output},
+	}
+	if a.Prompt == 0 {
+		r.usage = Usage{Requests: 1}
+	}
+	r.ahead = b.usage().Prefill + r.usage.Prefill
+	b.own.add(r.usage)
+	if r.Cold {
+		b.meter.take(now)
+	}
+	if a.Prompt > 0 {
+		b.cache.note(now, a.Parts)
+	}
+	return Verdict{Ask: a, Reason: fleet.ReasonGranted, Run: r, Backlog: c.backlog, Waited: now - a.Arrived}
+}
+
+// Began notes the first event of an answer: the server has read the prompt.
+func (p *Pool) Began(now time.Duration, r *Run) {
+	if r.began || r.ended {
+		return
+	}
+	r.began = true
+	if r.ask.Prompt > 0 && !r.Cold {
+		p.service(r.Server.Service).rate.learn(r.ahead, now-r.sent)
+	}
+	r.backend.own.subtract(Usage{Prefill: r.usage.Prefill})
+	r.usage.Prefill = 0
+}
+
+// Told takes in what a server says of its load.
+func (p *Pool) Told(now time.Duration, r *Run, l Load) {
+	r.backend.load, r.backend.loadAt = l, now
+}
+
+// Ended notes the end of a run; a second call does nothing.
+func (p *Pool) Ended(now time.Duration, r *Run, result Result) {
+	if r.ended {
+		return
+	}
+	r.ended = true
+	b := r.backend
+	b.own.subtract(r.usage)
+	if result.Left || b.gone {
+		return
+	}
+	if result.Another {
+		// The platform tells of servers late: the one that was meant here is gone.
+		p.drop(b)
+		p.tell(b, "gone", "another server has its address")
+		return
+	}
+	v := p.service(r.Server.Service)
+	failed := result.Failed || result.Lost || result.Rejected
+	if b.health.note(now, failed, result.Lost, v.failing) {
+		p.tell(b, "aside", b.health.until.String())
+	}
+	value := 0.0
+	if failed {
+		value = 1
+	}
+	v.failing += failingWeight * (value - v.failing)
+}
+
+// failingWeight is the part that one result has in a service's share of failures.
+const failingWeight = 0.02
+
+// Cold takes in that a server said how much longer it is cold.
+func (p *Pool) Cold(now time.Duration, id string, length time.Duration) {
+	if b := p.servers[id]; b != nil {
+		b.coldUntil = max(b.coldUntil, now+length)
+	}
+}
--- /dev/null
+++ b/core/pool/shares.go
@@ -0,0 +1,111 @@
+package pool
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// shareWindow is the time over which what teams ask for is measured.
+	shareWindow = 2 * time.Second
+	// shareBurst is how many seconds of its share a team may ask for at once.
+	shareBurst = 0.5
+)
+
+// rate is an exponentially decaying rate.
+type rate struct {
+	value float64 // a second
+	at    time.Duration
+}
+
+func (r *rate) decay(now time.Duration) {
+	if now <= r.at {
+		return
+	}
+	passed := float64(now-r.at) / float64(shareWindow)
+	r.value *= max(0, 1-passed/(1+passed))
+	r.at = now
+}
+
+func (r *rate) add(now time.Duration, amount float64) {
+	r.decay(now)
+	r.value += amount / shareWindow.Seconds()
+}
+
+// teamShare is what one team asks of the fleet.
+type teamShare struct {
+	own    rate    // tokens a second that it asks of this router
+	others float64 // tokens a second that it asks of the other routers
+	credit float64 // tokens that it may still ask for within its share
+}
+
+// shares divides the fleet's throughput between teams, max-min fair.
+type shares struct {
+	teams map[string]*teamShare
+	level float64 // tokens a second above which a team is beyond its share; 0 for none
+	at    time.Duration
+}
+
+// levelPeriod is how often the level is worked out anew.
+const levelPeriod = 100 * time.Millisecond
+
+func (s *shares) team(name string) *teamShare {
+	if s.teams == nil {
+		s.teams = make(map[string]*teamShare)
+	}
+	t := s.teams[name]
+	if t == nil {
+		t = &teamShare{}
+		s.teams[name] = t
+	}
+	return t
+}
+
+// ask counts what a team asks for, and reports whether it is beyond the team's share of the throughput.
+func (s *shares) ask(now time.Duration, name string, tokens, throughput float64) bool {
+	t := s.team(name)
+	t.own.add(now, tokens)
+	if throughput <= 0 {
+		return false
+	}
+	if now-s.at >= levelPeriod || s.at == 0 {
+		s.settle(now, throughput)
+	}
+	total := t.own.value + t.others
+	if s.level == 0 || total <= s.level {
+		t.credit = shareBurst * total
+		return false
+	}
+	t.credit = min(t.credit+tokens*s.level/total, shareBurst*s.level)
+	if t.credit < tokens {
+		return true
+	}
+	t.credit -= tokens
+	return false
+}
+
+// settle works out the max-min fair level by water filling: teams below it get all that they ask for, the others get it.
+func (s *shares) settle(now time.Duration, throughput float64) {
+	s.at, s.level = now, 0
+	asked := make([]float64, 0, len(s.teams))
+	total := 0.0
+	for _, t := range s.teams {
+		t.own.decay(now)
+		value := t.own.value + t.others
+		asked = append(asked, value)
+		total += value
+	}
+	if total <= throughput {
+		return
+	}
+	slices.Sort(asked)
+	left := throughput
+	for i, value := range asked {
+		even := left / float64(len(asked)-i)
+		if value > even {
+			s.level = even
+			return
+		}
+		left -= value
+	}
+}
--- a/mangoctl/expl/words.go
+++ b/mangoctl/expl/words.go
@@ -39,6 +39,8 @@
 	fleet.ReasonGrantExpired:       "its place at a backend server lapsed before it was sent",
 	fleet.ReasonStaleTerm:          "its place came from a scheduler that another has replaced",
 	fleet.ReasonSlowCaller:         "its caller read the answer too slowly",
+	fleet.ReasonUnknownRoute:       "the configuration in force has no route for its host and path",
+	fleet.ReasonTeamShare:          "its team asks for more than its share while all backend servers are busy",
 }
 
 // Words gives a reason in plain words.
--- a/router/admin/server.go
+++ b/router/admin/server.go
@@ -114,3 +114,11 @@
 	name, _ := request.(string)
 	return s.Team(ctx, name)
 }
+
+// Scrape gives all metrics in the text format that scrapers read.
+func Scrape(registry metrics.Registry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		writeText(w, registry)
+	})
+}
--- a/router/back/client.go
+++ b/router/back/client.go
@@ -32,6 +32,7 @@
 	IdlePerServer  int           // unused connections kept to a server
 	HeaderBytes    int64         // of an answer's header
 	LoadTimeout    time.Duration // for one load report
+	Silence        time.Duration // after which a connection whose other end acknowledges nothing is broken off; 0 for the system's default
 }
 
 // Defaults of Settings.
@@ -125,6 +126,9 @@
 
 func (c *Client) transport() *http.Transport {
 	dialer := &net.Dialer{Timeout: c.Settings.ConnectTimeout}
+	if c.Settings.Silence > 0 {
+		Probe(dialer, c.Settings.Silence)
+	}
 	if c.Settings.Source != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: c.Settings.Source}
 	}
@@ -152,28 +156,38 @@
 
 // Send makes one attempt; all errors are of type *ServerError.
 func (c *Client) Send(ctx context.Context, a Attempt) (*Answer, error) {
+	request, err := a.request(ctx)
+	if err != nil {
+		return nil, &ServerError{Server: a.Server, Reason: fleet.ReasonBadRequest, NotRun: true, Err: err}
+	}
+	response, err := c.Do(request, a.Server, a.Once, a.Lapsed)
+	if err != nil {
+		return nil, err
+	}
+	return accept(&a, response)
+}
+
+// Do sends a request to a server, on a connection of its own if it may not be repeated; lapsed is asked before the first
+// write and may be nil. All errors are of type *ServerError.
+func (c *Client) Do(request *http.Request, server string, once bool, lapsed func() bool) (*http.Response, error) {
 	c.once.Do(c.init)
-	g := &gate{lapsed: a.Lapsed, once: a.Once}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+	g := &gate{lapsed: lapsed, once: once}
+	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if own, ok := info.Conn.(*conn); ok {
 				own.enter(g)
 			}
 		},
 	})
-	request, err := a.request(ctx)
-	if err != nil {
-		return nil, &ServerError{Server: a.Server, Reason: fleet.ReasonBadRequest, NotRun: true, Err: err}
-	}
 	transport := c.pooled
-	if a.Once {
+	if once {
 		transport = c.single
 	}
-	response, err := transport.RoundTrip(request)
+	response, err := transport.RoundTrip(request.WithContext(ctx))
 	if err != nil {
-		return nil, g.failure(a.Server, err)
+		return nil, g.failure(server, err)
 	}
-	return accept(&a, response)
+	return response, nil
 }
 
 // failure names what went wrong before an answer's header came.
--- a/router/back/events.go
+++ b/router/back/events.go
@@ -32,10 +32,17 @@
 // Unwrap gives the cause.
 func (e *EventError) Unwrap() error { return e.Err }
 
+// AtEnd reports a stream that ended between two events, as its sender meant it to.
+func AtEnd(err error) bool {
+	var e *EventError
+	return errors.As(err, &e) && !e.Inside && errors.Is(e.Err, io.EOF)
+}
+
 // Event is one whole server-sent event.
 type Event struct {
 	Text []byte // as received, with its closing empty line
 	Data []byte // its data lines, joined by line feeds
+	ID   string // its id line; empty if it has none
 	End  bool   // the end marker
 }
 
@@ -73,6 +80,9 @@
 		if data, ok := bytes.CutPrefix(text, []byte("data:")); ok {
 			lines = append(lines, bytes.Clone(bytes.TrimPrefix(data, []byte(" "))))
 		}
+		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+			event.ID = string(bytes.TrimPrefix(id, []byte(" ")))
+		}
 	}
 	e.count++
 	event.Data = bytes.Join(lines, []byte("\n"))
@@ -91,7 +101,7 @@
 			return line, errEventTooLong
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF):
+		case errors.Is(err, io.EOF) && len(line) > 0:
 			return line, io.ErrUnexpectedEOF
 		}
 		return line, err
--- /dev/null
+++ b/router/back/probe.go
@@ -0,0 +1,25 @@
+package back
+
+import (
+	"net"
+	"syscall"
+	"time"
+)
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of tcp(7), which package syscall does not name.
+const tcpUserTimeout = 0x12
+
+// Probe lets a dialer's connections break when the other end acknowledges nothing for the given time.
+func Probe(d *net.Dialer, silence time.Duration) {
+	d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: silence / 2, Interval: silence / 2, Count: 1}
+	d.Control = func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) {
+			failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silence.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return failed
+	}
+}
--- a/router/boot/router.go
+++ b/router/boot/router.go
@@ -17,6 +17,7 @@
 	"mangolug.org/core/trace"
 	"mangolug.org/router/admin"
 	"mangolug.org/router/back"
+	"mangolug.org/router/door"
 	"mangolug.org/router/front"
 	"mangolug.org/router/guard"
 	"mangolug.org/router/loop"
@@ -40,7 +41,7 @@
 	links    *peers.Links
 	client   *back.Client
 	front    *front.Front
-	entrance entrance
+	entrance door.Entrance
 	trace    *memory // nil unless steps are recorded
 }
 
@@ -112,7 +113,7 @@
 		}
 		*t.socket = socket
 	}
-	r.entrance.door = newDoor(r.sockets.callers.(*net.TCPListener))
+	r.entrance.Door = door.New(r.sockets.callers.(*net.TCPListener))
 	return nil
 }
 
@@ -156,8 +157,8 @@
 		{Name: "platform", Run: watcher.Run},
 	}}
 	traffic := &guard.Tree{Name: "traffic", Log: r.log, Metrics: r.registry, Children: []guard.Child{
-		{Name: "callers", Critical: true, Run: func(ctx context.Context) error { return serve(ctx, callers, r.entrance.door) }},
-		{Name: "operators", Critical: true, Run: func(ctx context.Context) error { return serve(ctx, operators, r.sockets.admin) }},
+		{Name: "callers", Critical: true, Run: func(ctx context.Context) error { return door.Serve(ctx, callers, r.entrance.Door) }},
+		{Name: "operators", Critical: true, Run: func(ctx context.Context) error { return door.Serve(ctx, operators, r.sockets.admin) }},
 	}}
 	return &guard.Tree{Name: "router", Log: r.log, Metrics: r.registry, Children: []guard.Child{
 		{Name: "control", Critical: true, Run: r.loop.Run},
--- a/router/boot/stop.go
+++ b/router/boot/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -26,7 +25,7 @@
 	})
 	server := r.front.Server()
 	server.Handler = handler
-	server.ConnState = r.entrance.conns.note
+	server.ConnState = r.entrance.Conns.Note
 	return server
 }
 
@@ -40,7 +39,7 @@
 	delay, cancelDelay := context.WithTimeout(limit, r.settings.DrainDelay)
 	defer cancelDelay()
 	<-delay.Done()
-	err := r.entrance.close(limit, callers)
+	err := r.entrance.Close(limit, callers)
 	if err != nil {
 		r.cut(callers)
 		err = errors.Wrap(err, "requests were cut")
@@ -58,15 +57,3 @@
 		callers.Close()
 	}
 }
-
-// serve runs an HTTP server until the context ends or it is shut down.
-func serve(ctx context.Context, server *http.Server, socket net.Listener) error {
-	stopped := context.AfterFunc(ctx, func() { server.Close() })
-	defer stopped()
-	err := server.Serve(socket)
-	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
-		<-ctx.Done()
-		return nil
-	}
-	return errors.Wrap(err, "serve")
-}
--- a/router/boot/conns.go
+++ b/router/door/conns.go
@@ -1,4 +1,4 @@
-package boot
+package door
 
 import (
 	"net"
@@ -7,14 +7,14 @@
 	"time"
 )
 
-// idleConns knows since when callers' connections have been idle.
-type idleConns struct {
+// IdleConns knows since when callers' connections have been idle.
+type IdleConns struct {
 	mutex sync.Mutex             // guards conns; the server calls from each connection's goroutine
 	conns map[net.Conn]time.Time // open connections; the zero time while a request is served
 }
 
-// note follows a connection's state, as http.Server.ConnState.
-func (i *idleConns) note(c net.Conn, state http.ConnState) {
+// Note follows a connection's state, as http.Server.ConnState.
+func (i *IdleConns) Note(c net.Conn, state http.ConnState) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	if i.conns == nil {
@@ -32,7 +32,7 @@
 
 // quiet says whether no connection was in use within the given time: those that are idle for long can be closed without
 // cutting a request that is just being sent on one.
-func (i *idleConns) quiet(length time.Duration) bool {
+func (i *IdleConns) quiet(length time.Duration) bool {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	for _, since := range i.conns {
--- a/router/boot/conns_test.go
+++ b/router/door/conns_test.go
@@ -1,4 +1,4 @@
-package boot
+package door
 
 import (
 	"net"
@@ -25,9 +25,9 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			var conns idleConns
+			var conns IdleConns
 			for _, s := range c.states {
-				conns.note(a, s)
+				conns.Note(a, s)
 			}
 			if got := conns.quiet(c.length); got != c.quiet {
 				t.Errorf("quiet %v, want %v", got, c.quiet)
--- a/router/boot/door.go
+++ b/router/door/door.go
@@ -1,4 +1,4 @@
-package boot
+package door
 
 import (
 	"net"
@@ -11,27 +11,28 @@
 	"github.com/pkg/errors"
 )
 
-// door is the callers' listener; once shut it still gives out the connections that wait to be accepted, and closes when
+// Door is the callers' listener; once shut it still gives out the connections that wait to be accepted, and closes when
 // none is left. A plain close would reset them.
-type door struct {
+type Door struct {
 	*net.TCPListener
 	shutting atomic.Bool
 	once     sync.Once
 	closed   chan struct{}
 }
 
-func newDoor(l *net.TCPListener) *door {
-	return &door{TCPListener: l, closed: make(chan struct{})}
+// New makes a door of a listener.
+func New(l *net.TCPListener) *Door {
+	return &Door{TCPListener: l, closed: make(chan struct{})}
 }
 
 // shut begins to close the door, which whoever accepts then finishes.
-func (d *door) shut() {
+func (d *Door) shut() {
 	d.shutting.Store(true)
 	d.SetDeadline(time.Now()) // wakes Accept
 }
 
 // Accept gives the next connection, and net.ErrClosed once the door is shut and none waits.
-func (d *door) Accept() (net.Conn, error) {
+func (d *Door) Accept() (net.Conn, error) {
 	c, err := d.TCPListener.Accept()
 	if err == nil || !d.shutting.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return c, err
@@ -44,7 +45,7 @@
 }
 
 // Close closes the listener; a second call does nothing.
-func (d *door) Close() error {
+func (d *Door) Close() error {
 	err := error(nil)
 	d.once.Do(func() {
 		err = d.TCPListener.Close()
@@ -54,7 +55,7 @@
 }
 
 // waiting gives a connection that waits to be accepted, without waiting for one.
-func (d *door) waiting() (net.Conn, error) {
+func (d *Door) waiting() (net.Conn, error) {
 	raw, err := d.SyscallConn()
 	if err != nil {
 		return nil, err
--- a/router/boot/entrance.go
+++ b/router/door/entrance.go
@@ -1,4 +1,4 @@
-package boot
+package door
 
 import (
 	"context"
@@ -14,18 +14,18 @@
 	lingerCheck = 50 * time.Millisecond
 )
 
-// entrance is where callers' connections come in.
-type entrance struct {
-	door  *door
-	conns idleConns
+// Entrance is where callers' connections come in.
+type Entrance struct {
+	Door  *Door
+	Conns IdleConns
 }
 
-// close accepts what waits, lets connections fall idle, and lets the server finish its requests. The server drops any
+// Close accepts what waits, lets connections fall idle, and lets the server finish its requests. The server drops any
 // request that it reads once its shutdown has begun, also on a connection that it accepted before; so nothing may be on its way then.
-func (e *entrance) close(ctx context.Context, server *http.Server) error {
-	e.door.shut()
+func (e *Entrance) Close(ctx context.Context, server *http.Server) error {
+	e.Door.shut()
 	select {
-	case <-e.door.closed:
+	case <-e.Door.closed:
 		e.linger(ctx)
 	case <-ctx.Done():
 	}
@@ -34,12 +34,12 @@
 
 // linger waits, up to lingerLimit, until no caller has used its connection for idleLong. Answers since the stop began told
 // callers to connect elsewhere, but one that began before may be followed by a request on the same connection.
-func (e *entrance) linger(ctx context.Context) {
+func (e *Entrance) linger(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, lingerLimit)
 	defer cancel()
 	ticker := time.NewTicker(lingerCheck)
 	defer ticker.Stop()
-	for !e.conns.quiet(idleLong) {
+	for !e.Conns.quiet(idleLong) {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/router/boot/entrance_test.go
+++ b/router/door/entrance_test.go
@@ -1,4 +1,4 @@
-package boot
+package door
 
 import (
 	"bufio"
@@ -28,20 +28,20 @@
 			t.Parallel()
 			e, server := open(t)
 			if c.accepted {
-				go server.Serve(e.door)
+				go server.Serve(e.Door)
 			}
 			caller := dial(t, e)
 			if c.accepted {
-				until(t, e.conns.inUse)
+				until(t, e.Conns.inUse)
 			}
 			if c.before {
 				send(t, caller)
 			}
 			stopped := make(chan error, 1)
-			go func() { stopped <- e.close(t.Context(), server) }()
+			go func() { stopped <- e.Close(t.Context(), server) }()
 			if !c.accepted {
-				until(t, e.door.shutting.Load)
-				go server.Serve(e.door)
+				until(t, e.Door.shutting.Load)
+				go server.Serve(e.Door)
 			}
 			until(t, func() bool { return refused(e) })
 			if !c.before {
@@ -61,23 +61,23 @@
 	}
 }
 
-func open(t *testing.T) (*entrance, *http.Server) {
+func open(t *testing.T) (*Entrance, *http.Server) {
 	t.Helper()
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	e := &entrance{door: newDoor(socket.(*net.TCPListener))}
-	server := &http.Server{ConnState: e.conns.note, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	e := &Entrance{Door: New(socket.(*net.TCPListener))}
+	server := &http.Server{ConnState: e.Conns.Note, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		fmt.Fprint(w, "whole")
 	})}
 	t.Cleanup(func() { server.Close() })
 	return e, server
 }
 
-func dial(t *testing.T, e *entrance) net.Conn {
+func dial(t *testing.T, e *Entrance) net.Conn {
 	t.Helper()
-	caller, err := net.Dial("tcp", e.door.Addr().String())
+	caller, err := net.Dial("tcp", e.Door.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -93,9 +93,9 @@
 }
 
 // refused says that the door is closed to new connections.
-func refused(e *entrance) bool {
+func refused(e *Entrance) bool {
 	select {
-	case <-e.door.closed:
+	case <-e.Door.closed:
 		return true
 	default:
 		return false
@@ -103,7 +103,7 @@
 }
 
 // inUse says that a connection is open.
-func (i *idleConns) inUse() bool { return !i.quiet(time.Hour) }
+func (i *IdleConns) inUse() bool { return !i.quiet(time.Hour) }
 
 func until(t *testing.T, holds func() bool) {
 	t.Helper()
--- /dev/null
+++ b/router/proc/process.go
@@ -0,0 +1,167 @@
+package proc
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"mangolug.org/core/pool"
+	"mangolug.org/core/route"
+	"mangolug.org/router/admin"
+	"mangolug.org/router/back"
+	"mangolug.org/router/door"
+	"mangolug.org/router/guard"
+	"mangolug.org/router/relay"
+)
+
+const (
+	// memoryShare is the part of the memory limit at which garbage collection works harder; the rest is for sockets' bytes.
+	memoryShare = 0.6
+	// silence is how long a backend server or the platform may acknowledge nothing before a connection is given up.
+	silence = 2 * time.Second
+	// connectTimeout is how long a connection to a backend server may take: some round trips and one lost packet.
+	connectTimeout = 700 * time.Millisecond
+	// headerTimeout bounds how long a caller may take over a request's header.
+	headerTimeout = 10 * time.Second
+	// idleTimeout bounds how long a caller's connection may stay unused; longer than the platform lets its callers wait.
+	idleTimeout = 60 * time.Second
+	// headerBytes bounds a request's header before a configuration is known.
+	headerBytes = 64 << 10
+)
+
+// Process is a router process; New makes one and Run serves.
+type Process struct {
+	settings   Settings
+	source     Source
+	log        *log.Logger
+	lines      *logWriter
+	registry   metrics.Registry
+	began      time.Time
+	table      atomic.Pointer[route.Table]
+	gate       *relay.Gate
+	relay      *relay.Relay
+	entrance   door.Entrance
+	ready      net.Listener
+	control    net.Listener // nil if there is none
+	leaving    atomic.Bool
+	sourceLost atomic.Bool
+	cut        context.CancelFunc
+}
+
+// New opens the listeners and wires a process; its error names the setting that can't be met.
+func New(s Settings, d relay.Dialect, source Source) (*Process, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
+	}
+	p := &Process{settings: s, source: source, registry: metrics.NewRegistry(), began: time.Now()}
+	p.lines = newLogWriter(os.Stdout)
+	p.log = log.NewWithOptions(p.lines, log.Options{
+		Formatter: log.LogfmtFormatter, ReportTimestamp: true, TimeFormat: time.RFC3339Nano,
+	}).With("router", s.Name)
+	if err := p.open(); err != nil {
+		return nil, err
+	}
+	p.gate = &relay.Gate{
+		Clock: p.now,
+		Pool:  &pool.Pool{Self: s.Name, DataCentre: s.DataCentre, Event: p.believe},
+	}
+	stopping, cut := context.WithCancel(context.Background())
+	p.cut = cut
+	p.relay = &relay.Relay{
+		Table: p.table.Load, Gate: p.gate, Dialect: d, Clock: p.now, Leaving: p.leaving.Load, Log: p.log, Metrics: p.registry,
+		Client:   &back.Client{Settings: back.Settings{Silence: silence, ConnectTimeout: connectTimeout}},
+		Budget:   pool.Budget{Ratio: s.Ratio, Slack: s.Slack},
+		Stopping: stopping,
+	}
+	return p, nil
+}
+
+func (p *Process) open() error {
+	front, err := net.Listen("tcp", p.settings.Front)
+	if err != nil {
+		return errors.Wrapf(err, "front address %s can't be opened", p.settings.Front)
+	}
+	p.entrance.Door = door.New(front.(*net.TCPListener))
+	if p.ready, err = net.Listen("tcp", p.settings.Ready); err != nil {
+		return errors.Wrapf(err, "readiness address %s can't be opened", p.settings.Ready)
+	}
+	if p.settings.Metrics == "" {
+		return nil
+	}
+	p.control, err = net.Listen("tcp", p.settings.Metrics)
+	return errors.Wrapf(err, "metrics address %s can't be opened", p.settings.Metrics)
+}
+
+// now is the steady clock of all decisions.
+func (p *Process) now() time.Duration { return time.Since(p.began) }
+
+// believe logs a change of what is believed of a backend server.
+func (p *Process) believe(e pool.Event) {
+	p.count("servers." + e.What)
+	p.log.Info("server", "server", e.Server, "service", e.Service, "is", e.What, "detail", e.Detail)
+}
+
+func (p *Process) count(name string) { metrics.GetOrRegisterCounter(name, p.registry).Inc(1) }
+
+// serving reports whether callers can be served.
+func (p *Process) serving() bool {
+	if p.leaving.Load() || p.table.Load() == nil {
+		return false
+	}
+	serving := false
+	p.gate.With(func(_ time.Duration, q *pool.Pool) { serving = q.Serving() })
+	return serving
+}
+
+func (p *Process) readiness(w http.ResponseWriter, _ *http.Request) {
+	if !p.serving() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n") // the balancer reads only the status
+}
+
+// Run serves until stop ends and then stops gracefully; a nil error means that the stop was clean.
+func (p *Process) Run(stop context.Context) error {
+	p.log.Info("starting", "dataCentre", p.settings.DataCentre, "front", p.settings.Front, "seeds", len(p.settings.Seeds))
+	work, end := context.WithCancel(context.Background())
+	defer end()
+	callers := &http.Server{
+		Handler: p.relay, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		ConnState: p.entrance.Conns.Note, ErrorLog: p.log.StandardLog(),
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- p.tree(callers).Run(work) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-stop.Done():
+	}
+	return p.stop(callers)
+}
+
+func (p *Process) tree(callers *http.Server) *guard.Tree {
+	ready := &http.Server{Handler: http.HandlerFunc(p.readiness), ReadHeaderTimeout: headerTimeout}
+	children := []guard.Child{
+		{Name: "callers", Critical: true, Run: func(ctx context.Context) error { return door.Serve(ctx, callers, p.entrance.Door) }},
+		{Name: "readiness", Critical: true, Run: func(ctx context.Context) error { return door.Serve(ctx, ready, p.ready) }},
+		{Name: "source", Run: func(ctx context.Context) error { return p.source(ctx, &Taker{process: p}) }},
+	}
+	if p.control != nil {
+		scrapers := &http.Server{Handler: admin.Scrape(p.registry), ReadHeaderTimeout: headerTimeout}
+		children = append(children, guard.Child{Name: "metrics", Run: func(ctx context.Context) error { return door.Serve(ctx, scrapers, p.control) }})
+	}
+	return &guard.Tree{Name: "router", Log: p.log, Metrics: p.registry, Children: children}
+}
--- /dev/null
+++ b/router/relay/call.go
@@ -0,0 +1,190 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"mangolug.org/core/fleet"
+	"mangolug.org/core/pool"
+	"mangolug.org/core/route"
+)
+
+// call is one request on its way through the router.
+type call struct {
+	relay   *Relay
+	writer  http.ResponseWriter
+	request *http.Request
+
+	arrived  time.Duration
+	deadline time.Duration
+	asked    Asked
+	table    *route.Table
+	route    *route.Route
+	team     string
+	service  string
+	body     []byte
+
+	runs      int      // servers on which it may have run
+	sends     int      // times that it was given to a server
+	tried     []string // servers that are not asked again
+	written   bool     // the answer's header has gone to the caller
+	lastEvent string   // newest event that went to the caller
+	failed    *answer  // a server's own failure, which is the answer if nothing better comes
+}
+
+// refusal ends a request without a server's answer.
+type refusal struct {
+	reason fleet.Reason
+	status int
+	after  time.Duration // 0 for no advice
+	detail string
+	cut    bool // the answer has begun and can only be shown to be broken by cutting the connection
+}
+
+// prepare finds out what a request is and whether it may be served, and reads its body.
+func (c *call) prepare() *refusal {
+	asked, err := c.relay.Dialect.Read(c.request.Header)
+	c.asked = asked
+	c.lastEvent = asked.LastEvent
+	if err != nil {
+		return &refusal{reason: fleet.ReasonBadRequest, status: http.StatusBadRequest, detail: err.Error()}
+	}
+	c.table = c.relay.Table()
+	if c.table == nil {
+		return &refusal{reason: fleet.ReasonNotReady, status: http.StatusServiceUnavailable, after: notReadyAfter, detail: "no configuration yet"}
+	}
+	if e := c.locate(c.table); e != nil {
+		return e
+	}
+	if limit := c.table.Config.Limits.HeaderBytes; limit > 0 && headerBytes(c.request) > limit {
+		return &refusal{
+			reason: fleet.ReasonBadRequest, status: http.StatusRequestHeaderFieldsTooLarge,
+			detail: "the header is over " + strconv.Itoa(limit) + " bytes",
+		}
+	}
+	left := asked.Left
+	if left <= 0 {
+		left = defaultLeft
+	}
+	if c.route.Timeout > 0 {
+		left = min(left, c.route.Timeout)
+	}
+	c.deadline = c.arrived + left
+	return c.readBody()
+}
+
+// locate finds the route, the team and the service in a configuration.
+func (c *call) locate(t *route.Table) *refusal {
+	r := t.Match(c.request.Host, c.request.URL.Path)
+	if r == nil {
+		return &refusal{reason: fleet.ReasonUnknownRoute, status: http.StatusNotFound, detail: c.request.Host + c.request.URL.Path}
+	}
+	team := ""
+	if !r.Public && len(t.Config.Teams) > 0 {
+		holder := t.Team(c.asked.Key)
+		if holder == nil {
+			return &refusal{reason: fleet.ReasonUnauthorized, status: http.StatusUnauthorized, detail: "no team holds this key"}
+		}
+		team = holder.Name
+	}
+	c.table, c.route, c.team = t, r, team
+	c.service = r.Serve(c.subject())
+	return nil
+}
+
+// subject is what requests have in common that should go the same way.
+func (c *call) subject() string {
+	if n := len(c.asked.Parts); n > 1 {
+		return strconv.FormatUint(c.asked.Parts[n-2].ID, 16)
+	}
+	return c.asked.ID
+}
+
+// relocate takes up a configuration that came while the request waited.
+func (c *call) relocate() *refusal {
+	t := c.relay.Table()
+	if t == c.table {
+		return nil
+	}
+	return c.locate(t)
+}
+
+// headerBytes is about the size of a request's header on the wire.
+func headerBytes(r *http.Request) int {
+	const separators = 4 // ": " and the line's end
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + separators
+		}
+	}
+	return n
+}
+
+func (c *call) readBody() *refusal {
+	limit := c.table.Config.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	if c.request.ContentLength > limit {
+		c.writer.Header().Set("Connection", "close")
+		return &refusal{reason: fleet.ReasonBodyTooLarge, status: http.StatusRequestEntityTooLarge, detail: strconv.FormatInt(c.request.ContentLength, 10) + " bytes"}
+	}
+	if c.request.ContentLength == 0 {
+		return nil
+	}
+	control := http.NewResponseController(c.writer)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTime)) // unsupported only by test recorders
+	var held bytes.Buffer
+	if n := c.request.ContentLength; n > 0 {
+		held.Grow(int(n) + bytes.MinRead)
+	}
+	_, err := held.ReadFrom(http.MaxBytesReader(c.writer, c.request.Body, limit))
+	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		c.body = held.Bytes()
+		return nil
+	}
+	c.writer.Header().Set("Connection", "close")
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return &refusal{reason: fleet.ReasonBodyTooLarge, status: http.StatusRequestEntityTooLarge, detail: err.Error()}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &refusal{reason: fleet.ReasonSlowCaller, status: http.StatusRequestTimeout, detail: err.Error()}
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
+		return &refusal{reason: fleet.ReasonCallerGone, status: http.StatusRequestTimeout, detail: err.Error()}
+	}
+	return &refusal{reason: fleet.ReasonBadRequest, status: http.StatusBadRequest, detail: err.Error()}
+}
+
+// context ends with the caller's wait, or with the process.
+func (c *call) context() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(c.request.Context(), c.deadline-c.relay.Clock())
+	if c.relay.Stopping == nil {
+		return ctx, cancel
+	}
+	stop := context.AfterFunc(c.relay.Stopping, cancel)
+	return ctx, func() { stop(); cancel() }
+}
+
+// ask is the request as the pool sees it.
+func (c *call) ask() *pool.Ask {
+	output := c.asked.Output
+	if output == 0 && c.asked.Prompt > 0 {
+		output = defaultOutput
+	}
+	if c.asked.Hint > 0 {
+		output = min(output, c.asked.Hint)
+	}
+	return &pool.Ask{
+		ID: c.asked.ID, Service: c.service, Team: c.team, Prompt: c.asked.Prompt, Output: output, Parts: c.asked.Parts,
+		Arrived: c.arrived, Objective: c.arrived + c.route.Objective, Deadline: c.deadline, Tried: c.tried, Again: c.sends > 0,
+	}
+}
--- /dev/null
+++ b/router/relay/relay.go
@@ -0,0 +1,103 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
+
+	"mangolug.org/core/fleet"
+	"mangolug.org/core/pool"
+	"mangolug.org/core/route"
+	"mangolug.org/router/back"
+)
+
+// Relay serves callers; Table, Gate, Client, Dialect and Clock must be set.
+type Relay struct {
+	Table    func() *route.Table // nil while no configuration is known
+	Gate     *Gate
+	Client   *back.Client
+	Dialect  Dialect
+	Clock    func() time.Duration
+	Leaving  func() bool // the process stops soon: callers are asked to connect elsewhere; nil for never
+	Budget   pool.Budget // guarded by the gate
+	Log      *log.Logger
+	Metrics  metrics.Registry
+	Stopping context.Context // ends when requests that still run have to be cut; nil for never
+}
+
+const (
+	// bodyTime bounds how long a caller may take over its body.
+	bodyTime = 5 * time.Second
+	// defaultBody bounds a body while the configuration gives no limit, in bytes.
+	defaultBody = 4 << 20
+	// answerBytes bounds an answer of a plain service that is held until it is whole.
+	answerBytes = 4 << 20
+	// defaultLeft is the deadline of a request that names none.
+	defaultLeft = 30 * time.Second
+	// defaultOutput is how many tokens are expected of a request that says nothing.
+	defaultOutput = 128
+	// notReadyAfter is the advice to come back while there is no configuration.
+	notReadyAfter = 300 * time.Millisecond
+)
+
+// ServeHTTP serves one request of a caller.
+func (s *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := &call{relay: s, writer: w, request: r, arrived: s.Clock()}
+	s.count("requests")
+	if s.Leaving != nil && s.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	if e := c.prepare(); e != nil {
+		c.refuse(e)
+		return
+	}
+	ctx, cancel := c.context()
+	defer cancel()
+	if e := c.run(ctx); e != nil {
+		c.refuse(e)
+	}
+}
+
+func (s *Relay) count(name string) {
+	if s.Metrics != nil {
+		metrics.GetOrRegisterCounter(name, s.Metrics).Inc(1)
+	}
+}
+
+// observe adds to a latency histogram, in milliseconds.
+func (s *Relay) observe(name string, d time.Duration) {
+	if s.Metrics != nil {
+		sample := func() metrics.Histogram { return metrics.NewHistogram(metrics.NewExpDecaySample(samples, sampleAlpha)) }
+		metrics.GetOrRegister(name, sample).(metrics.Histogram).Update(d.Milliseconds())
+	}
+}
+
+// samples and sampleAlpha are go-metrics' own advice for a sample of the last five minutes.
+const (
+	samples     = 1028
+	sampleAlpha = 0.015
+)
+
+// again draws one more sending of a request from the budget.
+func (s *Relay) again() bool {
+	ok := false
+	s.Gate.With(func(now time.Duration, _ *pool.Pool) { ok = s.Budget.Take(now) })
+	return ok
+}
+
+func (s *Relay) first() {
+	s.Gate.With(func(now time.Duration, _ *pool.Pool) { s.Budget.First(now) })
+}
+
+// note logs a decision on a request.
+func (s *Relay) note(what string, fields ...interface{}) {
+	if s.Log != nil {
+		s.Log.Info(what, fields...)
+	}
+}
+
+// reasonCounter is the counter of a refusal.
+func reasonCounter(r fleet.Reason) string { return "refused." + r.String() }
--- a/stage/local/build.go
+++ b/stage/local/build.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 )
 
-var programs = []string{"router", "platform", "engine", "desk"}
+var programs = []string{"router", "bulletin", "engine", "desk"}
 
 // Root gives the folder of the workspace that the working directory is in.
 func Root() (string, error) {
--- a/stage/local/control.go
+++ b/stage/local/control.go
@@ -16,7 +16,7 @@
 	"mangolug.org/core/report"
 	"mangolug.org/desk/record"
 	"mangolug.org/engine/batch"
-	"mangolug.org/platform/serve"
+	"mangolug.org/bulletin/serve"
 )
 
 const (
--- a/stage/local/fleet.go
+++ b/stage/local/fleet.go
@@ -186,7 +186,7 @@
 		return err
 	}
 	f.PlatURL = "http://" + address
-	f.Platform = f.process("platform", "platform", []string{"--listen", address, "--rules", rules, "--vms", vms})
+	f.Platform = f.process("platform", "bulletin", []string{"--listen", address, "--rules", rules, "--vms", vms})
 	engineArgs := append([]string{"--limit", strconv.Itoa(f.EngineLimit)}, f.EngineArgs...)
 	if f.Fencing {
 		engineArgs = append(engineArgs, "--fencing")
