--- /dev/null
+++ b/core/digest/fleet.go
@@ -0,0 +1,200 @@
+package digest
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// gossipPeriod is the time between two rounds of gossip.
+	gossipPeriod = 500 * time.Millisecond
+	// joinPeriod is the time between two rounds until another router is known.
+	joinPeriod = 100 * time.Millisecond
+	// leastPeriod is the time between two sums in a small fleet.
+	leastPeriod = 100 * time.Millisecond
+	// memberPeriod is by how much each member of the own data centre lengthens it, so that a relay's work stays bounded.
+	memberPeriod = 5 * time.Millisecond
+	// staleAfter is how many periods old a sum may be to count.
+	staleAfter = 5
+	// avoidTime is how long a relay that went silent is avoided.
+	avoidTime = 3 * time.Second
+)
+
+// Message is what routers send each other.
+type Message struct {
+	From    string
+	Members []Member // gossip; nil if none
+	Part    *Sum     // a router's own use, to its relay
+	Centre  *Sum     // the use of all that report to a relay, to the other relays
+	Others  *Sum     // the use of all other routers, from a relay
+}
+
+// Out is a message to be sent.
+type Out struct {
+	To      string
+	Message Message
+}
+
+// Fleet is one router's view of the others; the zero value works once Address and DataCentre are set.
+type Fleet struct {
+	Address    string // ip:port of this router for datagrams
+	DataCentre string
+	Seeds      []string // addresses that may know the fleet
+	Began      uint64   // the counter's first value, higher with each start of a process
+	Random     *rand.Rand
+
+	beat     uint64
+	members  map[string]*member
+	avoided  map[string]time.Duration // relays that went silent, until when they are avoided
+	parts    map[string]heard         // as a relay: the own use of routers that report here
+	centres  map[string]heard         // as a relay: what the other relays sum up
+	others   heard                    // what the own relay told last
+	relay    string
+	since    time.Duration // when the present relay was chosen
+	gossiped time.Duration
+}
+
+// heard is a sum with when it came.
+type heard struct {
+	sum Sum
+	at  time.Duration
+}
+
+func (f *Fleet) init() {
+	if f.members != nil {
+		return
+	}
+	f.members = make(map[string]*member)
+	f.avoided = make(map[string]time.Duration)
+	f.parts = make(map[string]heard)
+	f.centres = make(map[string]heard)
+	f.beat = f.Began
+	if f.Random == nil {
+		f.Random = rand.New(rand.NewPCG(f.Began, 0))
+	}
+}
+
+// Period gives the time between two calls of Tick.
+func (f *Fleet) Period(now time.Duration) time.Duration {
+	near := 0
+	for _, m := range f.members {
+		if m.DataCentre == f.DataCentre && m.live(now) {
+			near++
+		}
+	}
+	return leastPeriod + time.Duration(near)*memberPeriod
+}
+
+// Receive takes a message in.
+func (f *Fleet) Receive(now time.Duration, m Message) {
+	f.init()
+	f.learn(now, m.Members)
+	if m.Part != nil {
+		f.parts[m.From] = heard{*m.Part, now}
+	}
+	if m.Centre != nil {
+		f.centres[m.From] = heard{*m.Centre, now}
+	}
+	if m.Others != nil && m.From == f.relay {
+		f.others = heard{*m.Others, now}
+	}
+}
+
+// Tick gives the messages that are due, with this router's own use.
+func (f *Fleet) Tick(now time.Duration, own Sum) []Out {
+	f.init()
+	f.beat++
+	var out []Out
+	period := gossipPeriod
+	if len(f.members) == 0 {
+		period = joinPeriod
+	}
+	if f.gossiped == 0 || now-f.gossiped >= period {
+		f.gossiped = now
+		out = append(out, f.round(now)...)
+	}
+	f.choose(now)
+	if f.relay != f.Address {
+		return append(out, Out{f.relay, Message{From: f.Address, Part: &own}})
+	}
+	return append(out, f.relayTick(now, own)...)
+}
+
+// round gossips with one random member and one seed.
+func (f *Fleet) round(now time.Duration) []Out {
+	f.prune(now)
+	list := f.gossip(now)
+	var targets []string
+	if live := f.Live(now); len(live) > 0 {
+		targets = append(targets, live[f.Random.IntN(len(live))])
+	}
+	if len(f.Seeds) > 0 {
+		seed := f.Seeds[f.Random.IntN(len(f.Seeds))]
+		if seed != f.Address && !slices.Contains(targets, seed) {
+			targets = append(targets, seed)
+		}
+	}
+	var out []Out
+	for _, to := range targets {
+		out = append(out, Out{to, Message{From: f.Address, Members: list}})
+	}
+	return out
+}
+
+// choose keeps to the relay of the own data centre, and leaves one that went silent.
+func (f *Fleet) choose(now time.Duration) {
+	limit := staleAfter * f.Period(now)
+	if f.relay != "" && f.relay != f.Address && now-max(f.others.at, f.since) > limit {
+		f.avoided[f.relay] = now + avoidTime
+	}
+	if best := f.relayOf(now, f.DataCentre); best != f.relay {
+		f.relay, f.since = best, now
+	}
+}
+
+// relayTick sums up and tells the routers that report here and the other relays.
+func (f *Fleet) relayTick(now time.Duration, own Sum) []Out {
+	limit := staleAfter * f.Period(now)
+	fresh := func(m map[string]heard) {
+		maps.DeleteFunc(m, func(_ string, h heard) bool { return now-h.at > limit })
+	}
+	fresh(f.parts)
+	fresh(f.centres)
+	var centre, abroad Sum
+	centre.Add(own)
+	for _, h := range f.parts {
+		centre.Add(h.sum)
+	}
+	for _, h := range f.centres {
+		abroad.Add(h.sum)
+	}
+	var out []Out
+	for _, name := range f.dataCentres(now) {
+		if to := f.relayOf(now, name); name != f.DataCentre && to != "" {
+			out = append(out, Out{to, Message{From: f.Address, Centre: &centre}})
+		}
+	}
+	for _, to := range slices.Sorted(maps.Keys(f.parts)) {
+		var rest Sum
+		rest.Add(centre)
+		rest.Subtract(f.parts[to].sum)
+		rest.Add(abroad)
+		out = append(out, Out{to, Message{From: f.Address, Others: &rest}})
+	}
+	var rest Sum
+	rest.Add(centre)
+	rest.Subtract(own)
+	rest.Add(abroad)
+	f.others = heard{rest, now}
+	return out
+}
+
+// Others gives what all other routers have in use, and false if that is not known now.
+func (f *Fleet) Others(now time.Duration) (Sum, bool) {
+	if f.others.at == 0 || now-f.others.at > staleAfter*f.Period(now) {
+		return Sum{}, false
+	}
+	return f.others.sum, true
+}
--- /dev/null
+++ b/core/digest/sum.go
@@ -0,0 +1,40 @@
+package digest
+
+// Use is the work that requests have at one backend server.
+type Use struct {
+	Requests int64
+	Prefill  int64 // prompt tokens still to be read
+	Memory   int64 // tokens of KV cache
+}
+
+// Sum adds up what routers have in use and what teams ask for; keys are hashes of names.
+type Sum struct {
+	Servers map[uint32]Use
+	Teams   map[uint32]int64 // tokens a second
+}
+
+// Add adds another sum.
+func (s *Sum) Add(o Sum) { s.combine(o, 1) }
+
+// Subtract takes another sum off; what would fall below 0 becomes 0, as the two may be of different moments.
+func (s *Sum) Subtract(o Sum) { s.combine(o, -1) }
+
+func (s *Sum) combine(o Sum, sign int64) {
+	if s.Servers == nil {
+		s.Servers = make(map[uint32]Use, len(o.Servers))
+	}
+	if s.Teams == nil {
+		s.Teams = make(map[uint32]int64, len(o.Teams))
+	}
+	for id, u := range o.Servers {
+		v := s.Servers[id]
+		s.Servers[id] = Use{
+			Requests: max(0, v.Requests+sign*u.Requests),
+			Prefill:  max(0, v.Prefill+sign*u.Prefill),
+			Memory:   max(0, v.Memory+sign*u.Memory),
+		}
+	}
+	for id, rate := range o.Teams {
+		s.Teams[id] = max(0, s.Teams[id]+sign*rate)
+	}
+}
--- a/core/pool/pick.go
+++ b/core/pool/pick.go
@@ -10,7 +10,7 @@
 	// requests wait at routers, where they can still be ordered and refused.
 	backlogShare = 0.45
 	// rereadWeight is what reading a shared part once more counts besides its own time, since it delays all others.
-	rereadWeight = 0.6
+	rereadWeight = 1.5
 	// memoryShare is the part of a server's KV cache that running requests may fill; the rest keeps shared parts.
 	memoryShare = 0.9
 	// abroad is what a server in another data centre counts behind one nearby.
@@ -40,7 +40,7 @@
 			continue
 		}
 		c := p.weigh(now, v, b, a, b == home)
-		if !found || c.room && !best.room || c.room == best.room && c.cost < best.cost {
+		if !found || c.cost < best.cost {
 			best, found = c, true
 		}
 	}
--- /dev/null
+++ b/core/pool/summary.go
@@ -0,0 +1,51 @@
+package pool
+
+import (
+	"hash/fnv"
+	"time"
+
+	"mangolug.org/core/digest"
+)
+
+// Own gives what this router has in use and what is asked of it, for the other routers.
+func (p *Pool) Own(now time.Duration) digest.Sum {
+	p.init()
+	s := digest.Sum{Servers: make(map[uint32]digest.Use, len(p.servers)), Teams: make(map[uint32]int64, len(p.shares.teams))}
+	for id, b := range p.servers {
+		if b.own != (Usage{}) {
+			s.Servers[key(id)] = digest.Use(b.own)
+		}
+	}
+	for name, t := range p.shares.teams {
+		t.own.decay(now)
+		if rate := int64(t.own.value); rate > 0 {
+			s.Teams[key(name)] = rate
+		}
+	}
+	return s
+}
+
+// Others takes in what all other routers have in use, unless it is not known, and which routers these are.
+func (p *Pool) Others(now time.Duration, s digest.Sum, known bool, routers []string) {
+	p.init()
+	p.Routers, p.Joined = routers, len(routers) > 0 || now > joinTime
+	if !known {
+		return
+	}
+	for id, b := range p.servers {
+		b.others, b.othersAt = Usage(s.Servers[key(id)]), now
+	}
+	for name, t := range p.shares.teams {
+		t.others = float64(s.Teams[key(name)])
+	}
+}
+
+// joinTime is how long after its start a router that hears no other takes itself to be alone.
+const joinTime = 3 * time.Second
+
+// key is a name in a digest: a clash of two would only blur two loads.
+func key(name string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name)) // a hash never fails
+	return h.Sum32()
+}
--- a/router/front/refuse.go
+++ b/router/front/refuse.go
@@ -55,7 +55,7 @@
 			return http.StatusConflict
 		}
 		return http.StatusRequestEntityTooLarge
-	case fleet.ReasonUnknownProduct:
+	case fleet.ReasonUnknownProduct, fleet.ReasonUnknownRoute:
 		return http.StatusNotFound
 	case fleet.ReasonSlowCaller, fleet.ReasonCallerGone:
 		return http.StatusRequestTimeout
--- /dev/null
+++ b/router/proc/peers.go
@@ -0,0 +1,37 @@
+package proc
+
+import (
+	"time"
+
+	"mangolug.org/core/digest"
+	"mangolug.org/core/pool"
+	"mangolug.org/router/share"
+)
+
+// share exchanges loads with the other routers.
+func (p *Process) share() *share.Share {
+	routers := 0
+	return &share.Share{
+		Fleet: &digest.Fleet{
+			Address: p.settings.Control, DataCentre: p.settings.DataCentre, Seeds: p.settings.Seeds,
+			Began: uint64(p.began.UnixMilli()),
+		},
+		Socket: p.peers, Clock: p.now,
+		Own: func() digest.Sum {
+			var own digest.Sum
+			p.gate.With(func(now time.Duration, q *pool.Pool) { own = q.Own(now) })
+			return own
+		},
+		Take: func(others digest.Sum, known bool, live []string) {
+			p.gate.With(func(now time.Duration, q *pool.Pool) { q.Others(now, others, known, live) })
+			if len(live) != routers {
+				p.log.Info("routers", "others", len(live), "before", routers)
+				routers = len(live)
+			}
+		},
+		Failed: func(err error) {
+			p.count("peers.failed")
+			p.log.Debug("peers", "error", err)
+		},
+	}
+}
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -51,8 +51,9 @@
 	relay      *relay.Relay
 	entrance   door.Entrance
 	ready      net.Listener
-	control    net.Listener // nil if there is none
-	leaving    atomic.Bool
+	metrics    net.Listener   // nil if there is none
+	peers      net.PacketConn // nil if there is none
+	leaving    atomic.Int64 // when the signal to stop came, on the clock of now; 0 while it did not
 	sourceLost atomic.Bool
 	cut        context.CancelFunc
 }
@@ -75,12 +76,12 @@
 	}
 	p.gate = &relay.Gate{
 		Clock: p.now,
-		Pool:  &pool.Pool{Self: s.Name, DataCentre: s.DataCentre, Event: p.believe},
+		Pool:  &pool.Pool{Self: s.Control, DataCentre: s.DataCentre, Event: p.believe},
 	}
 	stopping, cut := context.WithCancel(context.Background())
 	p.cut = cut
 	p.relay = &relay.Relay{
-		Table: p.table.Load, Gate: p.gate, Dialect: d, Clock: p.now, Leaving: p.leaving.Load, Log: p.log, Metrics: p.registry,
+		Table: p.table.Load, Gate: p.gate, Dialect: d, Clock: p.now, Leaving: p.left, Log: p.log, Metrics: p.registry,
 		Client:   &back.Client{Settings: back.Settings{Silence: silence, ConnectTimeout: connectTimeout}},
 		Budget:   pool.Budget{Ratio: s.Ratio, Slack: s.Slack},
 		Stopping: stopping,
@@ -97,10 +98,15 @@
 	if p.ready, err = net.Listen("tcp", p.settings.Ready); err != nil {
 		return errors.Wrapf(err, "readiness address %s can't be opened", p.settings.Ready)
 	}
+	if p.settings.Control != "" {
+		if p.peers, err = net.ListenPacket("udp", p.settings.Control); err != nil {
+			return errors.Wrapf(err, "control address %s can't be opened", p.settings.Control)
+		}
+	}
 	if p.settings.Metrics == "" {
 		return nil
 	}
-	p.control, err = net.Listen("tcp", p.settings.Metrics)
+	p.metrics, err = net.Listen("tcp", p.settings.Metrics)
 	return errors.Wrapf(err, "metrics address %s can't be opened", p.settings.Metrics)
 }
 
@@ -117,7 +123,7 @@
 
 // serving reports whether callers can be served.
 func (p *Process) serving() bool {
-	if p.leaving.Load() || p.table.Load() == nil {
+	if p.leaving.Load() != 0 || p.table.Load() == nil {
 		return false
 	}
 	serving := false
@@ -159,9 +165,12 @@
 		{Name: "readiness", Critical: true, Run: func(ctx context.Context) error { return door.Serve(ctx, ready, p.ready) }},
 		{Name: "source", Run: func(ctx context.Context) error { return p.source(ctx, &Taker{process: p}) }},
 	}
-	if p.control != nil {
+	if p.metrics != nil {
 		scrapers := &http.Server{Handler: admin.Scrape(p.registry), ReadHeaderTimeout: headerTimeout}
-		children = append(children, guard.Child{Name: "metrics", Run: func(ctx context.Context) error { return door.Serve(ctx, scrapers, p.control) }})
+		children = append(children, guard.Child{Name: "metrics", Run: func(ctx context.Context) error { return door.Serve(ctx, scrapers, p.metrics) }})
+	}
+	if p.peers != nil {
+		children = append(children, guard.Child{Name: "peers", Run: p.share().Run})
 	}
 	return &guard.Tree{Name: "router", Log: p.log, Metrics: p.registry, Children: children}
 }
--- a/router/proc/stop.go
+++ b/router/proc/stop.go
@@ -17,10 +17,23 @@
 	lastAnswers = 300 * time.Millisecond
 )
 
+// left gives the time in which a new request can still end, once the process stops: none once the balancer has noticed.
+func (p *Process) left() (time.Duration, bool) {
+	at := time.Duration(p.leaving.Load())
+	if at == 0 {
+		return 0, false
+	}
+	passed := p.now() - at
+	if passed > noticeTime {
+		return 0, true
+	}
+	return time.Duration(cutShare*float64(p.settings.Grace)) - passed, true
+}
+
 // stop tells the balancer, goes on serving until it has noticed, finishes what runs, and cuts what is left.
 func (p *Process) stop(callers *http.Server) error {
 	began := time.Now()
-	p.leaving.Store(true)
+	p.leaving.Store(max(1, int64(p.now())))
 	p.log.Info("stopping", "grace", p.settings.Grace)
 	limit, cancel := context.WithTimeout(context.Background(), time.Duration(cutShare*float64(p.settings.Grace)))
 	defer cancel()
--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -121,6 +121,7 @@
 func (c *call) ended(status int, server string) {
 	c.relay.count("answered")
 	c.relay.observe("wholeMillis", c.relay.Clock()-c.arrived)
+	c.relay.lengths.learn(c.route.Name, c.relay.Clock()-c.arrived)
 	c.note("answered", "server", server, "status", status, "after", c.relay.Clock()-c.arrived)
 }
 
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -21,11 +21,13 @@
 	Client   *back.Client
 	Dialect  Dialect
 	Clock    func() time.Duration
-	Leaving  func() bool // the process stops soon: callers are asked to connect elsewhere; nil for never
+	Leaving  func() (time.Duration, bool) // the time until requests are cut, once the process stops; nil for never
 	Budget   pool.Budget // guarded by the gate
 	Log      *log.Logger
 	Metrics  metrics.Registry
 	Stopping context.Context // ends when requests that still run have to be cut; nil for never
+
+	lengths lengths
 }
 
 const (
@@ -47,13 +49,18 @@
 func (s *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{relay: s, writer: w, request: r, arrived: s.Clock()}
 	s.count("requests")
-	if s.Leaving != nil && s.Leaving() {
+	left, leaving := s.leaving()
+	if leaving {
 		w.Header().Set("Connection", "close")
 	}
 	if e := c.prepare(); e != nil {
 		c.refuse(e)
 		return
 	}
+	if leaving && (left <= 0 || s.lengths.mean(c.route.Name) > left) {
+		c.refuse(&refusal{reason: fleet.ReasonDraining, status: http.StatusServiceUnavailable, after: stoppedAfter, detail: "this router stops"})
+		return
+	}
 	ctx, cancel := c.context()
 	defer cancel()
 	if e := c.run(ctx); e != nil {
@@ -61,6 +68,14 @@
 	}
 }
 
+// leaving gives the time in which a request can still end, once the process stops.
+func (s *Relay) leaving() (time.Duration, bool) {
+	if s.Leaving == nil {
+		return 0, false
+	}
+	return s.Leaving()
+}
+
 func (s *Relay) count(name string) {
 	if s.Metrics != nil {
 		metrics.GetOrRegisterCounter(name, s.Metrics).Inc(1)
--- /dev/null
+++ b/router/share/codec.go
@@ -0,0 +1,97 @@
+package share
+
+import (
+	"fmt"
+	"math"
+
+	"google.golang.org/protobuf/proto"
+
+	"mangolug.org/core/digest"
+)
+
+// Units in which amounts are sent; rounding to them is far below what a decision hangs on.
+const (
+	prefillUnit = 16 // tokens
+	memoryUnit  = 64 // tokens
+	rateUnit    = 16 // tokens a second
+)
+
+// Encode gives the datagram of a message.
+func Encode(m *digest.Message) ([]byte, error) {
+	d := &Datagram{From: m.From, Part: totals(m.Part), Centre: totals(m.Centre), Others: totals(m.Others)}
+	for _, t := range m.Members {
+		d.Members = append(d.Members, &Mate{Address: t.Address, DataCentre: t.DataCentre, Beat: t.Beat})
+	}
+	return proto.Marshal(d)
+}
+
+// Decode reads a datagram.
+func Decode(text []byte) (digest.Message, error) {
+	var d Datagram
+	if err := proto.Unmarshal(text, &d); err != nil {
+		return digest.Message{}, err
+	}
+	m := digest.Message{From: d.From}
+	for _, t := range d.Members {
+		m.Members = append(m.Members, digest.Member{Address: t.Address, DataCentre: t.DataCentre, Beat: t.Beat})
+	}
+	for _, t := range []struct {
+		from *Totals
+		to   **digest.Sum
+	}{{d.Part, &m.Part}, {d.Centre, &m.Centre}, {d.Others, &m.Others}} {
+		sum, err := sum(t.from)
+		if err != nil {
+			return m, err
+		}
+		*t.to = sum
+	}
+	return m, nil
+}
+
+func totals(s *digest.Sum) *Totals {
+	if s == nil {
+		return nil
+	}
+	t := &Totals{}
+	for id, u := range s.Servers {
+		if u == (digest.Use{}) {
+			continue
+		}
+		t.Servers = append(t.Servers, id)
+		t.Requests = append(t.Requests, units(u.Requests, 1))
+		t.Prefill = append(t.Prefill, units(u.Prefill, prefillUnit))
+		t.Memory = append(t.Memory, units(u.Memory, memoryUnit))
+	}
+	for id, rate := range s.Teams {
+		if rate > 0 {
+			t.Teams = append(t.Teams, id)
+			t.Rates = append(t.Rates, units(rate, rateUnit))
+		}
+	}
+	return t
+}
+
+func units(amount, unit int64) uint32 {
+	return uint32(min((max(0, amount)+unit/2)/unit, math.MaxUint32))
+}
+
+func sum(t *Totals) (*digest.Sum, error) {
+	if t == nil {
+		return nil, nil
+	}
+	n := len(t.Servers)
+	if len(t.Requests) != n || len(t.Prefill) != n || len(t.Memory) != n || len(t.Teams) != len(t.Rates) {
+		return nil, fmt.Errorf("columns of unequal length: %d servers, %d requests, %d prefill, %d memory, %d teams, %d rates",
+			n, len(t.Requests), len(t.Prefill), len(t.Memory), len(t.Teams), len(t.Rates))
+	}
+	s := &digest.Sum{Servers: make(map[uint32]digest.Use, n), Teams: make(map[uint32]int64, len(t.Teams))}
+	for i, id := range t.Servers {
+		s.Servers[id] = digest.Use{
+			Requests: int64(t.Requests[i]), Prefill: int64(t.Prefill[i]) * prefillUnit, Memory: int64(t.Memory[i]) * memoryUnit,
+		}
+	}
+	for i, id := range t.Teams {
+		s.Teams[id] = int64(t.Rates[i]) * rateUnit
+	}
+	return s, nil
+}
