Send a subject's requests to its home server unless that is far behind

Cause: three tenths of the requests with long prompts went to a server that had to read 3,780 to 6,300 shared tokens again, which filled servers with work that nobody asked for and held up the tokens of running streams. Conclusion: rereading weighs 10 times its time.

--- a/core/pool/ask.go
+++ b/core/pool/ask.go
@@ -53,6 +53,7 @@
 	Run        *Run // where it is sent; nil if it is refused
 	RetryAfter time.Duration
 	Backlog    time.Duration // of the best server, when it was decided
+	Pace       float64       // tokens a millisecond at which servers are believed to read
 	Waited     time.Duration
 }
 
@@ -60,14 +61,17 @@
 type Run struct {
 	Server Server
 	Unread int64 // prompt tokens that the server is believed to have to read
+	Again  int64 // those of them that other requests share, so that some server may have read them before
+	Home   bool  // the server is where requests on the same subject go
 	Cold   bool  // sent while the server was cold
 
 	ask     *Ask
 	backend *backend
 	usage   Usage
-	ahead   int64 // tokens to be read before this request's first event
+	ahead   int64 // tokens that other requests had to have read first
 	sent    time.Duration
-	began   bool // the first event came
+	drained time.Duration // until when its prompt counts as work of the server
+	began   bool          // the first event came
 	ended   bool
 }
 
--- a/core/pool/pace.go
+++ b/core/pool/pace.go
@@ -7,10 +7,13 @@
 	paceFirst = 30.0
 	// paceLeast and paceMost bound what is learnt, in tokens a millisecond.
 	paceLeast, paceMost = 2.0, 1000.0
-	// paceWeight is the part of one sample in the learnt pace.
-	paceWeight = 0.03
+	// paceUp and paceDown are the parts of one sample in the learnt pace: what a server reaches undisturbed tells its pace, and
+	// most of what makes a sample slower is other work.
+	paceUp, paceDown = 0.1, 0.01
 	// paceTokens is the least work, in tokens, whose time tells the pace: below it fixed costs lead.
-	paceTokens = 3000
+	paceTokens = 2000
+	// paceAhead: a sample tells the pace only if others had less than one in so many of its own tokens to be read first.
+	paceAhead = 4
 	// paceFixed is the part of the time to a first event that does not depend on the prompt.
 	paceFixed = 25 * time.Millisecond
 )
@@ -36,7 +39,11 @@
 	}
 	sample := float64(tokens) / (float64(took) / float64(time.Millisecond))
 	sample = min(max(sample, paceLeast), paceMost)
-	r.tokens = r.value() + paceWeight*(sample-r.value())
+	weight := paceDown
+	if sample > r.value() {
+		weight = paceUp
+	}
+	r.tokens = r.value() + weight*(sample-r.value())
 }
 
 // time gives how long so many tokens take to read.
--- a/core/pool/pick.go
+++ b/core/pool/pick.go
@@ -10,7 +10,10 @@
 	// requests wait at routers, where they can still be ordered and refused.
 	backlogShare = 0.45
 	// rereadWeight is what reading a shared part once more counts besides its own time, since it delays all others.
-	rereadWeight = 1.5
+	rereadWeight = 10
+	// prefillShare is the part of a server's time that reading prompts may take: reading holds up the tokens of all running
+	// requests, which need the rest.
+	prefillShare = 1.0
 	// memoryShare is the part of a server's KV cache that running requests may fill; the rest keeps shared parts.
 	memoryShare = 0.9
 	// abroad is what a server in another data centre counts behind one nearby.
@@ -27,6 +30,7 @@
 	unread  int64
 	backlog time.Duration // work ahead of the request
 	cost    time.Duration
+	home    bool
 	room    bool // short enough a queue to be sent to at once
 }
 
@@ -110,14 +114,11 @@
 
 // weigh tells what sending a request to a server would cost.
 func (p *Pool) weigh(now time.Duration, v *service, b *backend, a *Ask, home bool) choice {
-	u := b.usage()
-	if now-b.othersAt > othersAge {
-		u = b.own
-	}
+	u := b.usage(now)
 	if a.Prompt == 0 {
 		return p.weighPlain(now, b, u)
 	}
-	c := choice{backend: b, unread: a.Prompt}
+	c := choice{backend: b, unread: a.Prompt, home: home}
 	if home {
 		for _, part := range a.shared() {
 			c.unread -= part.Tokens
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -97,7 +97,7 @@
 	if !ok {
 		return p.refuse(now, v, a, fleet.ReasonNoServer), true
 	}
-	if p.half(c.backend) {
+	if p.half(now, c.backend) {
 		return p.send(now, a, c), true
 	}
 	if a.beyond {
@@ -107,8 +107,8 @@
 }
 
 // half reports a server of which less than half is in use: refusing a request beside it would waste it.
-func (p *Pool) half(b *backend) bool {
-	return b.Slots > 0 && b.usage().Requests*2 < int64(b.Slots) && b.load.Waiting == 0
+func (p *Pool) half(now time.Duration, b *backend) bool {
+	return b.Slots > 0 && b.usage(now).Requests*2 < int64(b.Slots) && b.load.Waiting == 0
 }
 
 // Turn decides on the requests that wait.
@@ -172,7 +172,7 @@
 		if !p.open(b) || b.health.aside(now) {
 			continue
 		}
-		if t := v.rate.time(b.usage().Prefill); !found || t < least {
+		if t := v.rate.time(b.usage(now).Prefill); !found || t < least {
 			least, found = t, true
 		}
 	}
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -30,7 +30,8 @@
 	lapses    time.Duration // when it is forgotten, as its entry went during an outage; 0 for never
 	gone      bool          // no longer told by the platform, or another server has its address
 
-	own      Usage // this router's requests that are open there
+	own      Usage  // this router's requests that are open there
+	draining []*Run // prompts that were read, whose time has not passed
 	others   Usage // the other routers' requests
 	othersAt time.Duration
 	load     Load
@@ -61,8 +62,12 @@
 }
 
 // usage gives the work at a server over all routers.
-func (b *backend) usage() Usage {
+func (b *backend) usage(now time.Duration) Usage {
+	b.settle(now)
 	u := b.own
+	if now-b.othersAt > othersAge {
+		return u
+	}
 	u.add(b.others)
 	return u
 }
--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -122,7 +122,7 @@
 	c.relay.count("answered")
 	c.relay.observe("wholeMillis", c.relay.Clock()-c.arrived)
 	c.relay.lengths.learn(c.route.Name, c.relay.Clock()-c.arrived)
-	c.note("answered", "server", server, "status", status, "after", c.relay.Clock()-c.arrived)
+	c.note("answered", "server", server, "status", status, "lastEvent", c.lastEvent, "after", c.relay.Clock()-c.arrived)
 }
 
 // note logs a decision on this request.
@@ -148,7 +148,7 @@
 	}
 	c.note("refused", "reason", e.reason, "status", e.status, "route", route, "team", c.team, "configuration", version,
 		"after", c.relay.Clock()-c.arrived, "sends", c.sends, "mayHaveRun", c.runs > 0, "retryAfter", e.after, "detail", e.detail)
-	if e.cut {
+	if e.cut || c.written { // an answer that has begun must not look whole
 		panic(http.ErrAbortHandler)
 	}
 	h := c.writer.Header()
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -106,10 +106,10 @@
 	return c.asked.ID
 }
 
-// relocate takes up a configuration that came while the request waited.
+// relocate takes up a configuration that came while the request waited; one that was sent goes on under its first.
 func (c *call) relocate() *refusal {
 	t := c.relay.Table()
-	if t == c.table {
+	if t == c.table || c.sends > 0 {
 		return nil
 	}
 	return c.locate(t)
