Send only what can be in time, and refuse the rest at once

A request waits while the best server's backlog lets it be in time, and is refused as soon as that can't be any more.

--- a/core/pool/pick.go
+++ b/core/pool/pick.go
@@ -8,7 +8,7 @@
 const (
 	// backlogShare is the part of the tightest objective of a service for which a server may have work queued: beyond it
 	// requests wait at routers, where they can still be ordered and refused.
-	backlogShare = 0.45
+	backlogShare = 0.6
 	// rereadWeight is what reading a shared part once more counts besides its own time, since it delays all others.
 	rereadWeight = 10
 	// prefillShare is the part of a server's time that reading prompts may take: reading holds up the tokens of all running
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -88,10 +88,11 @@
 // decide sends a request if a server has room, or refuses it if its time to wait is over.
 func (p *Pool) decide(now time.Duration, v *service, a *Ask) (Verdict, bool) {
 	c, ok := p.pick(now, v, a)
-	if ok && c.room {
+	inTime := ok && now+c.backlog <= a.latest
+	if c.room && (inTime || a.Prompt == 0) {
 		return p.send(now, a, c), true
 	}
-	if now < a.latest {
+	if inTime || !ok && now < a.latest {
 		return Verdict{}, false
 	}
 	if !ok {
