Take entries that go after an outage as gone

Only what went before the first answer after an outage may have lapsed. Test first: TestLapsedEntries, red before.

--- /dev/null
+++ b/core/pool/lapse_test.go
@@ -0,0 +1,49 @@
+package pool
+
+import (
+	"testing"
+	"time"
+)
+
+// An entry that went during an outage may be that of a live server; one that goes later is not.
+func TestLapsedEntries(t *testing.T) {
+	const back = 10 * time.Second
+	tests := map[string]struct {
+		events func(p *Pool)
+		at     time.Duration
+		want   bool
+	}{
+		"went during the outage": {
+			events: func(p *Pool) { p.Remove(back, "a"); p.SourceBack(back) },
+			at:     back + time.Second, want: true,
+		},
+		"went during the outage and did not come back": {
+			events: func(p *Pool) { p.Remove(back, "a"); p.SourceBack(back) },
+			at:     back + lapseGrace,
+		},
+		"came back": {
+			events: func(p *Pool) { p.Remove(back, "a"); p.SourceBack(back); p.Set(back+time.Second, server("a")) },
+			at:     back + 2*lapseGrace, want: true,
+		},
+		"leaves right after the outage": {
+			events: func(p *Pool) { p.SourceBack(back); p.Remove(back+time.Second, "a") },
+			at:     back + time.Second,
+		},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := &Pool{Self: "r1", DataCentre: "east"}
+			p.Set(0, server("a"))
+			p.SourceLost(time.Second)
+			c.events(p)
+			p.SourceBack(c.at)
+			if got := len(p.Servers()) == 1; got != c.want {
+				t.Errorf("known: %t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
+func server(id string) Server {
+	return Server{ID: id, Service: "chat", Address: "10.0.0.1:80", DataCentre: "east", Slots: 8}
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -23,8 +23,7 @@
 	returned  map[string]time.Duration // when a data centre came back
 	shares    shares
 
-	sourceOut      bool          // the platform can't be read
-	sourceReturned time.Duration // when it could be read again; 0 if it always could
+	sourceOut bool // the platform can't be read
 }
 
 // service is what is known of all servers of one service.
@@ -109,9 +108,9 @@
 	if b == nil {
 		return
 	}
-	if p.sourceOut || p.sourceReturned > 0 && now < p.sourceReturned+lapseGrace {
+	if p.sourceOut {
 		if b.lapses == 0 {
-			b.lapses = max(now, p.sourceReturned) + lapseGrace
+			b.lapses = now + lapseGrace
 			p.tell(b, "lapsed", "its entry went while the platform was out of reach")
 		}
 		return
@@ -130,7 +129,7 @@
 func (p *Pool) SourceBack(now time.Duration) {
 	p.init()
 	if p.sourceOut {
-		p.sourceOut, p.sourceReturned = false, now
+		p.sourceOut = false
 		for _, b := range p.servers {
 			if b.lapses > 0 {
 				b.lapses = now + lapseGrace
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -32,7 +32,7 @@
 
 	own      Usage  // this router's requests that are open there
 	draining []*Run // prompts that were read, whose time has not passed
-	others   Usage // the other routers' requests
+	others   Usage  // the other routers' requests
 	othersAt time.Duration
 	load     Load
 	loadAt   time.Duration
