Try: keep long answers on servers of their own

Cause looked for: streams on servers that read long prompts pause for longer than 500 to 600 ms and miss their deadline. Servers were set apart for requests whose answer may be longer than their prompt, as many as their streams fill.

--- a/core/digest/fleet.go
+++ b/core/digest/fleet.go
@@ -13,9 +13,9 @@
 	// joinPeriod is the time between two rounds until another router is known.
 	joinPeriod = 100 * time.Millisecond
 	// leastPeriod is the time between two sums in a small fleet.
-	leastPeriod = 100 * time.Millisecond
+	leastPeriod = 50 * time.Millisecond
 	// memberPeriod is by how much each member of the own data centre lengthens it, so that a relay's work stays bounded.
-	memberPeriod = 5 * time.Millisecond
+	memberPeriod = 2 * time.Millisecond
 	// staleAfter is how many periods old a sum may be to count.
 	staleAfter = 5
 	// avoidTime is how long a relay that went silent is avoided.
--- a/core/pool/pick.go
+++ b/core/pool/pick.go
@@ -9,11 +9,10 @@
 	// backlogShare is the part of the tightest objective of a service for which a server may have work queued: beyond it
 	// requests wait at routers, where they can still be ordered and refused.
 	backlogShare = 0.6
+	// patientShare is the least part of that which requests with long objectives may use.
+	patientShare = 0.5
 	// rereadWeight is what reading a shared part once more counts besides its own time, since it delays all others.
 	rereadWeight = 10
-	// prefillShare is the part of a server's time that reading prompts may take: reading holds up the tokens of all running
-	// requests, which need the rest.
-	prefillShare = 1.0
 	// memoryShare is the part of a server's KV cache that running requests may fill; the rest keeps shared parts.
 	memoryShare = 0.9
 	// abroad is what a server in another data centre counts behind one nearby.
@@ -31,12 +30,17 @@
 	backlog time.Duration // work ahead of the request
 	cost    time.Duration
 	home    bool
+	strange bool // the server is kept for other requests
 	room    bool // short enough a queue to be sent to at once
 }
 
 // pick gives the best server for a request, and false if none may be sent to.
 func (p *Pool) pick(now time.Duration, v *service, a *Ask) (choice, bool) {
-	home := p.home(now, v, a)
+	var set map[*backend]bool
+	if a.Prompt > 0 {
+		set = p.setApart(now, v)
+	}
+	home := p.home(now, v, a, set)
 	best := choice{cost: math.MaxInt64}
 	found := false
 	for _, b := range v.servers {
@@ -44,13 +48,22 @@
 			continue
 		}
 		c := p.weigh(now, v, b, a, b == home)
-		if !found || c.cost < best.cost {
+		c.strange = len(set) > 0 && set[b] != a.answers()
+		if !found || c.before(&best) {
 			best, found = c, true
 		}
 	}
 	return best, found
 }
 
+// before ranks servers: those meant for the kind of request first, then the cheapest.
+func (c *choice) before(o *choice) bool {
+	if c.strange != o.strange {
+		return o.strange
+	}
+	return c.cost < o.cost
+}
+
 // usable reports whether a server may be sent a request now, whatever its load.
 func (p *Pool) usable(now time.Duration, b *backend, a *Ask) bool {
 	if !p.open(b) || b.health.aside(now) {
@@ -94,7 +107,7 @@
 }
 
 // home gives the server that requests on the same subject go to, by rendezvous hashing; nil for requests without a subject.
-func (p *Pool) home(now time.Duration, v *service, a *Ask) *backend {
+func (p *Pool) home(now time.Duration, v *service, a *Ask, set map[*backend]bool) *backend {
 	subject := a.subject()
 	if subject == 0 {
 		return nil
@@ -102,7 +115,7 @@
 	var home *backend
 	var most uint64
 	for _, b := range v.servers {
-		if !p.open(b) || b.health.aside(now) || p.cold(now, b) {
+		if !p.open(b) || b.health.aside(now) || p.cold(now, b) || len(set) > 0 && set[b] != a.answers() {
 			continue
 		}
 		if h := mix(b.hash ^ subject); home == nil || h > most {
@@ -133,7 +146,7 @@
 	if b.DataCentre != p.DataCentre {
 		c.cost += abroad
 	}
-	c.room = c.backlog <= p.bound(b.Service) && p.fits(b, u, a)
+	c.room = c.backlog <= p.bound(a) && p.fits(b, u, a)
 	return c
 }
 
@@ -179,9 +192,15 @@
 // plainQueue is how many times its slots a plain server may hold in running and waiting requests.
 const plainQueue = 2
 
-// bound gives how much work a server may have queued.
-func (p *Pool) bound(name string) time.Duration {
-	return time.Duration(backlogShare * float64(p.tightest(name)))
+// bound gives how much work a server may have queued for one more request to be sent: requests that can wait longer leave
+// room for those that can't.
+func (p *Pool) bound(a *Ask) time.Duration {
+	tightest := p.tightest(a.Service)
+	whole := backlogShare * float64(tightest)
+	if length := a.Objective - a.Arrived; length > tightest {
+		whole *= max(patientShare, float64(tightest)/float64(length))
+	}
+	return time.Duration(whole)
 }
 
 // tightest gives the shortest objective of all routes to a service.
--- a/core/pool/run.go
+++ b/core/pool/run.go
@@ -16,8 +16,10 @@
 	if a.Prompt == 0 {
 		r.usage = Usage{Requests: 1}
 	}
+	if a.answers() {
+		r.usage.Answers = 1
+	}
 	r.ahead = b.usage(now).Prefill
-	r.drained = now + time.Duration(float64(p.service(b.Service).rate.time(r.ahead+r.usage.Prefill))/prefillShare)
 	b.own.add(r.usage)
 	if r.Cold {
 		b.meter.take(now)
@@ -37,34 +39,10 @@
 	if r.ask.Prompt > 0 && !r.Cold && r.ahead < r.Unread/paceAhead {
 		p.service(r.Server.Service).rate.learn(r.Unread+r.ahead, now-r.sent)
 	}
-	r.drain(now)
-}
-
-// drain takes a prompt that was read off the server's work, once its time has passed.
-func (r *Run) drain(now time.Duration) {
-	if now < r.drained {
-		r.backend.draining = append(r.backend.draining, r)
-		return
-	}
 	r.backend.own.subtract(Usage{Prefill: r.usage.Prefill})
 	r.usage.Prefill = 0
 }
 
-// settle takes off the prompts whose time has passed.
-func (b *backend) settle(now time.Duration) {
-	kept := b.draining[:0]
-	for _, r := range b.draining {
-		if now < r.drained {
-			kept = append(kept, r)
-			continue
-		}
-		b.own.subtract(Usage{Prefill: r.usage.Prefill})
-		r.usage.Prefill = 0
-	}
-	clear(b.draining[len(kept):])
-	b.draining = kept
-}
-
 // Told takes in what a server says of its load.
 func (p *Pool) Told(now time.Duration, r *Run, l Load) {
 	r.backend.load, r.backend.loadAt = l, now
@@ -77,11 +55,7 @@
 	}
 	r.ended = true
 	b := r.backend
-	b.own.subtract(Usage{Requests: r.usage.Requests, Memory: r.usage.Memory})
-	if !r.began {
-		r.drained = min(r.drained, now)
-		r.drain(now)
-	}
+	b.own.subtract(r.usage)
 	if result.Left || b.gone {
 		return
 	}
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -30,9 +30,8 @@
 	lapses    time.Duration // when it is forgotten, as its entry went during an outage; 0 for never
 	gone      bool          // no longer told by the platform, or another server has its address
 
-	own      Usage  // this router's requests that are open there
-	draining []*Run // prompts that were read, whose time has not passed
-	others   Usage  // the other routers' requests
+	own      Usage // this router's requests that are open there
+	others   Usage // the other routers' requests
 	othersAt time.Duration
 	load     Load
 	loadAt   time.Duration
@@ -47,23 +46,25 @@
 	Requests int64
 	Prefill  int64 // prompt tokens still to be read
 	Memory   int64 // tokens of KV cache that its running requests hold or will hold
+	Answers  int64 // requests whose answer may be longer than their prompt
 }
 
 func (u *Usage) add(v Usage) {
 	u.Requests += v.Requests
 	u.Prefill += v.Prefill
 	u.Memory += v.Memory
+	u.Answers += v.Answers
 }
 
 func (u *Usage) subtract(v Usage) {
 	u.Requests = max(0, u.Requests-v.Requests)
 	u.Prefill = max(0, u.Prefill-v.Prefill)
 	u.Memory = max(0, u.Memory-v.Memory)
+	u.Answers = max(0, u.Answers-v.Answers)
 }
 
 // usage gives the work at a server over all routers.
 func (b *backend) usage(now time.Duration) Usage {
-	b.settle(now)
 	u := b.own
 	if now-b.othersAt > othersAge {
 		return u
--- a/core/pool/summary.go
+++ b/core/pool/summary.go
@@ -12,7 +12,6 @@
 	p.init()
 	s := digest.Sum{Servers: make(map[uint32]digest.Use, len(p.servers)), Teams: make(map[uint32]int64, len(p.shares.teams))}
 	for id, b := range p.servers {
-		b.settle(now)
 		if b.own != (Usage{}) {
 			s.Servers[key(id)] = digest.Use(b.own)
 		}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -22,7 +22,7 @@
 	Dialect  Dialect
 	Clock    func() time.Duration
 	Leaving  func() (time.Duration, bool) // the time until requests are cut, once the process stops; nil for never
-	Budget   pool.Budget // guarded by the gate
+	Budget   pool.Budget                  // guarded by the gate
 	Log      *log.Logger
 	Metrics  metrics.Registry
 	Stopping context.Context // ends when requests that still run have to be cut; nil for never
