--- a/core/digest/sum.go
+++ b/core/digest/sum.go
@@ -5,7 +5,6 @@
 	Requests int64
 	Prefill  int64 // prompt tokens still to be read
 	Memory   int64 // tokens of KV cache
-	Answers  int64 // requests whose answer may be longer than their prompt
 }
 
 // Sum adds up what routers have in use and what teams ask for; keys are hashes of names.
@@ -33,7 +32,6 @@
 			Requests: max(0, v.Requests+sign*u.Requests),
 			Prefill:  max(0, v.Prefill+sign*u.Prefill),
 			Memory:   max(0, v.Memory+sign*u.Memory),
-			Answers:  max(0, v.Answers+sign*u.Answers),
 		}
 	}
 	for id, rate := range o.Teams {
--- a/core/pool/ask.go
+++ b/core/pool/ask.go
@@ -13,7 +13,6 @@
 	Team      string
 	Prompt    int64  // tokens of the prompt; 0 for requests to plain services
 	Output    int64  // tokens expected to be generated
-	Longest   int64  // tokens generated at most
 	Parts     []Part // of the prompt, in order
 	Arrived   time.Duration
 	Objective time.Duration // when an answer stops being of full worth; a time, not a length
@@ -28,9 +27,6 @@
 // cost gives the tokens that the request is charged: read ones count once and generated ones twice.
 func (a *Ask) cost() int64 { return a.Prompt + 2*a.Output }
 
-// answers reports a request whose answer may be longer than its prompt.
-func (a *Ask) answers() bool { return a.Prompt > 0 && a.Longest > a.Prompt }
-
 // shared gives the parts of the prompt that other requests may have in common.
 func (a *Ask) shared() []Part {
 	if len(a.Parts) < 2 {
--- a/core/pool/pick.go
+++ b/core/pool/pick.go
@@ -30,17 +30,12 @@
 	backlog time.Duration // work ahead of the request
 	cost    time.Duration
 	home    bool
-	strange bool // the server is kept for other requests
 	room    bool // short enough a queue to be sent to at once
 }
 
 // pick gives the best server for a request, and false if none may be sent to.
 func (p *Pool) pick(now time.Duration, v *service, a *Ask) (choice, bool) {
-	var set map[*backend]bool
-	if a.Prompt > 0 {
-		set = p.setApart(now, v)
-	}
-	home := p.home(now, v, a, set)
+	home := p.home(now, v, a)
 	best := choice{cost: math.MaxInt64}
 	found := false
 	for _, b := range v.servers {
@@ -48,22 +43,13 @@
 			continue
 		}
 		c := p.weigh(now, v, b, a, b == home)
-		c.strange = len(set) > 0 && set[b] != a.answers()
-		if !found || c.before(&best) {
+		if !found || c.cost < best.cost {
 			best, found = c, true
 		}
 	}
 	return best, found
 }
 
-// before ranks servers: those meant for the kind of request first, then the cheapest.
-func (c *choice) before(o *choice) bool {
-	if c.strange != o.strange {
-		return o.strange
-	}
-	return c.cost < o.cost
-}
-
 // usable reports whether a server may be sent a request now, whatever its load.
 func (p *Pool) usable(now time.Duration, b *backend, a *Ask) bool {
 	if !p.open(b) || b.health.aside(now) {
@@ -107,7 +93,7 @@
 }
 
 // home gives the server that requests on the same subject go to, by rendezvous hashing; nil for requests without a subject.
-func (p *Pool) home(now time.Duration, v *service, a *Ask, set map[*backend]bool) *backend {
+func (p *Pool) home(now time.Duration, v *service, a *Ask) *backend {
 	subject := a.subject()
 	if subject == 0 {
 		return nil
@@ -115,7 +101,7 @@
 	var home *backend
 	var most uint64
 	for _, b := range v.servers {
-		if !p.open(b) || b.health.aside(now) || p.cold(now, b) || len(set) > 0 && set[b] != a.answers() {
+		if !p.open(b) || b.health.aside(now) || p.cold(now, b) {
 			continue
 		}
 		if h := mix(b.hash ^ subject); home == nil || h > most {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -33,7 +33,6 @@
 	rate    pace
 	failing float64 // moving share of failures over all its servers
 	queue   queue
-	apart   apart
 }
 
 // Event is a change of what is believed of a server.
--- a/core/pool/run.go
+++ b/core/pool/run.go
@@ -16,9 +16,6 @@
 	if a.Prompt == 0 {
 		r.usage = Usage{Requests: 1}
 	}
-	if a.answers() {
-		r.usage.Answers = 1
-	}
 	r.ahead = b.usage(now).Prefill
 	b.own.add(r.usage)
 	if r.Cold {
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -46,21 +46,18 @@
 	Requests int64
 	Prefill  int64 // prompt tokens still to be read
 	Memory   int64 // tokens of KV cache that its running requests hold or will hold
-	Answers  int64 // requests whose answer may be longer than their prompt
 }
 
 func (u *Usage) add(v Usage) {
 	u.Requests += v.Requests
 	u.Prefill += v.Prefill
 	u.Memory += v.Memory
-	u.Answers += v.Answers
 }
 
 func (u *Usage) subtract(v Usage) {
 	u.Requests = max(0, u.Requests-v.Requests)
 	u.Prefill = max(0, u.Prefill-v.Prefill)
 	u.Memory = max(0, u.Memory-v.Memory)
-	u.Answers = max(0, u.Answers-v.Answers)
 }
 
 // usage gives the work at a server over all routers.
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -184,7 +184,7 @@
 		output = min(output, c.asked.Hint)
 	}
 	return &pool.Ask{
-		ID: c.asked.ID, Service: c.service, Team: c.team, Prompt: c.asked.Prompt, Output: output, Longest: c.asked.Output, Parts: c.asked.Parts,
+		ID: c.asked.ID, Service: c.service, Team: c.team, Prompt: c.asked.Prompt, Output: output, Parts: c.asked.Parts,
 		Arrived: c.arrived, Objective: c.arrived + c.route.Objective, Deadline: c.deadline, Tried: c.tried, Again: c.sends > 0,
 	}
 }
--- a/router/share/codec.go
+++ b/router/share/codec.go
@@ -61,7 +61,6 @@
 		t.Requests = append(t.Requests, units(u.Requests, 1))
 		t.Prefill = append(t.Prefill, units(u.Prefill, prefillUnit))
 		t.Memory = append(t.Memory, units(u.Memory, memoryUnit))
-		t.Answers = append(t.Answers, units(u.Answers, 1))
 	}
 	for id, rate := range s.Teams {
 		if rate > 0 {
@@ -81,15 +80,14 @@
 		return nil, nil
 	}
 	n := len(t.Servers)
-	if len(t.Requests) != n || len(t.Prefill) != n || len(t.Memory) != n || len(t.Answers) != n || len(t.Teams) != len(t.Rates) {
-		return nil, fmt.Errorf("columns of unequal length: %d servers, %d requests, %d prefill, %d memory, %d answers, %d teams, %d rates",
-			n, len(t.Requests), len(t.Prefill), len(t.Memory), len(t.Answers), len(t.Teams), len(t.Rates))
+	if len(t.Requests) != n || len(t.Prefill) != n || len(t.Memory) != n || len(t.Teams) != len(t.Rates) {
+		return nil, fmt.Errorf("columns of unequal length: %d servers, %d requests, %d prefill, %d memory, %d teams, %d rates",
+			n, len(t.Requests), len(t.Prefill), len(t.Memory), len(t.Teams), len(t.Rates))
 	}
 	s := &digest.Sum{Servers: make(map[uint32]digest.Use, n), Teams: make(map[uint32]int64, len(t.Teams))}
 	for i, id := range t.Servers {
 		s.Servers[id] = digest.Use{
 			Requests: int64(t.Requests[i]), Prefill: int64(t.Prefill[i]) * prefillUnit, Memory: int64(t.Memory[i]) * memoryUnit,
-			Answers: int64(t.Answers[i]),
 		}
 	}
 	for i, id := range t.Teams {
