--- a/router/proc/peers.go
+++ b/router/proc/peers.go
@@ -8,12 +8,13 @@
 	"mangolug.org/router/share"
 )
 
-// share exchanges loads with the other routers.
-func (p *Process) share() *share.Share {
+// newShare exchanges loads with the other routers.
+func (p *Process) newShare() *share.Share {
+	s := p.settings.Load()
 	routers := 0
 	return &share.Share{
 		Fleet: &digest.Fleet{
-			Address: p.settings.Control, DataCentre: p.settings.DataCentre, Seeds: p.settings.Seeds,
+			Address: s.Control, DataCentre: s.DataCentre, Seeds: s.Seeds,
 			Began: uint64(p.began.UnixMilli()),
 		},
 		Socket: p.peers, Clock: p.now,
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -21,6 +21,7 @@
 	"mangolug.org/router/door"
 	"mangolug.org/router/guard"
 	"mangolug.org/router/relay"
+	"mangolug.org/router/share"
 )
 
 const (
@@ -40,7 +41,7 @@
 
 // Process is a router process; New makes one and Run serves.
 type Process struct {
-	settings   Settings
+	settings   atomic.Pointer[Settings]
 	source     Source
 	log        *log.Logger
 	lines      *logWriter
@@ -53,7 +54,8 @@
 	ready      net.Listener
 	metrics    net.Listener   // nil if there is none
 	peers      net.PacketConn // nil if there is none
-	leaving    atomic.Int64 // when the signal to stop came, on the clock of now; 0 while it did not
+	share      *share.Share   // nil if there is none
+	leaving    atomic.Int64   // when the signal to stop came, on the clock of now; 0 while it did not
 	sourceLost atomic.Bool
 	cut        context.CancelFunc
 }
@@ -66,7 +68,8 @@
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
 	}
-	p := &Process{settings: s, source: source, registry: metrics.NewRegistry(), began: time.Now()}
+	p := &Process{source: source, registry: metrics.NewRegistry(), began: time.Now()}
+	p.settings.Store(&s)
 	p.lines = newLogWriter(os.Stdout)
 	p.log = log.NewWithOptions(p.lines, log.Options{
 		Formatter: log.LogfmtFormatter, ReportTimestamp: true, TimeFormat: time.RFC3339Nano,
@@ -78,6 +81,9 @@
 		Clock: p.now,
 		Pool:  &pool.Pool{Self: s.Control, DataCentre: s.DataCentre, Event: p.believe},
 	}
+	if p.peers != nil {
+		p.share = p.newShare()
+	}
 	stopping, cut := context.WithCancel(context.Background())
 	p.cut = cut
 	p.relay = &relay.Relay{
@@ -90,24 +96,25 @@
 }
 
 func (p *Process) open() error {
-	front, err := net.Listen("tcp", p.settings.Front)
+	s := p.settings.Load()
+	front, err := net.Listen("tcp", s.Front)
 	if err != nil {
-		return errors.Wrapf(err, "front address %s can't be opened", p.settings.Front)
+		return errors.Wrapf(err, "front address %s can't be opened", s.Front)
 	}
 	p.entrance.Door = door.New(front.(*net.TCPListener))
-	if p.ready, err = net.Listen("tcp", p.settings.Ready); err != nil {
-		return errors.Wrapf(err, "readiness address %s can't be opened", p.settings.Ready)
+	if p.ready, err = net.Listen("tcp", s.Ready); err != nil {
+		return errors.Wrapf(err, "readiness address %s can't be opened", s.Ready)
 	}
-	if p.settings.Control != "" {
-		if p.peers, err = net.ListenPacket("udp", p.settings.Control); err != nil {
-			return errors.Wrapf(err, "control address %s can't be opened", p.settings.Control)
+	if s.Control != "" {
+		if p.peers, err = net.ListenPacket("udp", s.Control); err != nil {
+			return errors.Wrapf(err, "control address %s can't be opened", s.Control)
 		}
 	}
-	if p.settings.Metrics == "" {
+	if s.Metrics == "" {
 		return nil
 	}
-	p.metrics, err = net.Listen("tcp", p.settings.Metrics)
-	return errors.Wrapf(err, "metrics address %s can't be opened", p.settings.Metrics)
+	p.metrics, err = net.Listen("tcp", s.Metrics)
+	return errors.Wrapf(err, "metrics address %s can't be opened", s.Metrics)
 }
 
 // now is the steady clock of all decisions.
@@ -141,7 +148,8 @@
 
 // Run serves until stop ends and then stops gracefully; a nil error means that the stop was clean.
 func (p *Process) Run(stop context.Context) error {
-	p.log.Info("starting", "dataCentre", p.settings.DataCentre, "front", p.settings.Front, "seeds", len(p.settings.Seeds))
+	s := p.settings.Load()
+	p.log.Info("starting", "dataCentre", s.DataCentre, "front", s.Front, "seeds", len(s.Seeds))
 	work, end := context.WithCancel(context.Background())
 	defer end()
 	callers := &http.Server{
@@ -170,7 +178,7 @@
 		children = append(children, guard.Child{Name: "metrics", Run: func(ctx context.Context) error { return door.Serve(ctx, scrapers, p.metrics) }})
 	}
 	if p.peers != nil {
-		children = append(children, guard.Child{Name: "peers", Run: p.share().Run})
+		children = append(children, guard.Child{Name: "peers", Run: p.share.Run})
 	}
 	return &guard.Tree{Name: "router", Log: p.log, Metrics: p.registry, Children: children}
 }
--- a/router/proc/stop.go
+++ b/router/proc/stop.go
@@ -27,15 +27,15 @@
 	if passed > noticeTime {
 		return 0, true
 	}
-	return time.Duration(cutShare*float64(p.settings.Grace)) - passed, true
+	return time.Duration(cutShare*float64(p.settings.Load().Grace)) - passed, true
 }
 
 // stop tells the balancer, goes on serving until it has noticed, finishes what runs, and cuts what is left.
 func (p *Process) stop(callers *http.Server) error {
 	began := time.Now()
 	p.leaving.Store(max(1, int64(p.now())))
-	p.log.Info("stopping", "grace", p.settings.Grace)
-	limit, cancel := context.WithTimeout(context.Background(), time.Duration(cutShare*float64(p.settings.Grace)))
+	p.log.Info("stopping", "grace", p.settings.Load().Grace)
+	limit, cancel := context.WithTimeout(context.Background(), time.Duration(cutShare*float64(p.settings.Load().Grace)))
 	defer cancel()
 	notice, cancelNotice := context.WithTimeout(limit, noticeTime)
 	defer cancelNotice()
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -26,6 +26,13 @@
 	mutex sync.Mutex // guards Fleet
 }
 
+// SetSeeds replaces the addresses that may know the fleet.
+func (s *Share) SetSeeds(seeds []string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.Fleet.Seeds = seeds
+}
+
 // Run exchanges messages until the context ends.
 func (s *Share) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.Socket.SetDeadline(time.Now()) }) // wakes the reader
