--- a/core/digest/fleet.go
+++ b/core/digest/fleet.go
@@ -22,11 +22,14 @@
 
 // Message is what routers send each other.
 type Message struct {
-	From    string
-	Members []Member // gossip; nil if none
-	Part    *Sum     // a router's own use, to its relay
-	Centre  *Sum     // the use of all that report to a relay, to the other relays
-	Others  *Sum     // the use of all other routers, from a relay
+	From string
+	// Revision is the newest revision of the platform's state that the sender knows of, so that all hear soon of changes
+	// that their own watches miss.
+	Revision int64
+	Members  []Member // gossip; nil if none
+	Part     *Sum     // a router's own use, to its relay
+	Centre   *Sum     // the use of all that report to a relay, to the other relays
+	Others   *Sum     // the use of all other routers, from a relay
 }
 
 // Out is a message to be sent.
@@ -41,6 +44,7 @@
 	DataCentre string
 	Seeds      []string // addresses that may know the fleet
 	Began      uint64   // the counter's first value, higher with each start of a process
+	Revision   int64    // newest revision of the platform's state that this router knows of
 	Random     *rand.Rand
 
 	beat     uint64
@@ -98,6 +102,7 @@
 func (f *Fleet) Receive(now time.Duration, m Message) []Out {
 	f.init()
 	f.learn(now, m.Members)
+	f.Revision = max(f.Revision, m.Revision)
 	if m.Part != nil {
 		f.parts[m.From] = heard{*m.Part, now}
 	}
@@ -120,6 +125,14 @@
 // Tick gives the messages that are due, with this router's own use.
 func (f *Fleet) Tick(now time.Duration, own Sum) []Out {
 	f.init()
+	out := f.due(now, own)
+	for i := range out {
+		out[i].Message.Revision = f.Revision
+	}
+	return out
+}
+
+func (f *Fleet) due(now time.Duration, own Sum) []Out {
 	f.beat++
 	var out []Out
 	period := f.gossipPeriod()
--- a/router/proc/log.go
+++ b/router/proc/log.go
@@ -8,6 +8,9 @@
 // logLines is how many lines may wait to be written: about a second of a busy router.
 const logLines = 4096
 
+// logBatch is about how many bytes are written at once.
+const logBatch = 16 << 10
+
 // logWriter hands lines to a goroutine, and drops and counts them rather than wait for a slow reader.
 type logWriter struct {
 	lines   chan []byte
@@ -25,7 +28,7 @@
 	var batch []byte
 	for line := range w.lines {
 		batch = append(batch[:0], line...)
-		for more := true; more; {
+		for more := true; more && len(batch) < logBatch; {
 			select {
 			case line := <-w.lines:
 				batch = append(batch, line...)
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -57,6 +57,10 @@
 	share      *share.Share   // nil if there is none
 	leaving    atomic.Int64   // when the signal to stop came, on the clock of now; 0 while it did not
 	sourceLost atomic.Bool
+	reader     atomic.Bool  // see Taker.Reader
+	read       atomic.Int64 // newest revision that was read here
+	newest     atomic.Int64 // newest revision that any router told of
+	news       chan struct{}
 	cut        context.CancelFunc
 }
 
@@ -68,7 +72,8 @@
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
 	}
-	p := &Process{source: source, registry: metrics.NewRegistry(), began: time.Now()}
+	p := &Process{source: source, registry: metrics.NewRegistry(), began: time.Now(), news: make(chan struct{}, 1)}
+	p.reader.Store(true) // until the fleet is known
 	p.settings.Store(&s)
 	p.lines = newLogWriter(os.Stdout)
 	p.log = log.NewWithOptions(p.lines, log.Options{
@@ -171,7 +176,7 @@
 	children := []guard.Child{
 		{Name: "callers", Critical: true, Run: func(ctx context.Context) error { return door.Serve(ctx, callers, p.entrance.Door) }},
 		{Name: "readiness", Critical: true, Run: func(ctx context.Context) error { return door.Serve(ctx, ready, p.ready) }},
-		{Name: "source", Run: func(ctx context.Context) error { return p.source(ctx, &Taker{process: p}) }},
+		{Name: "source", Run: func(ctx context.Context) error { return p.source(ctx, p.taker()) }},
 	}
 	if p.metrics != nil {
 		scrapers := &http.Server{Handler: admin.Scrape(p.registry), ReadHeaderTimeout: headerTimeout}
--- /dev/null
+++ b/router/proc/process_test.go
@@ -0,0 +1,252 @@
+package proc
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mangolug.org/core/pool"
+	"mangolug.org/core/route"
+	"mangolug.org/router/relay"
+)
+
+func TestSettings(t *testing.T) {
+	good := Settings{Name: "r", DataCentre: "east", Front: "127.0.0.1:1", Ready: "127.0.0.1:2", Grace: time.Second}
+	tests := map[string]struct {
+		change  func(*Settings)
+		setting string // that the error names; empty for none
+	}{
+		"good":        {change: func(*Settings) {}},
+		"no name":     {change: func(s *Settings) { s.Name = "" }, setting: "name"},
+		"no port":     {change: func(s *Settings) { s.Front = "127.0.0.1" }, setting: "front address"},
+		"host name":   {change: func(s *Settings) { s.Ready = "localhost:80" }, setting: "readiness address"},
+		"bad seed":    {change: func(s *Settings) { s.Seeds = []string{"x"} }, setting: "seed"},
+		"no grace":    {change: func(s *Settings) { s.Grace = 0 }, setting: "grace"},
+		"less than 0": {change: func(s *Settings) { s.Memory = -1 }, setting: "memory"},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := good
+			c.change(&s)
+			err := s.Check()
+			var wrong *SettingError
+			if errors.As(err, &wrong) != (c.setting != "") {
+				t.Fatalf("error %v", err)
+			}
+			if wrong != nil && (wrong.Setting != c.setting || !strings.Contains(err.Error(), wrong.Want)) {
+				t.Errorf("error %v, want it to name %s", err, c.setting)
+			}
+		})
+	}
+}
+
+// blocked is a reader of logs that takes nothing until it is let.
+type blocked struct {
+	let chan struct{}
+	bytes.Buffer
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.let
+	return b.Buffer.Write(p)
+}
+
+// A reader of logs that blocks holds nobody up; lines beyond the bound are dropped and counted.
+func TestLogsNeverBlock(t *testing.T) {
+	out := &blocked{let: make(chan struct{})}
+	w := newLogWriter(out)
+	done := make(chan struct{})
+	go func() {
+		for range 3 * logLines {
+			if _, err := w.Write([]byte("line\n")); err != nil {
+				t.Error(err)
+			}
+		}
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("writing a line waits for the reader")
+	}
+	if dropped := w.dropped.Load(); dropped < logLines || dropped > 2*logLines {
+		t.Errorf("%d of %d lines dropped, with room for %d", dropped, 3*logLines, logLines)
+	}
+	close(out.let)
+}
+
+// started is a process before one backend server, with its source in the test's hands.
+type started struct {
+	process *Process
+	taker   chan *Taker
+	stop    context.CancelFunc
+	ended   chan error
+	front   string
+	ready   string
+}
+
+func start(t *testing.T, serve http.HandlerFunc) *started {
+	t.Helper()
+	server := httptest.NewServer(serve)
+	t.Cleanup(server.Close)
+	s := &started{taker: make(chan *Taker, 1), ended: make(chan error, 1), front: free(t), ready: free(t)}
+	var err error
+	s.process, err = New(Settings{Name: "r", DataCentre: "east", Front: s.front, Ready: s.ready, Control: free(t), Grace: 4 * time.Second, Ratio: 0.1, Slack: 5},
+		dialect(), func(ctx context.Context, k *Taker) error { s.taker <- k; <-ctx.Done(); return ctx.Err() })
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop, cancel := context.WithCancel(context.Background())
+	s.stop = cancel
+	go func() { s.ended <- s.process.Run(stop) }()
+	t.Cleanup(cancel)
+	k := <-s.taker
+	if status(s.ready) != http.StatusServiceUnavailable {
+		t.Error("ready without a configuration")
+	}
+	k.Configure(route.Config{Version: 3, Routes: []route.Route{{Name: "all", Host: "h", Prefix: "/", Kind: route.KindSafe, Objective: time.Second, Attempts: 1, Public: true, Split: []route.Share{{Service: "desk", Weight: 1}}}}})
+	k.Server(pool.Server{ID: "s", Service: "desk", Address: strings.TrimPrefix(server.URL, "http://"), DataCentre: "east", Slots: 4})
+	s.taker <- k
+	return s
+}
+
+func dialect() relay.Dialect {
+	return relay.Dialect{
+		Read:  func(h http.Header) (relay.Asked, error) { return relay.Asked{ID: h.Get("X-Id")}, nil },
+		Write: func(http.Header, relay.Sending) {},
+		Told:  func(h http.Header) relay.Told { return relay.Told{ID: h.Get("X-Id"), Signed: true} },
+		Name:  func(http.Header, string) {},
+	}
+}
+
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// status gives the status of a GET, and 0 if there is none.
+func status(address string) int {
+	r, err := http.NewRequest(http.MethodGet, "http://"+address+"/", nil)
+	if err != nil {
+		return 0
+	}
+	r.Host = "h"
+	r.Header.Set("X-Id", "1")
+	r.Close = true
+	a, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return 0
+	}
+	defer a.Body.Close()
+	if _, err := io.Copy(io.Discard, a.Body); err != nil {
+		return 0
+	}
+	return a.StatusCode
+}
+
+func echo(w http.ResponseWriter, r *http.Request) { w.Header().Set("X-Id", r.Header.Get("X-Id")) }
+
+// A process is ready once it has a configuration and a server; a planned stop says so first and finishes what runs.
+func TestGracefulStop(t *testing.T) {
+	running, release := make(chan struct{}), make(chan struct{})
+	var begun atomic.Bool
+	s := start(t, func(w http.ResponseWriter, r *http.Request) {
+		echo(w, r)
+		if begun.CompareAndSwap(false, true) {
+			close(running)
+			<-release
+		}
+	})
+	if status(s.ready) != http.StatusOK {
+		t.Fatal("not ready with a configuration and a server")
+	}
+	answered := make(chan int, 1)
+	go func() { answered <- status(s.front) }()
+	<-running
+	s.stop()
+	until(t, func() bool { return status(s.ready) == http.StatusServiceUnavailable })
+	if got := status(s.front); got != http.StatusOK {
+		t.Errorf("status %d while the balancer has not noticed", got)
+	}
+	close(release)
+	if got := <-answered; got != http.StatusOK {
+		t.Errorf("the request that ran got %d", got)
+	}
+	select {
+	case err := <-s.ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("did not stop")
+	}
+}
+
+// Versions only rise, and settings that can't be used change nothing.
+func TestWhatIsTakenUp(t *testing.T) {
+	s := start(t, echo)
+	k := <-s.taker
+	k.Configure(route.Config{Version: 2})
+	if got := s.process.table.Load().Config.Version; got != 3 {
+		t.Errorf("version %d in force after an older one", got)
+	}
+	if err := s.process.Reload(Settings{Name: "r"}); err == nil || s.process.settings.Load().Grace != 4*time.Second {
+		t.Errorf("took up settings that lack addresses, %v", err)
+	}
+	next := *s.process.settings.Load()
+	next.Grace, next.Slack = time.Second, 9
+	if err := s.process.Reload(next); err != nil || s.process.settings.Load().Grace != time.Second || s.process.relay.Budget.Slack != 9 {
+		t.Errorf("settings %+v, %v", s.process.settings.Load(), err)
+	}
+	k.Out(map[string]bool{"east": true})
+	if status(s.ready) != http.StatusServiceUnavailable {
+		t.Error("ready although no server may get work")
+	}
+	k.Out(nil)
+	k.Only(nil)
+	if status(s.ready) != http.StatusServiceUnavailable {
+		t.Error("ready without servers")
+	}
+}
+
+func until(t *testing.T, ok func() bool) {
+	t.Helper()
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	limit := time.After(10 * time.Second)
+	for !ok() {
+		select {
+		case <-ticker.C:
+		case <-limit:
+			t.Fatal("waited 10 s in vain")
+		}
+	}
+}
+
+// An address that is taken is told with its setting.
+func TestTakenAddress(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	_, err = New(Settings{Name: "r", DataCentre: "east", Front: l.Addr().String(), Ready: "127.0.0.1:0", Grace: time.Second}, dialect(), nil)
+	if want := fmt.Sprintf("front address %s", l.Addr()); err == nil || !strings.Contains(err.Error(), want) {
+		t.Errorf("error %v, want it to name the %s", err, want)
+	}
+}
--- a/router/proc/source.go
+++ b/router/proc/source.go
@@ -11,14 +11,32 @@
 // Source reads what the platform publishes until the context ends, and tells it to the process.
 type Source func(ctx context.Context, t *Taker) error
 
-// Taker takes in what a source reads.
+// Taker takes in what a source reads; the process sets all fields.
 type Taker struct {
-	process *Process
+	Configure func(c route.Config)                     // a configuration; one that is not newer than that in force is ignored
+	Server    func(s pool.Server)                      // a backend server that is told, or told anew
+	Gone      func(id string)                          // a server is no longer told
+	Only      func(ids map[string]bool)                // no other servers than these are told
+	Out       func(names map[string]bool)              // the data centres that are out of service
+	Lost      func(err error)                          // the platform can't be read
+	Regained  func(revision int64)                     // the platform was read
+	Note      func(what string, fields ...interface{}) // something about what was read that operators should see
+
+	Reader func() bool     // this router has to notice by itself when a watch was silenced; the others hear of it from readers
+	Newest func() int64    // the newest revision that any router told of
+	News   <-chan struct{} // a newer revision was told
 }
 
-// Configure takes a configuration in; one that is not newer than that in force is ignored.
-func (t *Taker) Configure(c route.Config) {
-	p := t.process
+func (p *Process) taker() *Taker {
+	return &Taker{
+		Configure: p.configure, Server: p.server, Gone: p.gone, Only: p.only, Out: p.out, Lost: p.lost, Regained: p.regained,
+		Note:   func(what string, fields ...interface{}) { p.log.Warn(what, fields...) },
+		Reader: p.reader.Load, Newest: p.newest.Load, News: p.news,
+	}
+}
+
+// configure takes a configuration in; one that is not newer than that in force is ignored.
+func (p *Process) configure(c route.Config) {
 	old := p.table.Load()
 	if old != nil && c.Version <= old.Config.Version {
 		return
@@ -29,47 +47,46 @@
 	p.log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services), "teams", len(c.Teams))
 }
 
-// Server takes in a backend server that is told, or told anew.
-func (t *Taker) Server(s pool.Server) {
-	t.process.gate.With(func(now time.Duration, p *pool.Pool) { p.Set(now, s) })
+// server takes in a backend server that is told, or told anew.
+func (p *Process) server(s pool.Server) {
+	p.gate.With(func(now time.Duration, q *pool.Pool) { q.Set(now, s) })
 }
 
-// Gone takes in that a server is no longer told.
-func (t *Taker) Gone(id string) {
-	t.process.gate.With(func(now time.Duration, p *pool.Pool) { p.Remove(now, id) })
+// gone takes in that a server is no longer told.
+func (p *Process) gone(id string) {
+	p.gate.With(func(now time.Duration, q *pool.Pool) { q.Remove(now, id) })
 }
 
-// Only takes in that no other servers than these are told.
-func (t *Taker) Only(ids map[string]bool) {
-	t.process.gate.With(func(now time.Duration, p *pool.Pool) {
-		for _, id := range p.Servers() {
+// only takes in that no other servers than these are told.
+func (p *Process) only(ids map[string]bool) {
+	p.gate.With(func(now time.Duration, q *pool.Pool) {
+		for _, id := range q.Servers() {
 			if !ids[id] {
-				p.Remove(now, id)
+				q.Remove(now, id)
 			}
 		}
 	})
 }
 
-// Out takes in which data centres are out of service.
-func (t *Taker) Out(names map[string]bool) {
-	t.process.gate.With(func(now time.Duration, p *pool.Pool) {
-		for _, name := range p.Evacuated() {
+// out takes in which data centres are out of service.
+func (p *Process) out(names map[string]bool) {
+	p.gate.With(func(now time.Duration, q *pool.Pool) {
+		for _, name := range q.Evacuated() {
 			if !names[name] {
-				p.Evacuate(now, name, false)
-				t.process.log.Info("data centre back", "dataCentre", name)
+				q.Evacuate(now, name, false)
+				p.log.Info("data centre back", "dataCentre", name)
 			}
 		}
 		for name := range names {
-			if p.Evacuate(now, name, true) {
-				t.process.log.Info("data centre out", "dataCentre", name)
+			if q.Evacuate(now, name, true) {
+				p.log.Info("data centre out", "dataCentre", name)
 			}
 		}
 	})
 }
 
-// Lost notes that the platform can't be read.
-func (t *Taker) Lost(err error) {
-	p := t.process
+// lost notes that the platform can't be read.
+func (p *Process) lost(err error) {
 	p.gate.With(func(now time.Duration, q *pool.Pool) { q.SourceLost(now) })
 	if !p.sourceLost.Swap(true) {
 		p.log.Warn("platform lost", "error", err)
@@ -77,14 +94,11 @@
 	p.count("platform.failed")
 }
 
-// Regained notes that the platform was read, at a revision.
-func (t *Taker) Regained(revision int64) {
-	p := t.process
+// regained notes that the platform was read, at a revision.
+func (p *Process) regained(revision int64) {
+	p.read.Store(revision)
 	p.gate.With(func(now time.Duration, q *pool.Pool) { q.SourceBack(now) })
 	if p.sourceLost.Swap(false) {
 		p.log.Info("platform back", "revision", revision)
 	}
 }
-
-// Note logs something about what was read.
-func (t *Taker) Note(what string, fields ...interface{}) { t.process.log.Warn(what, fields...) }
--- /dev/null
+++ b/router/relay/relay_test.go
@@ -0,0 +1,372 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mangolug.org/core/route"
+)
+
+func TestAnswersAreUnchanged(t *testing.T) {
+	w := newWorld(t, func(_ *world, _ int, rw http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			t.Error(err)
+		}
+		text := fmt.Sprint(r.Method, " ", r.RequestURI, " ", r.Host, " ", string(body), " ", r.Header.Get("X-Extra"), r.Header.Get("X-Mine"))
+		raw(rw, "HTTP/1.1 202 Accepted\r\n"+testID+": id-1\r\n"+testSigned+": y\r\nX-Own: 1\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"+
+			"Content-Length: "+fmt.Sprint(len(text))+"\r\n\r\n"+text)
+	})
+	g := w.ask(t, http.MethodPost, "/unsafe/a%2Fb//c?x=1;y", "text", func(r *http.Request) {
+		r.Header.Set("X-Extra", "kept")
+		r.Header.Set("Connection", "X-Mine")
+		r.Header.Set("X-Mine", "hop")
+	})
+	if want := "POST /unsafe/a%2Fb//c?x=1;y h text kept"; g.status != http.StatusAccepted || g.body != want || g.err != nil {
+		t.Errorf("%d %q, %v; want %q", g.status, g.body, g.err, want)
+	}
+	if g.header.Get("X-Own") != "1" || g.header.Get("X-Hop") != "" || g.header.Get(testSigned) == "" {
+		t.Errorf("header %v", g.header)
+	}
+}
+
+func TestRefusalsOfTheRouter(t *testing.T) {
+	tests := map[string]struct {
+		path   string
+		body   string
+		change func(*http.Request)
+		want   int
+		reason string
+	}{
+		"no route":       {path: "/none/", want: http.StatusNotFound, reason: "unknownRoute"},
+		"other host":     {path: "/safe/", change: func(r *http.Request) { r.Host = "x" }, want: http.StatusNotFound, reason: "unknownRoute"},
+		"no key":         {path: "/keyed/", want: http.StatusUnauthorized, reason: "unauthorized"},
+		"unknown key":    {path: "/keyed/", change: func(r *http.Request) { r.Header.Set(testKey, "k9") }, want: http.StatusUnauthorized, reason: "unauthorized"},
+		"large body":     {path: "/unsafe/", body: strings.Repeat("x", 1001), want: http.StatusRequestEntityTooLarge, reason: "bodyTooLarge"},
+		"large, chunked": {path: "/unsafe/", body: strings.Repeat("x", 1001), change: func(r *http.Request) { r.ContentLength = -1 }, want: http.StatusRequestEntityTooLarge, reason: "bodyTooLarge"},
+		"large header":   {path: "/safe/", change: func(r *http.Request) { r.Header.Set("X-Long", strings.Repeat("x", 5000)) }, want: http.StatusRequestHeaderFieldsTooLarge, reason: "badRequest"},
+		"bad deadline":   {path: "/safe/", change: func(r *http.Request) { r.Header.Set(testLeft, "soon") }, want: http.StatusBadRequest, reason: "badRequest"},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, func(w *world, _ int, rw http.ResponseWriter, _ *http.Request) { w.run(rw, http.StatusOK, "") })
+			g := w.ask(t, http.MethodPost, c.path, c.body, c.change)
+			if g.status != c.want {
+				t.Errorf("status %d, want %d", g.status, c.want)
+			}
+			if w.runs.Load() != 0 || w.count("refused."+c.reason) != 1 {
+				t.Errorf("%d runs, %d counted as %s", w.runs.Load(), w.count("refused."+c.reason), c.reason)
+			}
+			if g.header.Get(testSigned) != "" {
+				t.Error("the router's own answer bears a server's signature")
+			}
+		})
+	}
+}
+
+// What callers may not set, and the key, do not reach servers; the team does.
+func TestTeams(t *testing.T) {
+	w := newWorld(t, func(w *world, _ int, rw http.ResponseWriter, r *http.Request) {
+		w.run(rw, http.StatusOK, r.Header.Get(testTeam)+"|"+r.Header.Get(testKey)+"|"+r.Header.Get(testServer)[:1])
+	})
+	g := w.ask(t, http.MethodGet, "/keyed/", "", func(r *http.Request) {
+		r.Header.Set(testKey, "k1")
+		r.Header.Set(testTeam, "other")
+		r.Header.Set(testServer, "mine")
+	})
+	if g.body != "farm||s" {
+		t.Errorf("server saw %q", g.body)
+	}
+}
+
+// What happens after a server failed: who is asked again, and what the caller is told.
+func TestFailures(t *testing.T) {
+	tests := map[string]struct {
+		path   string
+		fail   func(w *world, rw http.ResponseWriter) // of the first server that is asked
+		status int
+		runs   int64 // that the next servers began
+		after  bool  // told when to come back
+	}{
+		"unsafe, connection cut":   {path: "/unsafe/", fail: func(_ *world, rw http.ResponseWriter) { cut(rw) }, status: http.StatusBadGateway},
+		"unsafe, not run":          {path: "/unsafe/", fail: func(_ *world, rw http.ResponseWriter) { shed(rw) }, status: http.StatusOK, runs: 1},
+		"unsafe, another server":   {path: "/unsafe/", fail: func(_ *world, rw http.ResponseWriter) { rw.WriteHeader(http.StatusMisdirectedRequest) }, status: http.StatusOK, runs: 1},
+		"unsafe, 503 of nobody":    {path: "/unsafe/", fail: func(_ *world, rw http.ResponseWriter) { rw.WriteHeader(http.StatusServiceUnavailable) }, status: http.StatusBadGateway},
+		"unsafe, unsigned success": {path: "/unsafe/", fail: func(_ *world, rw http.ResponseWriter) { rw.WriteHeader(http.StatusOK) }, status: http.StatusBadGateway},
+		"unsafe, encoded": {path: "/unsafe/", fail: func(w *world, rw http.ResponseWriter) {
+			rw.Header().Set("Content-Encoding", "gzip")
+			w.run(rw, 200, "x")
+		}, status: http.StatusBadGateway, runs: 1},
+		"unsafe, another's answer": {path: "/unsafe/", fail: func(w *world, rw http.ResponseWriter) { rw.Header().Set(testID, "id-2"); w.run(rw, 200, "x") }, status: http.StatusBadGateway, runs: 1},
+		"unsafe, own failure":      {path: "/unsafe/", fail: func(w *world, rw http.ResponseWriter) { w.run(rw, http.StatusInternalServerError, "own") }, status: http.StatusInternalServerError, runs: 1},
+		"unsafe, answer cut short": {path: "/unsafe/", fail: func(_ *world, rw http.ResponseWriter) {
+			raw(rw, "HTTP/1.1 200 OK\r\n"+testID+": id-1\r\n"+testSigned+": y\r\nContent-Length: 9\r\n\r\nhalf")
+		}, status: http.StatusBadGateway},
+		"unsafe, no answer at all": {path: "/unsafe/", fail: func(_ *world, rw http.ResponseWriter) { raw(rw, "no http\r\n\r\n") }, status: http.StatusBadGateway},
+		"unsafe, bytes after the end": {path: "/unsafe/", fail: func(_ *world, rw http.ResponseWriter) {
+			raw(rw, "HTTP/1.1 200 OK\r\n"+testID+": id-1\r\n"+testSigned+": y\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n")
+		}, status: http.StatusOK},
+		"safe, connection cut":          {path: "/safe/", fail: func(_ *world, rw http.ResponseWriter) { cut(rw) }, status: http.StatusOK, runs: 1},
+		"safe, own failure":             {path: "/safe/", fail: func(w *world, rw http.ResponseWriter) { w.run(rw, http.StatusInternalServerError, "own") }, status: http.StatusOK, runs: 2},
+		"stream that goes on, cut":      {path: "/stream/", fail: func(_ *world, rw http.ResponseWriter) { cut(rw) }, status: http.StatusOK, runs: 1},
+		"stream that does not, cut":     {path: "/fixed/", fail: func(_ *world, rw http.ResponseWriter) { cut(rw) }, status: http.StatusBadGateway},
+		"stream that does not, not run": {path: "/fixed/", fail: func(_ *world, rw http.ResponseWriter) { shed(rw) }, status: http.StatusOK, runs: 1},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			failed := make(chan struct{}, 1)
+			failed <- struct{}{}
+			w := newWorld(t, func(w *world, _ int, rw http.ResponseWriter, _ *http.Request) {
+				select {
+				case <-failed:
+					c.fail(w, rw)
+				default:
+					w.run(rw, http.StatusOK, "ok")
+				}
+			})
+			g := w.ask(t, http.MethodPost, c.path, "x", nil)
+			if g.status != c.status || g.err != nil {
+				t.Errorf("status %d, %v; want %d", g.status, g.err, c.status)
+			}
+			if w.runs.Load() != c.runs {
+				t.Errorf("%d runs, want %d", w.runs.Load(), c.runs)
+			}
+		})
+	}
+}
+
+// When no server ran a request, the caller is told so and when to come back; the budget bounds how often it is sent.
+func TestNothingRan(t *testing.T) {
+	w := newWorld(t, func(_ *world, _ int, rw http.ResponseWriter, _ *http.Request) { shed(rw) })
+	g := w.ask(t, http.MethodPost, "/unsafe/", "x", nil)
+	if g.status != http.StatusServiceUnavailable || g.header.Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q", g.status, g.header.Get("Retry-After"))
+	}
+	if n := w.served[0].Load() + w.served[1].Load() + w.served[2].Load(); n != 3 {
+		t.Errorf("servers were asked %d times, want each once", n)
+	}
+	w.relay.Budget.Slack, w.relay.Budget.Ratio = 0, 0
+	before := w.count("refused.retryBudget")
+	w.ask(t, http.MethodPost, "/unsafe/", "x", nil)
+	if w.count("refused.retryBudget") == before {
+		t.Error("a request was sent again without a budget")
+	}
+}
+
+// A stream that breaks goes on at another server after its last whole event, within the same answer.
+func TestStreamsGoOn(t *testing.T) {
+	tests := map[string]struct {
+		path  string
+		stop  func(rw http.ResponseWriter) // how the first server breaks off, after event 2
+		whole bool
+	}{
+		"between events": {path: "/stream/", stop: cutStream, whole: true},
+		"inside an event": {path: "/stream/", stop: func(rw http.ResponseWriter) {
+			fmt.Fprint(rw, "id: 3\ndata: ev")
+			rw.(http.Flusher).Flush()
+			cutStream(rw)
+		}, whole: true},
+		"a stream that can't be resumed": {path: "/fixed/", stop: cutStream},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			first := make(chan struct{}, 1)
+			first <- struct{}{}
+			w := newWorld(t, func(_ *world, _ int, rw http.ResponseWriter, r *http.Request) {
+				select {
+				case <-first:
+					events(rw, 1, 2)
+					c.stop(rw)
+				default:
+					from := 1
+					if _, err := fmt.Sscan(r.Header.Get(testLast), &from); err == nil {
+						from++
+					}
+					events(rw, from, 5)
+				}
+			})
+			g := w.ask(t, http.MethodPost, c.path, "x", nil)
+			if whole := g.err == nil; whole != c.whole {
+				t.Fatalf("read %q, %v", g.body, g.err)
+			}
+			want := wholeStream(5)
+			if !c.whole {
+				want = wholeStream(2)
+			}
+			if d := cmp.Diff(want, g.body); d != "" {
+				t.Error(d)
+			}
+		})
+	}
+}
+
+// cutStream breaks an answer that has begun.
+func cutStream(http.ResponseWriter) { panic(http.ErrAbortHandler) }
+
+// A stream that has begun and whose key is withdrawn before it can go on is cut, and never made to look whole.
+func TestBegunStreamsNeverLookWhole(t *testing.T) {
+	first := make(chan struct{}, 1)
+	first <- struct{}{}
+	var w *world
+	w = newWorld(t, func(_ *world, _ int, rw http.ResponseWriter, _ *http.Request) {
+		select {
+		case <-first:
+			events(rw, 1, 2)
+			c := testConfig()
+			c.Routes = nil
+			w.table.Store(route.NewTable(c))
+			cutStream(rw)
+		default:
+			shed(rw)
+		}
+	})
+	g := w.ask(t, http.MethodPost, "/stream/", "x", nil)
+	if g.err == nil || g.body != wholeStream(2) {
+		t.Errorf("read %q, %v; want two events and a cut", g.body, g.err)
+	}
+}
+
+// The time that a server is given is what is left, and the route's limit ends a request that a server does not answer.
+func TestTime(t *testing.T) {
+	lefts := make(chan string, 4)
+	release := make(chan struct{})
+	defer close(release)
+	w := newWorld(t, func(w *world, _ int, rw http.ResponseWriter, r *http.Request) {
+		lefts <- r.Header.Get(testLeft)
+		if strings.HasPrefix(r.URL.Path, "/brief/") {
+			select {
+			case <-release:
+			case <-r.Context().Done():
+			}
+			return
+		}
+		w.run(rw, http.StatusOK, "")
+	})
+	w.ask(t, http.MethodGet, "/safe/", "", func(r *http.Request) { r.Header.Set(testLeft, "700") })
+	var left int
+	if _, err := fmt.Sscan(<-lefts, &left); err != nil || left < 500 || left > 700 {
+		t.Errorf("given %d ms of 700, %v", left, err)
+	}
+	began := time.Now()
+	g := w.ask(t, http.MethodGet, "/brief/", "", func(r *http.Request) { r.Header.Set(testLeft, "5000") })
+	if took := time.Since(began); g.status != http.StatusGatewayTimeout || took < 150*time.Millisecond || took > time.Second {
+		t.Errorf("status %d after %v; the route allows 200 ms", g.status, took)
+	}
+}
+
+// When a caller leaves, the server's work on what may be repeated ends at once.
+func TestCallerLeaves(t *testing.T) {
+	began, ended := make(chan struct{}), make(chan struct{})
+	w := newWorld(t, func(_ *world, _ int, rw http.ResponseWriter, r *http.Request) {
+		events(rw, 1, 1)
+		close(began)
+		<-r.Context().Done()
+		close(ended)
+	})
+	ctx, leave := context.WithCancel(t.Context())
+	go func() {
+		<-began
+		leave()
+	}()
+	w.askWith(ctx, t, http.MethodPost, "/stream/", "x", nil)
+	select {
+	case <-ended:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the server still works")
+	}
+}
+
+// Requests that hide another one, or whose length is told twice, reach no server as two.
+func TestHiddenRequests(t *testing.T) {
+	inner := "GET /safe/hidden HTTP/1.1\r\nHost: h\r\n" + testID + ": id-9\r\n\r\n"
+	tests := map[string]string{
+		"two lengths":            "POST /unsafe/ HTTP/1.1\r\nHost: h\r\n" + testID + ": a\r\nContent-Length: 5\r\nContent-Length: 70\r\n\r\nhello" + inner,
+		"length and chunks":      "POST /unsafe/ HTTP/1.1\r\nHost: h\r\n" + testID + ": a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"unknown coding":         "POST /unsafe/ HTTP/1.1\r\nHost: h\r\n" + testID + ": a\r\nTransfer-Encoding: xchunked\r\n\r\n" + inner,
+		"inside a body":          "POST /unsafe/ HTTP/1.1\r\nHost: h\r\n" + testID + ": a\r\nContent-Length: " + fmt.Sprint(len(inner)) + "\r\n\r\n" + inner,
+		"line feed in a header":  "GET /safe/ HTTP/1.1\r\nHost: h\r\n" + testID + ": a\nX: y\r\n\r\n",
+		"space before the colon": "POST /unsafe/ HTTP/1.1\r\nHost: h\r\n" + testID + ": a\r\nContent-Length : 5\r\n\r\n" + inner,
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, func(w *world, _ int, rw http.ResponseWriter, r *http.Request) {
+				if r.Header.Get(testID) != "a" || strings.Contains(r.RequestURI, "hidden") {
+					t.Errorf("a server got %s %s with id %q", r.Method, r.RequestURI, r.Header.Get(testID))
+				}
+				w.run(rw, http.StatusOK, "")
+			})
+			c := w.dial(t)
+			if _, err := io.WriteString(c, text); err != nil {
+				t.Fatal(err)
+			}
+			_ = c.SetReadDeadline(time.Now().Add(2 * time.Second)) // a connection that was just opened takes it
+			if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+				t.Errorf("no answer: %v", err)
+			}
+			if w.runs.Load() > 1 {
+				t.Errorf("%d runs of one request", w.runs.Load())
+			}
+		})
+	}
+}
+
+// A router that stops asks callers to connect elsewhere, turns down what it can't finish, and once noticed everything.
+func TestStopping(t *testing.T) {
+	w := newWorld(t, func(w *world, _ int, rw http.ResponseWriter, _ *http.Request) { w.run(rw, http.StatusOK, "") })
+	left := time.Duration(0)
+	leaving := false
+	w.relay.Leaving = func() (time.Duration, bool) { return left, leaving }
+	w.relay.lengths.learn("unsafe", 5*time.Second)
+	tests := []struct {
+		name, path string
+		left       time.Duration
+		leaving    bool
+		status     int
+	}{
+		{"serving", "/unsafe/", 0, false, http.StatusOK},
+		{"leaving, short request", "/safe/", 3 * time.Second, true, http.StatusOK},
+		{"leaving, long request", "/unsafe/", 3 * time.Second, true, http.StatusServiceUnavailable},
+		{"noticed", "/safe/", 0, true, http.StatusServiceUnavailable},
+	}
+	for _, c := range tests {
+		left, leaving = c.left, c.leaving
+		g := w.ask(t, http.MethodPost, c.path, "x", nil)
+		if g.status != c.status {
+			t.Errorf("%s: status %d, want %d", c.name, g.status, c.status)
+		}
+		if c.status != http.StatusOK && g.header.Get("Retry-After") == "" {
+			t.Errorf("%s: no advice when to come back", c.name)
+		}
+	}
+}
+
+// One whose process is told to cut its requests gets a last answer that does not say that nothing ran.
+func TestCutAtTheEndOfAStop(t *testing.T) {
+	stopping, stop := context.WithCancel(context.Background())
+	w := newWorld(t, func(w *world, _ int, _ http.ResponseWriter, r *http.Request) {
+		w.runs.Add(1)
+		stop()
+		<-r.Context().Done()
+	})
+	w.relay.Stopping = stopping
+	g := w.ask(t, http.MethodPost, "/unsafe/", "x", nil)
+	if g.status != http.StatusBadGateway || g.header.Get("Retry-After") != "" {
+		t.Errorf("status %d, Retry-After %q", g.status, g.header.Get("Retry-After"))
+	}
+}
+
+func TestNoConfigurationYet(t *testing.T) {
+	w := newWorld(t, func(_ *world, _ int, _ http.ResponseWriter, _ *http.Request) {})
+	w.table.Store(nil)
+	if g := w.ask(t, http.MethodGet, "/none/", "", nil); g.status != http.StatusServiceUnavailable || g.header.Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q", g.status, g.header.Get("Retry-After"))
+	}
+}
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -16,12 +16,14 @@
 
 // Share runs a fleet's digest over a UDP socket; all fields must be set.
 type Share struct {
-	Fleet  *digest.Fleet
-	Socket net.PacketConn
-	Clock  func() time.Duration
-	Own    func() digest.Sum                                     // this router's own use
-	Take   func(others digest.Sum, known bool, routers []string) // what is known of the others, once a period
-	Failed func(error)                                           // a datagram could not be sent or read
+	Fleet    *digest.Fleet
+	Socket   net.PacketConn
+	Clock    func() time.Duration
+	Own      func() digest.Sum                                     // this router's own use
+	Take     func(others digest.Sum, known bool, routers []string) // what is known of the others, once a period
+	Revision func() int64                                          // of the platform's state, as this router read it
+	Newer    func(revision int64)                                  // a newer one was told by another router
+	Failed   func(error)                                           // a datagram could not be sent or read
 
 	mutex sync.Mutex // guards Fleet
 }
@@ -33,6 +35,13 @@
 	s.Fleet.Seeds = seeds
 }
 
+// Reader reports whether this router reads the platform for others too.
+func (s *Share) Reader() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.Fleet.Reader(s.Clock())
+}
+
 // Run exchanges messages until the context ends.
 func (s *Share) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.Socket.SetDeadline(time.Now()) }) // wakes the reader
@@ -56,6 +65,7 @@
 	own := s.Own()
 	s.mutex.Lock()
 	now := s.Clock()
+	s.Fleet.Revision = max(s.Fleet.Revision, s.Revision())
 	out := s.Fleet.Tick(now, own)
 	others, known := s.Fleet.Others(now)
 	routers := s.Fleet.Live(now)
@@ -100,8 +110,13 @@
 			continue
 		}
 		s.mutex.Lock()
+		before := s.Fleet.Revision
 		out := s.Fleet.Receive(s.Clock(), m)
+		newest := s.Fleet.Revision
 		s.mutex.Unlock()
+		if newest > before {
+			s.Newer(newest)
+		}
 		for i := range out {
 			s.send(&out[i])
 		}
