Share the budget of repeats between routers, keep one for each service, and know servers by their newest address

The budget is now each router's part, with a margin, for each service; a request is sent three times at most; a server told at an address takes its predecessor's place. Tests: TestBudgetBoundsRepeats, TestAddressOfAnother (red before). Ruled out: sending a request to any server with half of its slots free before it is refused.

--- a/core/pool/budget.go
+++ b/core/pool/budget.go
@@ -9,16 +9,25 @@
 	budgetSlices = 10
 )
 
-// Budget bounds how many requests this router sends again: Ratio of the first sends of the window, plus Slack.
-type Budget struct {
+// budgetMargin is the part of the budget that is used: windows of other routers begin at other moments.
+const budgetMargin = 0.8
+
+// Budgets bound how many requests the fleet sends again to each service: Ratio of the first sends of the window, plus Slack.
+// Each router takes the part of its own requests, and an even part of the slack.
+type Budgets struct {
 	Ratio float64
 	Slack float64
 
+	services map[string]*budget
+}
+
+// budget counts the sends to one service.
+type budget struct {
 	slice  [budgetSlices]struct{ first, again float64 }
 	newest int64 // number of the newest slice since the start
 }
 
-func (b *Budget) turn(now time.Duration) int {
+func (b *budget) turn(now time.Duration) int {
 	n := int64(now / (budgetWindow / budgetSlices))
 	for ; b.newest < n; b.newest++ {
 		if n-b.newest > budgetSlices {
@@ -30,19 +39,35 @@
 }
 
 // First counts a request that is sent for the first time.
-func (b *Budget) First(now time.Duration) { b.slice[b.turn(now)].first++ }
+func (b *Budgets) First(now time.Duration, service string) {
+	s := b.service(service)
+	s.slice[s.turn(now)].first++
+}
+
+func (b *Budgets) service(name string) *budget {
+	if b.services == nil {
+		b.services = make(map[string]*budget)
+	}
+	s := b.services[name]
+	if s == nil {
+		s = &budget{}
+		b.services[name] = s
+	}
+	return s
+}
 
 // Take counts one more sending of a request, or reports that the budget is used up.
-func (b *Budget) Take(now time.Duration) bool {
-	at := b.turn(now)
+func (b *Budgets) Take(now time.Duration, service string, routers int) bool {
+	s := b.service(service)
+	at := s.turn(now)
 	var first, again float64
-	for _, s := range b.slice {
-		first += s.first
-		again += s.again
+	for _, c := range s.slice {
+		first += c.first
+		again += c.again
 	}
-	if again+1 > b.Ratio*first+b.Slack {
+	if again+1 > budgetMargin*(b.Ratio*first+b.Slack/float64(max(1, routers))) {
 		return false
 	}
-	b.slice[at].again++
+	s.slice[at].again++
 	return true
 }
--- a/core/pool/pick.go
+++ b/core/pool/pick.go
@@ -184,7 +184,7 @@
 	tightest := p.tightest(a.Service)
 	whole := backlogShare * float64(tightest)
 	if length := a.Objective - a.Arrived; length > tightest {
-		whole *= max(patientShare, float64(tightest)/float64(length))
+		whole *= patientShare
 	}
 	return time.Duration(whole)
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -19,6 +19,7 @@
 	table     *route.Table
 	servers   map[string]*backend
 	services  map[string]*service
+	addresses map[string]string        // id of the newest server at an address
 	evacuated map[string]bool          // data centres that get no new work
 	returned  map[string]time.Duration // when a data centre came back
 	shares    shares
@@ -48,6 +49,7 @@
 	}
 	p.servers = make(map[string]*backend)
 	p.services = make(map[string]*service)
+	p.addresses = make(map[string]string)
 	p.evacuated = make(map[string]bool)
 	p.returned = make(map[string]time.Duration)
 	if p.Random == nil {
@@ -78,6 +80,11 @@
 	if b != nil {
 		p.drop(b)
 	}
+	if o := p.servers[p.addresses[s.Address]]; o != nil && o.Address == s.Address {
+		p.drop(o)
+		p.tell(o, "gone", "server "+s.ID+" has its address")
+	}
+	p.addresses[s.Address] = s.ID
 	b = &backend{Server: s, hash: hash64(s.ID), coldUntil: now + s.ColdFor}
 	p.servers[s.ID] = b
 	v := p.service(s.Service)
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -290,23 +290,53 @@
 }
 
 func TestBudgetBoundsRepeats(t *testing.T) {
-	b := Budget{Ratio: 0.2, Slack: 5}
-	taken := 0
-	for i := range 1000 {
-		now := time.Duration(i) * 10 * time.Millisecond
-		b.First(now)
-		if b.Take(now) {
-			taken++
+	const routers, ratio, slack = 9, 0.2, 58
+	var b [routers]Budgets
+	for i := range b {
+		b[i] = Budgets{Ratio: ratio, Slack: slack}
+	}
+	var desk, chat int
+	for i := range 10000 {
+		now := time.Duration(i) * time.Millisecond
+		router := &b[i%routers]
+		router.First(now, "desk")
+		if router.Take(now, "desk", routers) {
+			desk++
+		}
+		if router.Take(now, "chat", routers) {
+			chat++
 		}
 	}
-	if taken > 205 || taken < 150 {
-		t.Errorf("%d repeats of 1000 requests", taken)
+	if most := 10000*ratio + slack; float64(desk) > most || float64(desk) < most/2 {
+		t.Errorf("%d repeats of 10000 requests in one window over all routers, allowed %.0f", desk, most)
 	}
-	if !b.Take(time.Hour) {
+	if chat > slack || chat == 0 {
+		t.Errorf("%d repeats to a service without requests, allowed %d", chat, slack)
+	}
+	if !b[0].Take(time.Hour, "chat", routers) {
 		t.Error("nothing left of the slack an hour later")
 	}
 }
 
+// A server that is told at the address of another takes its place at once.
+func TestAddressOfAnother(t *testing.T) {
+	p := fill(2)
+	p.Set(time.Second, Server{ID: "new", Service: "desk", Address: "10.0.0.1:80", DataCentre: "east", Slots: 6})
+	for i := range 20 {
+		if r := sent(t, p, time.Second, draft(time.Second, i, uint64(i))); r.Server.ID != "s1" {
+			t.Fatalf("request %d went to %s, whose address another has", i, r.Server.ID)
+		}
+		p.own()
+	}
+}
+
+// own forgets what is in use.
+func (p *Pool) own() {
+	for _, b := range p.servers {
+		b.own = Usage{}
+	}
+}
+
 func TestSharesAreMaxMin(t *testing.T) {
 	tests := map[string]struct {
 		asked      map[string]float64
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -94,7 +94,7 @@
 	p.relay = &relay.Relay{
 		Table: p.table.Load, Gate: p.gate, Dialect: d, Clock: p.now, Leaving: p.left, Log: p.log, Metrics: p.registry,
 		Client:   &back.Client{Settings: back.Settings{Silence: silence, ConnectTimeout: connectTimeout}},
-		Budget:   pool.Budget{Ratio: s.Ratio, Slack: s.Slack},
+		Budgets:  pool.Budgets{Ratio: s.Ratio, Slack: s.Slack},
 		Stopping: stopping,
 	}
 	return p, nil
--- a/router/proc/process_test.go
+++ b/router/proc/process_test.go
@@ -210,7 +210,7 @@
 	}
 	next := *s.process.settings.Load()
 	next.Grace, next.Slack = time.Second, 9
-	if err := s.process.Reload(next); err != nil || s.process.settings.Load().Grace != time.Second || s.process.relay.Budget.Slack != 9 {
+	if err := s.process.Reload(next); err != nil || s.process.settings.Load().Grace != time.Second || s.process.relay.Budgets.Slack != 9 {
 		t.Errorf("settings %+v, %v", s.process.settings.Load(), err)
 	}
 	k.Out(map[string]bool{"east": true})
--- a/router/proc/reload.go
+++ b/router/proc/reload.go
@@ -17,7 +17,7 @@
 	next.Seeds, next.Grace, next.Ratio, next.Slack = s.Seeds, s.Grace, s.Ratio, s.Slack
 	p.settings.Store(&next)
 	p.gate.With(func(_ time.Duration, _ *pool.Pool) {
-		p.relay.Budget.Ratio, p.relay.Budget.Slack = next.Ratio, next.Slack
+		p.relay.Budgets.Ratio, p.relay.Budgets.Slack = next.Ratio, next.Slack
 	})
 	if p.share != nil {
 		p.share.SetSeeds(next.Seeds)
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -22,7 +22,7 @@
 	Dialect  Dialect
 	Clock    func() time.Duration
 	Leaving  func() (time.Duration, bool) // the time until requests are cut, once the process stops; nil for never
-	Budget   pool.Budget                  // guarded by the gate
+	Budgets  pool.Budgets                 // guarded by the gate
 	Log      *log.Logger
 	Metrics  metrics.Registry
 	Stopping context.Context // ends when requests that still run have to be cut; nil for never
@@ -97,14 +97,14 @@
 )
 
 // again draws one more sending of a request from the budget.
-func (s *Relay) again() bool {
+func (s *Relay) again(service string) bool {
 	ok := false
-	s.Gate.With(func(now time.Duration, _ *pool.Pool) { ok = s.Budget.Take(now) })
+	s.Gate.With(func(now time.Duration, p *pool.Pool) { ok = s.Budgets.Take(now, service, len(p.Routers)+1) })
 	return ok
 }
 
-func (s *Relay) first() {
-	s.Gate.With(func(now time.Duration, _ *pool.Pool) { s.Budget.First(now) })
+func (s *Relay) first(service string) {
+	s.Gate.With(func(now time.Duration, _ *pool.Pool) { s.Budgets.First(now, service) })
 }
 
 // note logs a decision on a request.
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -153,7 +153,7 @@
 	if n := w.served[0].Load() + w.served[1].Load() + w.served[2].Load(); n != 3 {
 		t.Errorf("servers were asked %d times, want each once", n)
 	}
-	w.relay.Budget.Slack, w.relay.Budget.Ratio = 0, 0
+	w.relay.Budgets.Slack, w.relay.Budgets.Ratio = 0, 0
 	before := w.count("refused.retryBudget")
 	w.ask(t, http.MethodPost, "/unsafe/", "x", nil)
 	if w.count("refused.retryBudget") == before {
--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -18,7 +18,7 @@
 
 // run sees a request through to its answer; a refusal says why there is none.
 func (c *call) run(ctx context.Context) *refusal {
-	c.relay.first()
+	c.relay.first(c.service)
 	for {
 		v := c.relay.Gate.Admit(ctx, c.ask())
 		if v.Run == nil {
@@ -112,7 +112,9 @@
 	switch {
 	case c.runs > 0 && !c.route.Idempotent(), c.runs >= max(1, c.route.Attempts):
 		return c.last(failed)
-	case !c.relay.again():
+	case c.sends >= sendsMost:
+		return c.last(failed)
+	case !c.relay.again(c.service):
 		e := c.last(failed)
 		if e != nil {
 			e.reason = fleet.ReasonRetryBudget
@@ -123,6 +125,10 @@
 	return nil
 }
 
+// sendsMost bounds how often one request is sent: several servers in a row that did not run it tell that many have gone, and
+// trying them one by one uses up the budget of all.
+const sendsMost = 3
+
 // last ends a request that is not sent again: with the server's own failure if it gave one.
 func (c *call) last(failed *attemptError) *refusal {
 	if c.failed != nil && !c.written {
--- a/router/relay/world_test.go
+++ b/router/relay/world_test.go
@@ -94,7 +94,7 @@
 	}
 	w.relay = &Relay{
 		Table: w.table.Load, Gate: &Gate{Pool: p, Clock: clock}, Client: &back.Client{}, Dialect: testDialect(),
-		Clock: clock, Budget: pool.Budget{Ratio: 0.2, Slack: 20}, Metrics: metrics.NewRegistry(),
+		Clock: clock, Budgets: pool.Budgets{Ratio: 0.2, Slack: 20}, Metrics: metrics.NewRegistry(),
 	}
 	w.front = httptest.NewServer(w.relay)
 	t.Cleanup(w.front.Close)
