Pass a server's own failure on where the budget allows no other try

Test first: TestOwnFailureWithoutBudget, red before (seen since the budget is shared between routers).

--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -161,6 +161,17 @@
 	}
 }
 
+// A server's own failure is passed on whole where the budget allows no other try.
+func TestOwnFailureWithoutBudget(t *testing.T) {
+	w := newWorld(t, func(w *world, _ int, rw http.ResponseWriter, _ *http.Request) {
+		w.run(rw, http.StatusInternalServerError, "own")
+	})
+	w.relay.Budgets.Slack, w.relay.Budgets.Ratio = 0, 0
+	if g := w.ask(t, http.MethodGet, "/safe/", "", nil); g.status != http.StatusInternalServerError || g.body != "own" || g.err != nil {
+		t.Errorf("%d %q, %v", g.status, g.body, g.err)
+	}
+}
+
 // A stream that breaks goes on at another server after its last whole event, within the same answer.
 func TestStreamsGoOn(t *testing.T) {
 	tests := map[string]struct {
--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -116,7 +116,7 @@
 		return c.last(failed)
 	case !c.relay.again(c.service):
 		e := c.last(failed)
-		if e != nil {
+		if e.reason != fleet.ReasonNone {
 			e.reason = fleet.ReasonRetryBudget
 		}
 		return e
