--- a/model/world/server.go
+++ b/model/world/server.go
@@ -47,7 +47,8 @@
 	keeps   int64 // tokens of all kept parts
 	busy    time.Duration
 	down    bool
-	Reread  int64 // shared tokens that were read although some server had read them
+	seen    map[uint64]bool // parts that any server has read; all servers share it
+	Reread  int64           // shared tokens that were read although some server had read them
 	ReadAll int64
 }
 
@@ -80,14 +81,15 @@
 // look finds out what of the prompt is kept, and keeps the rest of its shared parts.
 func (s *server) look(now time.Duration, j *job) {
 	missed := false
-	for i, p := range j.request.Parts {
+	for _, p := range j.request.Parts {
 		_, hit := s.kept[p.ID]
 		missed = missed || !hit
 		if !missed {
 			j.unread -= p.Tokens
-		} else if i < len(j.request.Parts)-1 {
+		} else if s.seen[p.ID] {
 			s.Reread += p.Tokens
 		}
+		s.seen[p.ID] = true
 		s.keep(now, p)
 	}
 	j.unread = max(1, j.unread)
--- a/model/world/world.go
+++ b/model/world/world.go
@@ -90,8 +90,9 @@
 		}
 		w.pools = append(w.pools, q)
 	}
+	seen := map[uint64]bool{}
 	for k := range servers {
-		s := &server{engine: engine, id: fmt.Sprintf("s%d", k), kept: map[uint64]time.Duration{}, sizes: map[uint64]int64{}}
+		s := &server{engine: engine, seen: seen, id: fmt.Sprintf("s%d", k), kept: map[uint64]time.Duration{}, sizes: map[uint64]int64{}}
 		w.servers = append(w.servers, s)
 		w.byID[s.id] = s
 	}
