--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -453,3 +453,32 @@
 		}
 	}
 }
+
+// A team beyond its share is served while servers have room, and refused soon when they have none.
+func TestBeyondShareUsesWhatIsFree(t *testing.T) {
+	tests := map[string]struct {
+		prefill int64 // at the only server
+		want    fleet.Reason
+	}{
+		"idle":       {want: fleet.ReasonGranted},
+		"a bit busy": {prefill: 1500, want: fleet.ReasonGranted},
+		"busy":       {prefill: 12000, want: fleet.ReasonTeamShare},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := fill(1)
+			p.shares.team("t").others = 1e9
+			p.shares.team("u").others = 1e9
+			p.servers["s0"].own = Usage{Requests: 40, Prefill: c.prefill}
+			v, decided := p.Admit(time.Second, draft(time.Second, 1, 7))
+			if !decided {
+				for _, w := range p.Turn(time.Second + time.Duration(waitShare*float64(objective))) {
+					v, decided = w, true
+				}
+			}
+			if !decided || v.Reason != c.want {
+				t.Errorf("decided %t, reason %s, want %s", decided, v.Reason, c.want)
+			}
+		})
+	}
+}
