Give what is free to the least served of the teams beyond their share

Routers tell each other what teams get besides what they ask for; a team beyond its share that is a quarter better served than another such team waits for it. Teams that ask only other routers count in the level too. Tests: TestFreeCapacityGoesToTheLeastServed, TestTeamsElsewhereCount.

--- a/core/digest/sum.go
+++ b/core/digest/sum.go
@@ -10,7 +10,12 @@
 // Sum adds up what routers have in use and what teams ask for; keys are hashes of names.
 type Sum struct {
 	Servers map[uint32]Use
-	Teams   map[uint32]int64 // tokens a second
+	Teams   map[uint32]Rates
+}
+
+// Rates are what a team asks for and gets, in tokens a second.
+type Rates struct {
+	Asked, Served int64
 }
 
 // Add adds another sum.
@@ -24,7 +29,7 @@
 		s.Servers = make(map[uint32]Use, len(o.Servers))
 	}
 	if s.Teams == nil {
-		s.Teams = make(map[uint32]int64, len(o.Teams))
+		s.Teams = make(map[uint32]Rates, len(o.Teams))
 	}
 	for id, u := range o.Servers {
 		v := s.Servers[id]
@@ -34,7 +39,8 @@
 			Memory:   max(0, v.Memory+sign*u.Memory),
 		}
 	}
-	for id, rate := range o.Teams {
-		s.Teams[id] = max(0, s.Teams[id]+sign*rate)
+	for id, r := range o.Teams {
+		v := s.Teams[id]
+		s.Teams[id] = Rates{Asked: max(0, v.Asked+sign*r.Asked), Served: max(0, v.Served+sign*r.Served)}
 	}
 }
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"mangolug.org/core/digest"
 	"mangolug.org/core/fleet"
 	"mangolug.org/core/route"
 )
@@ -482,3 +483,45 @@
 		})
 	}
 }
+
+// Of two teams beyond their share, what is free goes to the one that got less.
+func TestFreeCapacityGoesToTheLeastServed(t *testing.T) {
+	for name, c := range map[string]struct {
+		mine, other float64 // tokens a second that the teams get
+		want        fleet.Reason
+	}{
+		"least served":    {mine: 100000, other: 300000, want: fleet.ReasonGranted},
+		"about the same":  {mine: 110000, other: 100000, want: fleet.ReasonGranted},
+		"far better":      {mine: 300000, other: 100000, want: fleet.ReasonTeamShare},
+		"the only beyond": {mine: 300000, other: -1, want: fleet.ReasonGranted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := fill(1)
+			p.servers["s0"].own = Usage{Requests: 40}
+			mine, other := p.shares.team("t"), p.shares.team("u")
+			mine.others, mine.othersServed = 1e9, c.mine
+			if c.other >= 0 {
+				other.others, other.othersServed = 1e9, c.other
+			}
+			v, decided := p.Admit(time.Second, draft(time.Second, 1, 7))
+			for _, w := range p.Turn(time.Second + objective) {
+				v, decided = w, true
+			}
+			if !decided || v.Reason != c.want {
+				t.Errorf("decided %t, reason %s, want %s", decided, v.Reason, c.want)
+			}
+		})
+	}
+}
+
+// Teams that ask only other routers have their part of the throughput too.
+func TestTeamsElsewhereCount(t *testing.T) {
+	p := fill(1)
+	mine := p.shares.team("t")
+	mine.own = rate{value: 60000}
+	p.Others(0, digest.Sum{Teams: map[uint32]digest.Rates{1: {Asked: 40000}, 2: {Asked: 300000}}}, true, nil)
+	p.shares.settle(0, p.throughput())
+	if p.shares.level != 100000.0/3 {
+		t.Errorf("level %v of three teams that all ask for more", p.shares.level)
+	}
+}
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -89,6 +89,9 @@
 func (p *Pool) decide(now time.Duration, v *service, a *Ask) (Verdict, bool) {
 	c, ok := p.pick(now, v, a)
 	inTime := ok && now+c.backlog <= a.latest
+	if a.beyond && p.shares.ahead(now, a.Team) {
+		inTime = false
+	}
 	if c.room && (inTime || a.Prompt == 0) {
 		return p.send(now, a, c), true
 	}
--- a/core/pool/shares.go
+++ b/core/pool/shares.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"mangolug.org/core/digest"
 )
 
 const (
@@ -36,14 +38,46 @@
 type teamShare struct {
 	own    rate    // tokens a second that it asks of this router
 	others float64 // tokens a second that it asks of the other routers
-	credit float64 // tokens that it may still ask for within its share
+	served rate    // tokens a second that it gets at this router
+
+	othersServed float64 // tokens a second that it gets at the other routers
+	credit       float64 // tokens that it may still ask for within its share
 }
 
 // shares divides the fleet's throughput between teams, max-min fair.
 type shares struct {
-	teams map[string]*teamShare
-	level float64 // tokens a second above which a team is beyond its share; 0 for none
-	at    time.Duration
+	teams     map[string]*teamShare
+	elsewhere []digest.Rates // of teams that ask only other routers
+	level     float64        // tokens a second above which a team is beyond its share; 0 for none
+	at        time.Duration
+}
+
+// aheadFactor is by how much a team may be better served than the least served of the teams that ask for more than they get,
+// before it has to wait for them.
+const aheadFactor = 1.25
+
+// ahead reports a team beyond its share that is better served than another such team: what is free goes to that one first.
+func (s *shares) ahead(now time.Duration, name string) bool {
+	if s.level == 0 {
+		return false
+	}
+	least, found := 0.0, false
+	for _, t := range s.teams {
+		t.served.decay(now)
+		if t.own.value+t.others <= s.level {
+			continue
+		}
+		if got := t.served.value + t.othersServed; !found || got < least {
+			least, found = got, true
+		}
+	}
+	for _, r := range s.elsewhere {
+		if got := float64(r.Served); float64(r.Asked) > s.level && (!found || got < least) {
+			least, found = got, true
+		}
+	}
+	mine := s.team(name)
+	return found && mine.served.value+mine.othersServed > aheadFactor*least
 }
 
 // levelPeriod is how often the level is worked out anew.
@@ -95,6 +129,10 @@
 		asked = append(asked, value)
 		total += value
 	}
+	for _, r := range s.elsewhere {
+		asked = append(asked, float64(r.Asked))
+		total += float64(r.Asked)
+	}
 	if total <= throughput {
 		return
 	}
--- a/core/pool/summary.go
+++ b/core/pool/summary.go
@@ -10,7 +10,7 @@
 // Own gives what this router has in use and what is asked of it, for the other routers.
 func (p *Pool) Own(now time.Duration) digest.Sum {
 	p.init()
-	s := digest.Sum{Servers: make(map[uint32]digest.Use, len(p.servers)), Teams: make(map[uint32]int64, len(p.shares.teams))}
+	s := digest.Sum{Servers: make(map[uint32]digest.Use, len(p.servers)), Teams: make(map[uint32]digest.Rates, len(p.shares.teams))}
 	for id, b := range p.servers {
 		if b.own != (Usage{}) {
 			s.Servers[key(id)] = digest.Use(b.own)
@@ -18,8 +18,9 @@
 	}
 	for name, t := range p.shares.teams {
 		t.own.decay(now)
-		if rate := int64(t.own.value); rate > 0 {
-			s.Teams[key(name)] = rate
+		t.served.decay(now)
+		if r := (digest.Rates{Asked: int64(t.own.value), Served: int64(t.served.value)}); r != (digest.Rates{}) {
+			s.Teams[key(name)] = r
 		}
 	}
 	return s
@@ -35,8 +36,17 @@
 	for id, b := range p.servers {
 		b.others, b.othersAt = Usage(s.Servers[key(id)]), now
 	}
+	mine := make(map[uint32]bool, len(p.shares.teams))
 	for name, t := range p.shares.teams {
-		t.others = float64(s.Teams[key(name)])
+		r := s.Teams[key(name)]
+		mine[key(name)] = true
+		t.others, t.othersServed = float64(r.Asked), float64(r.Served)
+	}
+	p.shares.elsewhere = p.shares.elsewhere[:0]
+	for id, r := range s.Teams {
+		if !mine[id] {
+			p.shares.elsewhere = append(p.shares.elsewhere, r)
+		}
 	}
 }
 
--- a/router/share/codec.go
+++ b/router/share/codec.go
@@ -68,10 +68,11 @@
 		t.Prefill = append(t.Prefill, units(u.Prefill, prefillUnit))
 		t.Memory = append(t.Memory, units(u.Memory, memoryUnit))
 	}
-	for id, rate := range s.Teams {
-		if rate > 0 {
+	for id, r := range s.Teams {
+		if r != (digest.Rates{}) {
 			t.Teams = append(t.Teams, id)
-			t.Rates = append(t.Rates, units(rate, rateUnit))
+			t.Asked = append(t.Asked, units(r.Asked, rateUnit))
+			t.Served = append(t.Served, units(r.Served, rateUnit))
 		}
 	}
 	return t
@@ -86,18 +87,18 @@
 		return nil, nil
 	}
 	n := len(t.Servers)
-	if len(t.Requests) != n || len(t.Prefill) != n || len(t.Memory) != n || len(t.Teams) != len(t.Rates) {
-		return nil, fmt.Errorf("columns of unequal length: %d servers, %d requests, %d prefill, %d memory, %d teams, %d rates",
-			n, len(t.Requests), len(t.Prefill), len(t.Memory), len(t.Teams), len(t.Rates))
+	if len(t.Requests) != n || len(t.Prefill) != n || len(t.Memory) != n || len(t.Teams) != len(t.Asked) || len(t.Teams) != len(t.Served) {
+		return nil, fmt.Errorf("columns of unequal length: %d servers, %d requests, %d prefill, %d memory, %d teams, %d asked, %d served",
+			n, len(t.Requests), len(t.Prefill), len(t.Memory), len(t.Teams), len(t.Asked), len(t.Served))
 	}
-	s := &digest.Sum{Servers: make(map[uint32]digest.Use, n), Teams: make(map[uint32]int64, len(t.Teams))}
+	s := &digest.Sum{Servers: make(map[uint32]digest.Use, n), Teams: make(map[uint32]digest.Rates, len(t.Teams))}
 	for i, id := range t.Servers {
 		s.Servers[id] = digest.Use{
 			Requests: int64(t.Requests[i]), Prefill: int64(t.Prefill[i]) * prefillUnit, Memory: int64(t.Memory[i]) * memoryUnit,
 		}
 	}
 	for i, id := range t.Teams {
-		s.Teams[id] = int64(t.Rates[i]) * rateUnit
+		s.Teams[id] = digest.Rates{Asked: int64(t.Asked[i]) * rateUnit, Served: int64(t.Served[i]) * rateUnit}
 	}
 	return s, nil
 }
--- a/stage/local/control.go
+++ b/stage/local/control.go
@@ -13,10 +13,10 @@
 
 	"github.com/pkg/errors"
 
+	"mangolug.org/bulletin/serve"
 	"mangolug.org/core/report"
 	"mangolug.org/desk/record"
 	"mangolug.org/engine/batch"
-	"mangolug.org/bulletin/serve"
 )
 
 const (
