--- /dev/null
+++ b/router/share/codec_test.go
@@ -0,0 +1,77 @@
+package share
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mangolug.org/core/digest"
+)
+
+func message(servers, teams int) *digest.Message {
+	s := &digest.Sum{Servers: map[uint32]digest.Use{}, Teams: map[uint32]digest.Rates{}}
+	for i := range servers {
+		s.Servers[uint32(i)*2654435761] = digest.Use{Requests: int64(i%60) + 1, Prefill: 16 * int64(i%900), Memory: 64 * int64(i%3000)}
+	}
+	for i := range teams {
+		s.Teams[uint32(i)*2246822519] = digest.Rates{Asked: 16 * int64(i+1), Served: 16 * int64(i)}
+	}
+	return &digest.Message{From: "10.0.0.1:7000", Revision: 99, Others: s}
+}
+
+func TestRoundTrip(t *testing.T) {
+	want := message(144, 30)
+	want.Part, want.Centre = want.Others, want.Others
+	want.Members = []digest.Member{{Address: "10.0.0.1:7000", DataCentre: "east", Beat: 1 << 40}, {Address: "[::1]:9", DataCentre: "west", Beat: 3}}
+	text, err := Encode(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Decode(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(*want, got); d != "" {
+		t.Error(d)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	text, err := Encode(message(3, 2))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(text)
+	f.Fuzz(func(t *testing.T, text []byte) {
+		m, err := Decode(text)
+		if err != nil {
+			return
+		}
+		if _, err := Encode(&m); err != nil {
+			t.Errorf("read %q, which can't be written: %v", text, err)
+		}
+	})
+}
+
+// BenchmarkOthers gives the bytes and the time of what a relay tells one router.
+func BenchmarkOthers(b *testing.B) {
+	for _, size := range []struct{ servers, teams int }{{12, 16}, {144, 30}, {3200, 4900}} {
+		b.Run(fmt.Sprintf("%d servers, %d teams", size.servers, size.teams), func(b *testing.B) {
+			m := message(size.servers, size.teams)
+			text, err := Encode(m)
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				if _, err := Encode(m); err != nil {
+					b.Fatal(err)
+				}
+				if _, err := Decode(text); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(text)), "B/message")
+		})
+	}
+}
