Keep one copy of what strips a connection's headers and of the hash for rendezvous

Found by the list of duplicates: router/relay and router/front each had the first, core/route and core/pool the second. Behaviour is as it was.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -136,7 +136,7 @@
 	Epoch   uint64 `json:"epoch,omitempty"`   // changes when the server restarts or turns cold
 	Running int    `json:"running,omitempty"` // requests in service
 	Waiting int    `json:"waiting,omitempty"` // requests admitted but not yet in service
-	Limit   int    `json:"limit,omitempty"`   // what the server says it bears; 0 if it does not say
+	Limit   int    `json:"limit,omitempty"`   // requests that the server says it can run at once; 0 if it does not say
 	Age     int64  `json:"age,omitempty"`     // milliseconds between measurement and receipt, as far as known
 }
 
--- a/core/limit/doc.go
+++ b/core/limit/doc.go
@@ -1,3 +1,3 @@
-// Package limit learns how many concurrent requests one backend server bears,
+// Package limit learns how many concurrent requests one backend server can run,
 // under its configured ceiling, and sets a failing server aside for a while.
 package limit
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -153,7 +153,7 @@
 	return view
 }
 
-// renew recomputes the own view and reports whether it changed; a change waits while a heartbeat bears the present stamp.
+// renew recomputes the own view and reports whether it changed; a change waits while a heartbeat carries the present stamp.
 func (m *Members) renew(now time.Duration) bool {
 	view := m.intern(m.view())
 	begin := m.Clock(now)
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -14,15 +14,15 @@
 	n.do(Effect{Send: &Send{To: to, Message: m}})
 }
 
-// heeds says whether a peer's message counts: it is listed, or there is no list yet and it may bring one.
-func (n *Node) heeds(from string, m *fleet.Message) bool {
+// accepts says whether a peer's message counts: it is listed, or there is no list yet and it may bring one.
+func (n *Node) accepts(from string, m *fleet.Message) bool {
 	_, listed := n.listed[from]
 	return listed || len(n.listed) == 0 && m.ListText != nil
 }
 
 // receive handles one message; those of an earlier incarnation or of a VM that is not listed are dropped.
 func (n *Node) receive(from string, m *fleet.Message) {
-	if !n.heeds(from, m) {
+	if !n.accepts(from, m) {
 		n.count("peers.notListed")
 		return
 	}
--- a/core/pool/meter.go
+++ b/core/pool/meter.go
@@ -1,6 +1,10 @@
 package pool
 
-import "time"
+import (
+	"time"
+
+	"mangolug.org/core/route"
+)
 
 const (
 	// coldSenders is how many routers share the rate of a cold server: with each sending its part and one request at once,
@@ -32,10 +36,10 @@
 	if rate <= 0 || !p.Joined {
 		return 0
 	}
-	mine := mix(b.hash ^ hash64(p.Self))
+	mine := route.Mix(b.hash ^ hash64(p.Self))
 	before := 0
 	for _, name := range p.Routers {
-		if h := mix(b.hash ^ hash64(name)); h > mine {
+		if h := route.Mix(b.hash ^ hash64(name)); h > mine {
 			before++
 		}
 	}
--- a/core/pool/pick.go
+++ b/core/pool/pick.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"mangolug.org/core/route"
 )
 
 const (
@@ -109,7 +111,7 @@
 		if !p.open(b) || b.health.aside(now) || p.cold(now, b) {
 			continue
 		}
-		if h := mix(b.hash ^ subject); home == nil || h > most {
+		if h := route.Mix(b.hash ^ subject); home == nil || h > most {
 			home, most = b, h
 		}
 	}
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -3,6 +3,8 @@
 import (
 	"hash/fnv"
 	"time"
+
+	"mangolug.org/core/route"
 )
 
 // Server is a backend server as the platform tells of it.
@@ -79,14 +81,5 @@
 func hash64(name string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(name)) // a hash never fails
-	return mix(h.Sum64())
-}
-
-// mix spreads a hash over all its bits (the finaliser of MurmurHash3).
-func mix(h uint64) uint64 {
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	h *= 0xc4ceb9fe1a85ec53
-	return h ^ h>>33
+	return route.Mix(h.Sum64())
 }
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -91,7 +91,7 @@
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(r.Name)) // a hash never fails
 	_, _ = h.Write([]byte(subject))
-	at := int(mix(h.Sum64()) % uint64(total))
+	at := int(Mix(h.Sum64()) % uint64(total))
 	for _, s := range r.Split {
 		if at -= max(0, s.Weight); at < 0 {
 			return s.Service
@@ -100,8 +100,8 @@
 	return r.Split[len(r.Split)-1].Service
 }
 
-// mix spreads a hash over all its bits, as FNV leaves those of short texts alike (the finaliser of MurmurHash3).
-func mix(h uint64) uint64 {
+// Mix spreads a hash over all its bits, as FNV leaves those of short texts alike (the finaliser of MurmurHash3).
+func Mix(h uint64) uint64 {
 	h ^= h >> 33
 	h *= 0xff51afd7ed558ccd
 	h ^= h >> 33
--- a/router/front/pass.go
+++ b/router/front/pass.go
@@ -16,23 +16,6 @@
 	"mangolug.org/router/back"
 )
 
-// hopHeaders concern one connection only.
-var hopHeaders = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-func stripHop(h http.Header) {
-	for _, line := range h.Values("Connection") {
-		for _, name := range strings.Split(line, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		h.Del(name)
-	}
-}
-
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
@@ -241,7 +224,7 @@
 func (c *call) begin(a *back.Answer, length int64) {
 	h := c.writer.Header()
 	passed := a.Header.Clone()
-	stripHop(passed)
+	back.StripHop(passed)
 	for name, values := range passed {
 		switch name {
 		case "Content-Length", back.HeaderAttempt, headerRequest:
--- a/router/front/run.go
+++ b/router/front/run.go
@@ -216,7 +216,7 @@
 // passedHeader gives the caller's header without what concerns only its own connection or this router.
 func (c *call) passedHeader() http.Header {
 	h := c.request.Header.Clone()
-	stripHop(h)
+	back.StripHop(h)
 	for _, name := range []string{"Authorization", headerTimeout, "Expect"} {
 		h.Del(name)
 	}
--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -28,7 +28,7 @@
 func (a *answer) header(c *call, length int64) {
 	h := c.writer.Header()
 	passed := a.response.Header
-	stripHop(passed)
+	back.StripHop(passed)
 	for name, values := range passed {
 		if name != "Content-Length" {
 			h[name] = values
--- a/router/relay/dialect.go
+++ b/router/relay/dialect.go
@@ -31,7 +31,7 @@
 type Told struct {
 	ID      string // of the request that it answers
 	Server  string // id; empty if it is not told
-	Signed  bool   // it bears a server's signature
+	Signed  bool   // it has a server's signature
 	NotRun  bool   // the server says that it did not run the request
 	Load    pool.Load
 	HasLoad bool
--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -143,28 +143,11 @@
 // retryElsewhere is the advice after servers that did not run a request: about the time until they are known to be full.
 const retryElsewhere = 250 * time.Millisecond
 
-// hopHeaders concern one connection only.
-var hopHeaders = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-func stripHop(h http.Header) {
-	for _, line := range h.Values("Connection") {
-		for _, name := range strings.Split(line, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		h.Del(name)
-	}
-}
-
 // outgoing builds the request for a server.
 func (c *call) outgoing(ctx context.Context, run *pool.Run) *http.Request {
 	path, query, hasQuery := strings.Cut(c.request.RequestURI, "?")
 	h := c.request.Header.Clone()
-	stripHop(h)
+	back.StripHop(h)
 	h.Del("Expect")
 	h.Del("Content-Length")
 	c.relay.Dialect.Write(h, Sending{
