Drop the bound on reading without a break

Ruled out with it: that pauses of streams on the grown site come from queues; single long prompts make them.

--- a/core/pool/pick.go
+++ b/core/pool/pick.go
@@ -11,11 +11,6 @@
 	// backlogShare is the part of the tightest objective of a service for which a server may have work queued: beyond it
 	// requests wait at routers, where they can still be ordered and refused.
 	backlogShare = 0.6
-	// pauseShare is the part of the shortest allowed pause of streams for which a server may read prompts without a break:
-	// its streams get few tokens meanwhile.
-	pauseShare = 0.8
-	// largeShare is the part of the usual queue that requests keep whose own prompt takes longer than that.
-	largeShare = 0.4
 	// patientShare is the least part of that which requests with long objectives may use.
 	patientShare = 0.5
 	// rereadWeight is what reading a shared part once more counts besides its own time, since it delays all others.
@@ -139,7 +134,7 @@
 	if b.DataCentre != p.DataCentre {
 		c.cost += abroad
 	}
-	c.room = c.backlog <= p.bound(a, v.rate.time(c.unread)) && p.fits(b, u, a)
+	c.room = c.backlog <= p.bound(a) && p.fits(b, u, a)
 	return c
 }
 
@@ -187,26 +182,15 @@
 
 // bound gives how much work a server may have queued for one more request to be sent: requests that can wait longer leave
 // room for those that can't.
-func (p *Pool) bound(a *Ask, own time.Duration) time.Duration {
+func (p *Pool) bound(a *Ask) time.Duration {
 	tightest := p.tightest(a.Service)
 	whole := backlogShare * float64(tightest)
 	if length := a.Objective - a.Arrived; length > tightest {
 		whole *= patientShare
 	}
-	if pause := p.pause(a.Service); pause > 0 {
-		whole = min(whole, max(largeShare*whole, pauseShare*float64(pause)-float64(own)))
-	}
 	return time.Duration(whole)
 }
 
-// pause gives the shortest of the pauses that streams of a service may make.
-func (p *Pool) pause(name string) time.Duration {
-	if p.table == nil {
-		return 0
-	}
-	return p.table.Pause(name)
-}
-
 // tightest gives the shortest objective of all routes to a service.
 func (p *Pool) tightest(name string) time.Duration {
 	if p.table == nil {
