Let hot subjects have copies at more than their home

A part that many requests follow on is worth a copy, so rereading counts less as more came at this router within ten seconds, from three on.

--- a/core/pool/pick.go
+++ b/core/pool/pick.go
@@ -13,8 +13,12 @@
 	backlogShare = 0.6
 	// patientShare is the least part of that which requests with long objectives may use.
 	patientShare = 0.5
-	// rereadWeight is what reading a shared part once more counts besides its own time, since it delays all others.
+	// rereadWeight is what reading a shared part once more counts besides its own time, since it delays all others; of a subject
+	// on which many requests come, a copy at a second server serves all that follow, and it counts as much less.
 	rereadWeight = 10
+	// hotCount is how many requests on a subject, at one router within cacheMemory, make it hot: a subject of the usual days
+	// has one or two.
+	hotCount = 3
 	// memoryShare is the part of a server's KV cache that running requests may fill; the rest keeps shared parts.
 	memoryShare = 0.9
 	// abroad is what a server in another data centre counts behind one nearby.
@@ -130,7 +134,8 @@
 	c.unread = max(1, c.unread)
 	c.backlog = v.rate.time(u.Prefill)
 	reread := c.unread - a.own()
-	c.cost = c.backlog + v.rate.time(reread) + time.Duration(rereadWeight*float64(v.rate.time(reread)))
+	weight := 1 + rereadWeight/max(1, v.heat.count(now, a.subject())/hotCount)
+	c.cost = c.backlog + time.Duration(weight*float64(v.rate.time(reread)))
 	if b.DataCentre != p.DataCentre {
 		c.cost += abroad
 	}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -34,6 +34,7 @@
 	rate    pace
 	failing float64 // moving share of failures over all its servers
 	queue   queue
+	heat    heat
 }
 
 // Event is a change of what is believed of a server.
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -54,6 +54,9 @@
 	if a.Prompt > 0 && !a.Again {
 		a.beyond = p.shares.ask(now, a.Team, float64(a.cost()), p.throughput())
 	}
+	if a.Prompt > 0 {
+		v.heat.note(now, a.subject())
+	}
 	a.latest = p.latest(v, a)
 	if len(v.queue.asks) == 0 || a.Again || a.Prompt == 0 {
 		if verdict, ok := p.decide(now, v, a); ok {
