Give what is sent again its objective anew, and count dropped log lines where scrapers see them

Cause: read on the last pass: a stream that broke after its objective was over was refused at once when its next server was more than half full, since it could not be in time any more. What is left of a stream is worth waiting for. Test first: TestSentAgainWaitsAnew, red before.

--- a/core/pool/pick.go
+++ b/core/pool/pick.go
@@ -11,7 +11,7 @@
 	// backlogShare is the part of the tightest objective of a service for which a server may have work queued: beyond it
 	// requests wait at routers, where they can still be ordered and refused.
 	backlogShare = 0.6
-	// patientShare is the least part of that which requests with long objectives may use.
+	// patientShare is the part of that which requests with long objectives may use.
 	patientShare = 0.5
 	// rereadWeight is what reading a shared part once more counts besides its own time, since it delays all others; of a subject
 	// on which many requests come, a copy at a second server serves all that follow, and it counts as much less.
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -76,6 +76,7 @@
 	p.reader.Store(true) // until the fleet is known
 	p.settings.Store(&s)
 	p.lines = newLogWriter(os.Stdout)
+	metrics.NewRegisteredFunctionalGauge("logDropped", p.registry, p.lines.dropped.Load)
 	p.log = log.NewWithOptions(p.lines, log.Options{
 		Formatter: log.LogfmtFormatter, ReportTimestamp: true, TimeFormat: time.RFC3339Nano,
 	}).With("router", s.Name)
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -183,8 +183,12 @@
 	if c.asked.Hint > 0 {
 		output = min(output, c.asked.Hint)
 	}
+	arrived := c.arrived
+	if c.sends > 0 {
+		arrived = c.relay.Clock() // what is left of the answer is still of worth, however late its first attempt was
+	}
 	return &pool.Ask{
 		ID: c.asked.ID, Service: c.service, Team: c.team, Prompt: c.asked.Prompt, Output: output, Parts: c.asked.Parts,
-		Arrived: c.arrived, Objective: c.arrived + c.route.Objective, Deadline: c.deadline, Tried: c.tried, Again: c.sends > 0,
+		Arrived: arrived, Objective: arrived + c.route.Objective, Deadline: c.deadline, Tried: c.tried, Again: c.sends > 0,
 	}
 }
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -381,3 +381,13 @@
 		t.Errorf("status %d, Retry-After %q", g.status, g.header.Get("Retry-After"))
 	}
 }
+
+// A request that is sent again has its objective anew: what is left of its stream is worth waiting for until its deadline.
+func TestSentAgainWaitsAnew(t *testing.T) {
+	w := newWorld(t, func(*world, int, http.ResponseWriter, *http.Request) {})
+	now := w.relay.Clock()
+	c := &call{relay: w.relay, arrived: now - time.Minute, deadline: now + time.Minute, route: &route.Route{Objective: time.Second}, sends: 1}
+	if a := c.ask(); a.Objective < now+time.Second || !a.Again {
+		t.Errorf("objective %v after the present, again %t", a.Objective-now, a.Again)
+	}
+}
