--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -525,3 +525,16 @@
 		t.Errorf("level %v of three teams that all ask for more", p.shares.level)
 	}
 }
+
+// Teams that ask no more are forgotten.
+func TestIdleTeamsAreForgotten(t *testing.T) {
+	var s shares
+	for i := range 1000 {
+		s.ask(0, fmt.Sprint("team", i), 500, 100000)
+	}
+	s.ask(time.Hour, "new", 500, 100000)
+	s.settle(time.Hour, 100000)
+	if len(s.teams) != 1 {
+		t.Errorf("%d teams are remembered", len(s.teams))
+	}
+}
--- a/core/pool/shares.go
+++ b/core/pool/shares.go
@@ -80,6 +80,9 @@
 	return found && mine.served.value+mine.othersServed > aheadFactor*least
 }
 
+// idleRate is the tokens a second below which a team is forgotten until it asks again, so that many small teams cost nothing.
+const idleRate = 1
+
 // levelPeriod is how often the level is worked out anew.
 const levelPeriod = 100 * time.Millisecond
 
@@ -123,9 +126,14 @@
 	s.at, s.level = now, 0
 	asked := make([]float64, 0, len(s.teams))
 	total := 0.0
-	for _, t := range s.teams {
+	for name, t := range s.teams {
 		t.own.decay(now)
+		t.served.decay(now)
 		value := t.own.value + t.others
+		if value < idleRate && t.served.value < idleRate {
+			delete(s.teams, name)
+			continue
+		}
 		asked = append(asked, value)
 		total += value
 	}
