Notice a caller that takes nothing, and do three things once

Found on the last reading of the whole change. passEvents kept the error of writing in a shadowed variable, so it was never looked at; TestDeafCaller was red (2.0 s, the route's limit) and passes. Checked: format, lint, vet, race tests of the touched modules.

--- a/core/digest/fleet.go
+++ b/core/digest/fleet.go
@@ -201,6 +201,13 @@
 	for _, h := range f.centres {
 		abroad.Add(h.sum)
 	}
+	without := func(own Sum) Sum {
+		var rest Sum
+		rest.Add(centre)
+		rest.Subtract(own)
+		rest.Add(abroad)
+		return rest
+	}
 	var out []Out
 	for _, name := range f.dataCentres(now) {
 		if name == f.DataCentre {
@@ -211,17 +218,10 @@
 		}
 	}
 	for _, to := range slices.Sorted(maps.Keys(f.parts)) {
-		var rest Sum
-		rest.Add(centre)
-		rest.Subtract(f.parts[to].sum)
-		rest.Add(abroad)
+		rest := without(f.parts[to].sum)
 		out = append(out, Out{to, Message{From: f.Address, Others: &rest}})
 	}
-	var rest Sum
-	rest.Add(centre)
-	rest.Subtract(own)
-	rest.Add(abroad)
-	f.others = heard{rest, now}
+	f.others = heard{without(own), now}
 	return out
 }
 
--- a/core/pool/pick.go
+++ b/core/pool/pick.go
@@ -41,14 +41,14 @@
 
 // pick gives the best server for a request, and false if none may be sent to.
 func (p *Pool) pick(now time.Duration, v *service, a *Ask) (choice, bool) {
-	home := p.home(now, v, a)
+	home, weight := p.home(now, v, a), v.reread(now, a)
 	best := choice{cost: math.MaxInt64}
 	found := false
 	for _, b := range v.servers {
 		if !p.usable(now, b, a) {
 			continue
 		}
-		c := p.weigh(now, v, b, a, b == home)
+		c := p.weigh(now, v, b, a, b == home, weight)
 		if !found || c.cost < best.cost {
 			best, found = c, true
 		}
@@ -117,8 +117,13 @@
 	return home
 }
 
-// weigh tells what sending a request to a server would cost.
-func (p *Pool) weigh(now time.Duration, v *service, b *backend, a *Ask, home bool) choice {
+// reread gives how many times its own time reading a shared part of a request once more counts.
+func (v *service) reread(now time.Duration, a *Ask) float64 {
+	return 1 + rereadWeight/max(1, v.heat.count(now, a.subject())/hotCount)
+}
+
+// weigh tells what sending a request to a server would cost; weight is that of reading shared parts once more.
+func (p *Pool) weigh(now time.Duration, v *service, b *backend, a *Ask, home bool, weight float64) choice {
 	u := b.usage(now)
 	if a.Prompt == 0 {
 		return p.weighPlain(now, b, u)
@@ -134,7 +139,6 @@
 	c.unread = max(1, c.unread)
 	c.backlog = v.rate.time(u.Prefill)
 	reread := c.unread - a.own()
-	weight := 1 + rereadWeight/max(1, v.heat.count(now, a.subject())/hotCount)
 	c.cost = c.backlog + time.Duration(weight*float64(v.rate.time(reread)))
 	if b.DataCentre != p.DataCentre {
 		c.cost += abroad
--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -104,7 +104,7 @@
 		if !c.written {
 			a.header(c, -1)
 		}
-		if _, err := c.writer.Write(event.Text); err == nil {
+		if _, err = c.writer.Write(event.Text); err == nil {
 			err = control.Flush()
 		}
 		if err != nil {
@@ -130,7 +130,7 @@
 	if c.relay.Log == nil {
 		return
 	}
-	c.relay.note(what, append([]interface{}{"request", c.asked.ID}, fields...)...)
+	c.relay.Log.Info(what, append([]interface{}{"request", c.asked.ID}, fields...)...)
 }
 
 // refuse gives the caller the last word on a request that no server answered.
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -107,12 +107,5 @@
 	s.Gate.With(func(now time.Duration, _ *pool.Pool) { s.Budgets.First(now, service) })
 }
 
-// note logs a decision on a request.
-func (s *Relay) note(what string, fields ...interface{}) {
-	if s.Log != nil {
-		s.Log.Info(what, fields...)
-	}
-}
-
 // reasonCounter is the counter of a refusal.
 func reasonCounter(r fleet.Reason) string { return "refused." + r.String() }
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -391,3 +391,39 @@
 		t.Errorf("objective %v after the present, again %t", a.Objective-now, a.Again)
 	}
 }
+
+// deafWriter is a caller whose connection takes nothing, although nobody has noticed yet.
+type deafWriter struct{ header http.Header }
+
+func (d *deafWriter) Header() http.Header       { return d.header }
+func (d *deafWriter) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
+func (d *deafWriter) WriteHeader(int)           {}
+
+// A stream whose caller takes nothing ends at once, and so does its server's work.
+func TestDeafCaller(t *testing.T) {
+	ended := make(chan struct{})
+	w := newWorld(t, func(_ *world, _ int, rw http.ResponseWriter, r *http.Request) {
+		events(rw, 1, 1)
+		<-r.Context().Done()
+		close(ended)
+	})
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "/stream/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host, r.RequestURI = "h", "/stream/"
+	r.Header.Set(testID, "id-1")
+	began := time.Now()
+	func() {
+		defer func() {
+			if got := recover(); got != http.ErrAbortHandler {
+				t.Errorf("ended with %v, want a cut", got)
+			}
+		}()
+		w.relay.ServeHTTP(&deafWriter{header: http.Header{}}, r)
+	}()
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("ended after %v, at the route's limit", took)
+	}
+	<-ended
+}
