Let the test's server announce that it closes its connections

Cause: the test's server closes each connection after one answer without saying so. Where the router has read the answer to its end, the connection goes back to its pool, and the next try may be written to it before the close is seen; such a try ends as serverFailed. Ruled out: the reading of events and the choice of the reason; both are the same in the failing runs. The test's answers now carry Connection: close, as servers that close should; what each test expects is unchanged.

--- a/router/front/bench_test.go
+++ b/router/front/bench_test.go
@@ -80,6 +80,7 @@
 	b.arrived <- struct{}{}
 	answer := answers[min(n, len(answers)-1)]
 	answer, hangs := strings.CutSuffix(answer, hang)
+	answer = strings.Replace(answer, "\r\n", "\r\nConnection: close\r\n", 1) // unannounced, the router may send its next try here
 	_, _ = io.WriteString(c, strings.ReplaceAll(answer, "ID", r.Header.Get(back.HeaderAttempt)))
 	if hangs {
 		_, _ = reader.ReadByte()
