Spread requests over a few servers of their subject, and weigh chance ones instead of all

From the logs of 8 s to 12 s: the believed time to a first event was 72 ms at the median, the real one 501 ms; a quarter of the servers got nothing in half a second while a tenth got twice what they can read. Ruled out: the learnt pace (30 to 44 tokens a millisecond, the servers' own is 38); too little capacity (72 % of what the servers read in that time was asked). Now a service of more than 16 servers is searched among the three that come first for the request's subject (more for a hot one), and, if none has room, among a few by chance.

--- a/core/pool/pick.go
+++ b/core/pool/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"mangolug.org/core/route"
@@ -19,6 +20,11 @@
 	// hotCount is how many requests on a subject, at one router within cacheMemory, make it hot: a subject of the usual days
 	// has one or two.
 	hotCount = 3
+	// nearLeast is how many servers share the requests on a subject, and sampleSize how many others are looked at when none of
+	// them has room (TestGrownFleet: with all servers to choose from, 88 routers send to the same few).
+	nearLeast, sampleSize = 3, 2
+	// wholeSearch is up to how many servers of a service all are weighed: few routers send to few servers.
+	wholeSearch = 16
 	// memoryShare is the part of a server's KV cache that running requests may fill; the rest keeps shared parts.
 	memoryShare = 0.9
 	// abroad is what a server in another data centre counts behind one nearby.
@@ -41,10 +47,34 @@
 
 // pick gives the best server for a request, and false if none may be sent to.
 func (p *Pool) pick(now time.Duration, v *service, a *Ask) (choice, bool) {
-	home, weight := p.home(now, v, a), v.reread(now, a)
+	if a.Prompt == 0 {
+		return p.best(now, v, a, v.servers, nil)
+	}
+	near := p.near(now, v, a)
+	var home *backend
+	if len(near) > 0 {
+		home = near[0]
+	}
+	if len(v.servers) <= wholeSearch {
+		return p.best(now, v, a, v.servers, home)
+	}
+	c, ok := p.best(now, v, a, near, home)
+	if ok && c.room && now+c.backlog <= a.latest {
+		return c, true
+	}
+	far, found := p.best(now, v, a, p.sample(v, len(near)), home)
+	if found && (!ok || far.room && far.cost < c.cost) {
+		return far, true
+	}
+	return c, ok
+}
+
+// best gives the cheapest of some servers for a request, and false if none of them may be sent to.
+func (p *Pool) best(now time.Duration, v *service, a *Ask, servers []*backend, home *backend) (choice, bool) {
+	weight := v.reread(now, a)
 	best := choice{cost: math.MaxInt64}
 	found := false
-	for _, b := range v.servers {
+	for _, b := range servers {
 		if !p.usable(now, b, a) {
 			continue
 		}
@@ -56,6 +86,17 @@
 	return best, found
 }
 
+// sample gives a few servers by chance: all routers hear the same old news of loads, so that the
+// one best server of all would get what all of them send at once.
+func (p *Pool) sample(v *service, near int) []*backend {
+	n := max(sampleSize, near)
+	some := make([]*backend, 0, n)
+	for range n {
+		some = append(some, v.servers[p.Random.IntN(len(v.servers))])
+	}
+	return some
+}
+
 // usable reports whether a server may be sent a request now, whatever its load.
 func (p *Pool) usable(now time.Duration, b *backend, a *Ask) bool {
 	if !p.open(b) || b.health.aside(now) {
@@ -98,23 +139,39 @@
 	return 0
 }
 
-// home gives the server that requests on the same subject go to, by rendezvous hashing; nil for requests without a subject.
-func (p *Pool) home(now time.Duration, v *service, a *Ask) *backend {
+// near gives the servers that requests on the same subject go to, its home first, by rendezvous hashing: more of them for a
+// subject on which many requests come, and none for requests without a subject.
+func (p *Pool) near(now time.Duration, v *service, a *Ask) []*backend {
 	subject := a.subject()
 	if subject == 0 {
 		return nil
 	}
-	var home *backend
-	var most uint64
+	n := nearLeast + int(v.heat.count(now, subject)/hotCount)
+	type ranked struct {
+		backend *backend
+		hash    uint64
+	}
+	first := make([]ranked, 0, n+1)
 	for _, b := range v.servers {
 		if !p.open(b) || b.health.aside(now) || p.cold(now, b) {
 			continue
 		}
-		if h := route.Mix(b.hash ^ subject); home == nil || h > most {
-			home, most = b, h
+		h := route.Mix(b.hash ^ subject)
+		if len(first) == n && h <= first[n-1].hash {
+			continue
+		}
+		at := len(first)
+		for at > 0 && first[at-1].hash < h {
+			at--
 		}
+		first = slices.Insert(first, at, ranked{b, h})
+		first = first[:min(len(first), n)]
+	}
+	near := make([]*backend, len(first))
+	for i, r := range first {
+		near[i] = r.backend
 	}
-	return home
+	return near
 }
 
 // reread gives how many times its own time reading a shared part of a request once more counts.
--- a/model/world/load.go
+++ b/model/world/load.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"mangolug.org/core/pool"
@@ -44,6 +45,17 @@
 	Lose     map[int]time.Duration                       // servers that are lost, and when
 	Teams    int
 	Duration time.Duration
+	Period   time.Duration // in which routers hear of each other's load; 0 for that of a small fleet
+}
+
+// Scaled gives kinds with so many times the requests and subjects.
+func Scaled(kinds []Kind, x float64) []Kind {
+	scaled := slices.Clone(kinds)
+	for i := range scaled {
+		scaled[i].Rate *= x
+		scaled[i].Subjects = int(float64(scaled[i].Subjects) * x)
+	}
+	return scaled
 }
 
 // Request is one request of a caller.
--- a/model/world/world.go
+++ b/model/world/world.go
@@ -13,11 +13,11 @@
 	serviceName = "chat"
 	// tick is the step of virtual time.
 	tick = time.Millisecond
-	// sharePeriod and shareDelay are how often and how late routers hear of each other's load.
+	// sharePeriod is how often routers hear of each other's load, as it was a period before.
 	sharePeriod = 50 * time.Millisecond
-	shareDelay  = 50 * time.Millisecond
-	// throughput is the tokens a second that teams share.
-	throughput = 230000
+	// throughput is the tokens a second that teams share, of the usual number of servers.
+	throughput   = 230000
+	usualServers = 9
 )
 
 // Result is how a run went.
@@ -28,7 +28,7 @@
 	TeamServed                           map[string]float64 // requests in time, as a part of those asked
 	FreeRefusals                         int                // refused while a server had half of its slots free and none waiting
 	Reread                               float64            // shared tokens read again, as a part of all that was read
-	Steps                                time.Duration      // of all servers together
+	Busy                                 float64            // the part of the time in which servers had work, while requests came
 }
 
 // world is a run.
@@ -41,6 +41,8 @@
 	jobs    []*sending
 	sums    []digest.Sum // of all routers, when they were last told
 	told    time.Duration
+	period  time.Duration // between two tellings
+	length  time.Duration // in which requests come
 	result  Result
 }
 
@@ -53,8 +55,11 @@
 
 // Run plays a pattern with so many routers and servers.
 func Run(p Pattern, kinds []Kind, engine Engine, routers, servers int, seed uint64) Result {
-	w := &world{kinds: kinds, byID: map[string]*server{}, waiting: map[*pool.Ask]*Request{}}
-	w.build(engine, routers, servers)
+	w := &world{kinds: kinds, byID: map[string]*server{}, waiting: map[*pool.Ask]*Request{}, period: p.Period, length: p.Duration}
+	if w.period == 0 {
+		w.period = sharePeriod
+	}
+	w.build(engine, routers, servers, throughput*float64(servers)/usualServers)
 	requests := draw(&p, kinds, routers, seed)
 	next := 0
 	for now := time.Duration(0); now < p.Duration+15*time.Second; now += tick {
@@ -77,10 +82,10 @@
 	return w.sum(requests)
 }
 
-func (w *world) build(engine Engine, routers, servers int) {
+func (w *world) build(engine Engine, routers, servers int, tokens float64) {
 	table := route.NewTable(route.Config{
 		Services: []route.Service{{Name: serviceName, Model: true, Slots: engine.Slots, CacheTokens: engine.CacheTokens}},
-		Routes:   w.routes(), Limits: route.Limits{TokensPerSecond: throughput},
+		Routes:   w.routes(), Limits: route.Limits{TokensPerSecond: tokens},
 	})
 	for i := range routers {
 		q := &pool.Pool{Self: fmt.Sprintf("r%d", i), DataCentre: "d", Joined: true}
@@ -122,18 +127,21 @@
 
 // share tells each router what the others had in use a moment ago.
 func (w *world) share(now time.Duration) {
-	if now-w.told < sharePeriod && now > 0 {
+	if now-w.told < w.period && now > 0 {
 		return
 	}
 	w.told = now
+	var all digest.Sum
+	for _, s := range w.sums {
+		all.Add(s)
+	}
 	for i, q := range w.pools {
 		var others digest.Sum
-		for k := range w.sums {
-			if k != i {
-				others.Add(w.sums[k])
-			}
+		others.Add(all)
+		if len(w.sums) > 0 {
+			others.Subtract(w.sums[i])
 		}
-		q.Others(now, others, now >= shareDelay, make([]string, len(w.pools)-1))
+		q.Others(now, others, now >= w.period, make([]string, len(w.pools)-1))
 	}
 	w.sums = w.sums[:0]
 	for _, q := range w.pools {
@@ -177,7 +185,9 @@
 		var gave []*job
 		took := s.step(now, func(j *job) { gave = append(gave, j) })
 		s.busy = now + max(took, tick)
-		w.result.Steps += took
+		if now < w.length {
+			w.result.Busy += took.Seconds() / w.length.Seconds() / float64(len(w.servers))
+		}
 		for _, j := range gave {
 			j.request.tell(s.busy, j.made, s.engine.Stride)
 		}
