Bound callers' connections, drop unused ones to servers early, and spread plain requests by chance

A usage line, new, shows one router with 2,221 connections of callers, 1,000 unused ones to servers, 4,289 goroutines, 86 MB: callers open some 100 connections a second and leave them; the router kept them for 60 s. Near its memory limit the garbage collector took most of the time. Ruled out: requests under way (2 waiting), the exchange of loads (7 MB before traffic begins), logs. Plain requests now go to a server by chance, weighted by its free slots; a test shows 400 of 400 routers with the same old news sending to one server before.

--- a/core/pool/pick.go
+++ b/core/pool/pick.go
@@ -228,21 +228,32 @@
 	return float64(u.Memory+a.own()+a.Output) <= memoryShare*float64(s.CacheTokens)
 }
 
-// weighPlain ranks servers of a plain service by how full they are.
+// weighPlain ranks servers of a plain service by chance, those with more free slots first as often as they have more. The one
+// that looks emptiest looks so to all routers, for as long as news of loads take, so all would send to it.
 func (p *Pool) weighPlain(now time.Duration, b *backend, u Usage) choice {
 	busy := u.Requests
 	if now-b.loadAt < loadAge {
 		busy = max(busy, int64(b.load.Running+b.load.Waiting))
 	}
-	slots := max(1, b.Slots)
-	c := choice{backend: b, cost: time.Duration(float64(busy) / float64(slots) * float64(time.Second))}
-	if b.DataCentre != p.DataCentre {
-		c.cost += time.Second / time.Duration(4*slots)
+	slots := int64(max(1, b.Slots))
+	weight := float64(slots - busy)
+	if busy >= slots {
+		weight = fullWeight / float64(1+busy-slots)
 	}
-	c.room = busy < int64(slots)*plainQueue
-	return c
+	if b.DataCentre == p.DataCentre {
+		weight *= homeWeight
+	}
+	// The least of exponential draws falls on each server as often as its weight says.
+	return choice{backend: b, cost: time.Duration(p.Random.ExpFloat64() / weight * float64(time.Second)), room: busy < slots*plainQueue}
 }
 
+const (
+	// fullWeight is what a plain server without a free slot counts, beside one for each free slot of the others.
+	fullWeight = 0.1
+	// homeWeight is what a free slot in the own data centre counts: bytes between data centres are paid for.
+	homeWeight = 4
+)
+
 // plainQueue is how many times its slots a plain server may hold in running and waiting requests.
 const plainQueue = 2
 
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -538,3 +538,30 @@
 		t.Errorf("%d teams are remembered", len(s.teams))
 	}
 }
+
+// Many routers with the same old news of loads don't all send to the plain server that looked emptiest.
+func TestPlainRequestsAreSpread(t *testing.T) {
+	const requests = 400
+	counts := map[string]int{}
+	for i := range requests {
+		p := &Pool{Self: fmt.Sprint("r", i), DataCentre: "north", Joined: true}
+		p.Configure(table())
+		others := digest.Sum{Servers: map[uint32]digest.Use{}}
+		for k := range int64(4) {
+			id := fmt.Sprint("d", k)
+			p.Set(0, Server{ID: id, Service: "desk", Address: fmt.Sprintf("10.0.1.%d:80", k), DataCentre: "west", Slots: 6})
+			others.Servers[key(id)] = digest.Use{Requests: k}
+		}
+		p.Others(0, others, true, []string{"r"})
+		counts[sent(t, p, 0, &Ask{ID: "a", Service: "desk", Objective: objective, Deadline: time.Second}).Server.ID]++
+	}
+	t.Log(counts)
+	for id, n := range counts {
+		if n > requests/2 {
+			t.Errorf("%s gets %d of %d", id, n, requests)
+		}
+	}
+	if counts["d0"] <= counts["d3"] {
+		t.Errorf("the emptiest gets %d, the fullest %d", counts["d0"], counts["d3"])
+	}
+}
--- /dev/null
+++ b/router/door/close_test.go
@@ -0,0 +1,49 @@
+package door
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// Connections that callers keep without using them are closed, the longest idle first; those that serve stay.
+func TestCloseIdle(t *testing.T) {
+	tests := map[string]struct {
+		length time.Duration
+		most   int
+		open   []bool // of: idle for long, idle for short, serving
+	}{
+		"no bound":          {open: []bool{true, true, true}},
+		"idle too long":     {length: 40 * time.Millisecond, open: []bool{false, true, true}},
+		"too many":          {most: 2, open: []bool{false, true, true}},
+		"far too many":      {most: 1, open: []bool{false, false, true}},
+		"only serving ones": {length: 1, most: 1, open: []bool{false, false, true}},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			var conns IdleConns
+			var ends []net.Conn
+			for range c.open {
+				a, b := net.Pipe()
+				defer a.Close()
+				defer b.Close()
+				conns.Note(a, http.StateNew)
+				ends = append(ends, a)
+				if len(ends) == 1 {
+					time.Sleep(50 * time.Millisecond)
+				}
+			}
+			conns.Note(ends[2], http.StateActive)
+			conns.CloseIdle(c.length, c.most)
+			for i, want := range c.open {
+				_ = ends[i].SetReadDeadline(time.Now().Add(time.Millisecond))
+				_, err := ends[i].Read(make([]byte, 1))
+				timeout, ok := err.(net.Error)
+				if got := ok && timeout.Timeout(); got != want {
+					t.Errorf("connection %d open %t (%v), want %t", i, got, err, want)
+				}
+			}
+		})
+	}
+}
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -33,8 +33,11 @@
 	connectTimeout = 700 * time.Millisecond
 	// headerTimeout bounds how long a caller may take over a request's header.
 	headerTimeout = 10 * time.Second
-	// idleTimeout bounds how long a caller's connection may stay unused; longer than the platform lets its callers wait.
+	// idleTimeout bounds how long a caller's connection may stay unused; where the configuration gives no bound.
 	idleTimeout = 60 * time.Second
+	// serverIdle is how long an unused connection to a backend server is kept: each router sends to each of many servers rarely,
+	// and a connection that is long unused may have been dropped at the other end.
+	serverIdle = 4 * time.Second
 	// headerBytes bounds a request's header before a configuration is known.
 	headerBytes = 64 << 10
 )
@@ -93,8 +96,8 @@
 	stopping, cut := context.WithCancel(context.Background())
 	p.cut = cut
 	p.relay = &relay.Relay{
-		Table: p.table.Load, Gate: p.gate, Dialect: d, Clock: p.now, Leaving: p.left, Log: p.log, Metrics: p.registry,
-		Client:   &back.Client{Settings: back.Settings{Silence: silence, ConnectTimeout: connectTimeout}},
+		Table: p.table.Load, Gate: p.gate, Dialect: d, Clock: p.now, Leaving: p.left, Crowded: p.crowded, Log: p.log, Metrics: p.registry,
+		Client:   &back.Client{Settings: back.Settings{Silence: silence, ConnectTimeout: connectTimeout, IdleTimeout: serverIdle}},
 		Budgets:  pool.Budgets{Ratio: s.Ratio, Slack: s.Slack},
 		Stopping: stopping,
 	}
@@ -179,6 +182,7 @@
 		{Name: "readiness", Critical: true, Run: func(ctx context.Context) error { return door.Serve(ctx, ready, p.ready) }},
 		{Name: "source", Run: func(ctx context.Context) error { return p.source(ctx, p.taker()) }},
 	}
+	children = append(children, guard.Child{Name: "usage", Run: p.tellUsage}, guard.Child{Name: "connections", Run: p.keepCallers})
 	if p.metrics != nil {
 		scrapers := &http.Server{Handler: admin.Scrape(p.registry), ReadHeaderTimeout: headerTimeout}
 		children = append(children, guard.Child{Name: "metrics", Run: func(ctx context.Context) error { return door.Serve(ctx, scrapers, p.metrics) }})
--- a/router/proc/process_test.go
+++ b/router/proc/process_test.go
@@ -250,3 +250,55 @@
 		t.Errorf("error %v, want it to name the %s", err, want)
 	}
 }
+
+func TestRoomForCallers(t *testing.T) {
+	tests := map[string]struct {
+		settings Settings
+		want     int
+	}{
+		"no limits":       {},
+		"memory binds":    {Settings{Memory: 112 << 20, Files: 4100}, 1003},
+		"files bind":      {Settings{Memory: 4 << 30, Files: 4100}, 1640},
+		"only files":      {Settings{Files: 1000}, 400},
+		"only the memory": {Settings{Memory: 40 << 20}, 358},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := c.settings.room(); got != c.want {
+				t.Errorf("room for %d, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+// Where callers keep more connections than fit in memory, answers ask them to close theirs.
+func TestCrowd(t *testing.T) {
+	s := start(t, echo)
+	<-s.taker
+	next := *s.process.settings.Load()
+	next.Memory = 6 * connBytes // room for two
+	s.process.settings.Store(&next)
+	closes := func() bool {
+		a, err := http.Get("http://" + s.front + "/")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer a.Body.Close()
+		return a.Close
+	}
+	if closes() {
+		t.Error("asked to close the only connection")
+	}
+	for range 3 {
+		c, err := net.Dial("tcp", s.front)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	until(t, func() bool { return s.process.entrance.Conns.Open() > 2 })
+	if !closes() {
+		t.Error("not asked to close a connection that is one too many")
+	}
+	until(t, func() bool { return s.process.entrance.Conns.Open() <= 2 }) // the unused ones are closed
+}
--- a/router/proc/settings.go
+++ b/router/proc/settings.go
@@ -17,6 +17,7 @@
 	Seeds      []string      // ip:port of other routers' Control, to find the fleet
 	Grace      time.Duration // from the signal to stop to the kill
 	Memory     int64         // bytes that the process may use; 0 for no limit
+	Files      int           // descriptors that the process may have open; 0 for no limit
 	Ratio      float64       // of requests that the fleet may send again
 	Slack      float64       // requests that the fleet may send again besides, in ten seconds
 }
@@ -69,5 +70,8 @@
 	if s.Memory < 0 {
 		return &SettingError{"memory", fmt.Sprint(s.Memory), "0 or a number of bytes"}
 	}
+	if s.Files < 0 {
+		return &SettingError{"descriptors", fmt.Sprint(s.Files), "0 or a number of descriptors"}
+	}
 	return nil
 }
--- /dev/null
+++ b/router/proc/usage.go
@@ -0,0 +1,37 @@
+package proc
+
+import (
+	"context"
+	"runtime/metrics"
+	"time"
+)
+
+// usagePeriod is how often a process tells what it uses: often enough to see what led to a memory limit.
+const usagePeriod = 5 * time.Second
+
+// Names of what the runtime tells of itself.
+const (
+	usageGoroutines = "/sched/goroutines:goroutines"
+	usageHeap       = "/memory/classes/heap/objects:bytes"
+	usageStacks     = "/memory/classes/heap/stacks:bytes"
+	usageTotal      = "/memory/classes/total:bytes"
+	usageReleased   = "/memory/classes/heap/released:bytes"
+)
+
+// tellUsage logs what the process uses until the context ends.
+func (p *Process) tellUsage(ctx context.Context) error {
+	ticker := time.NewTicker(usagePeriod)
+	defer ticker.Stop()
+	samples := []metrics.Sample{{Name: usageGoroutines}, {Name: usageHeap}, {Name: usageStacks}, {Name: usageTotal}, {Name: usageReleased}}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		metrics.Read(samples)
+		value := func(i int) uint64 { return samples[i].Value.Uint64() }
+		p.log.Info("usage", "goroutines", value(0), "heapBytes", value(1), "stackBytes", value(2), "residentBytes", value(3)-value(4),
+			"callers", p.entrance.Conns.Open(), "waiting", p.gate.Waiting(), "droppedLines", p.lines.dropped.Load())
+	}
+}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -22,6 +22,7 @@
 	Dialect  Dialect
 	Clock    func() time.Duration
 	Leaving  func() (time.Duration, bool) // the time until requests are cut, once the process stops; nil for never
+	Crowded  func() bool                  // callers have too many connections open, and are asked to close theirs; nil for never
 	Budgets  pool.Budgets                 // guarded by the gate
 	Log      *log.Logger
 	Metrics  metrics.Registry
@@ -50,7 +51,7 @@
 	c := &call{relay: s, writer: w, request: r, arrived: s.Clock()}
 	s.count("requests")
 	left, leaving := s.leaving()
-	if leaving {
+	if leaving || s.Crowded != nil && s.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	if e := c.prepare(); e != nil {
