Let two routers read the platform for all, and send callers elsewhere when requests crowd

Now the relays of two data centres read it and pass changes on in the datagrams that routers exchange anyway; a change too large for one is announced, and each reads it. A router reads for itself when nobody has read for 1.2 to 1.6 s, so nothing hangs on a reader. Ruled out: fewer or longer watches, as the store silences some (docs/FINDINGS.md), and reads that may be stale.

A router now takes no more requests than fit, turns the rest away unread with a true 503, and says that it is not ready while over 0.7 of its room is taken. Buffers of connections are smaller.

--- a/core/digest/fleet.go
+++ b/core/digest/fleet.go
@@ -30,6 +30,7 @@
 	Part     *Sum     // a router's own use, to its relay
 	Centre   *Sum     // the use of all that report to a relay, to the other relays
 	Others   *Sum     // the use of all other routers, from a relay
+	News     *News    // of the platform's state; nil if the sender knows nothing of it
 }
 
 // Out is a message to be sent.
@@ -57,7 +58,10 @@
 	relay    string
 	since    time.Duration // when the present relay was chosen
 	gossiped time.Duration
-	grew     bool // a member came to be known since the last round
+	log      Log
+	contact  time.Duration    // when some router read the platform last, as far as is known; 0 for never
+	reads    map[string]int64 // up to which revision other routers know all changes
+	grew     bool             // a member came to be known since the last round
 }
 
 // partner is a router that is told this data centre's sum, and since when.
@@ -81,6 +85,7 @@
 	f.partners = make(map[string]partner)
 	f.parts = make(map[string]heard)
 	f.centres = make(map[string]heard)
+	f.reads = make(map[string]int64)
 	f.beat = f.Began
 	if f.Random == nil {
 		f.Random = rand.New(rand.NewPCG(f.Began, 0))
@@ -103,6 +108,9 @@
 	f.init()
 	f.learn(now, m.Members)
 	f.Revision = max(f.Revision, m.Revision)
+	if m.News != nil {
+		f.hear(now, m.From, m.News)
+	}
 	if m.Part != nil {
 		f.parts[m.From] = heard{*m.Part, now}
 	}
@@ -128,6 +136,9 @@
 	out := f.due(now, own)
 	for i := range out {
 		out[i].Message.Revision = f.Revision
+		if out[i].Message.Members == nil {
+			out[i].Message.News = f.news(now, out[i].To)
+		}
 	}
 	return out
 }
--- a/core/digest/member.go
+++ b/core/digest/member.go
@@ -64,6 +64,7 @@
 	for address, m := range f.members {
 		if now-m.heard > forgetFactor*f.lostAfter() {
 			delete(f.members, address)
+			delete(f.reads, address)
 		}
 	}
 }
@@ -83,28 +84,6 @@
 	return live
 }
 
-const (
-	// allRead is up to how many routers all of them read the platform closely.
-	allRead = 12
-	// readers is how many do in each data centre of a larger fleet: one may be cut off.
-	readers = 2
-)
-
-// Reader reports whether this router is one of those that read the platform closely, for others too.
-func (f *Fleet) Reader(now time.Duration) bool {
-	before, others := 0, 0
-	for address, m := range f.members {
-		if !f.live(now, m) {
-			continue
-		}
-		others++
-		if m.DataCentre == f.DataCentre && address < f.Address {
-			before++
-		}
-	}
-	return others < allRead || before < readers
-}
-
 // gossip lists all members that live, this router first.
 func (f *Fleet) gossip(now time.Duration) []Member {
 	list := []Member{{Address: f.Address, DataCentre: f.DataCentre, Beat: f.beat}}
--- /dev/null
+++ b/core/digest/news_test.go
@@ -0,0 +1,146 @@
+package digest
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func change(revision int64, bytes int) Change {
+	return Change{Key: fmt.Sprint("k", revision), Value: make([]byte, bytes), Revision: revision}
+}
+
+func TestLog(t *testing.T) {
+	tests := map[string]struct {
+		build func(l *Log)
+		since int64
+		limit int
+		want  []int64 // revisions
+		to    int64
+		known bool
+	}{
+		"nothing read":         {build: func(*Log) {}},
+		"nothing new":          {build: func(l *Log) { l.Restart(5) }, since: 5, to: 5, known: true},
+		"older than the start": {build: func(l *Log) { l.Restart(5) }, since: 4},
+		"changes":              {build: func(l *Log) { l.Restart(5); l.Add(5, 9, []Change{change(6, 1), change(8, 1)}) }, since: 5, want: []int64{6, 8}, to: 9, known: true},
+		"some of them":         {build: func(l *Log) { l.Restart(5); l.Add(5, 9, []Change{change(6, 1), change(8, 1)}) }, since: 6, want: []int64{8}, to: 9, known: true},
+		"told twice": {
+			build: func(l *Log) {
+				l.Restart(5)
+				l.Add(5, 8, []Change{change(6, 1), change(8, 1)})
+				l.Add(5, 9, []Change{change(6, 1), change(8, 1), change(9, 1)})
+			},
+			since: 5, want: []int64{6, 8, 9}, to: 9, known: true,
+		},
+		"a gap": {build: func(l *Log) { l.Restart(5); l.Add(7, 9, []Change{change(8, 1)}) }, since: 5, to: 5, known: true},
+		"more than a message": {
+			build: func(l *Log) { l.Restart(5); l.Add(5, 9, []Change{change(6, 50), change(8, 500)}) },
+			since: 5, limit: 200, want: []int64{6}, to: 6, known: true,
+		},
+		"more than is kept": {
+			build: func(l *Log) { l.Restart(5); l.Add(5, 9, []Change{change(6, logBytes), change(8, 1)}) },
+			since: 5,
+		},
+		"what is kept of them": {
+			build: func(l *Log) { l.Restart(5); l.Add(5, 9, []Change{change(6, logBytes), change(8, 1)}) },
+			since: 6, want: []int64{8}, to: 9, known: true,
+		},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			var l Log
+			c.build(&l)
+			changes, to, known := l.Since(c.since, c.limit)
+			var got []int64
+			for _, e := range changes {
+				got = append(got, e.Revision)
+			}
+			if d := cmp.Diff(c.want, got); d != "" || to != c.to || known != c.known {
+				t.Errorf("%v up to %d, known %t; want %v up to %d, %t", got, to, known, c.want, c.to, c.known)
+			}
+		})
+	}
+}
+
+// readers counts who reads the platform for all.
+func (n *net) readers(now time.Duration) int {
+	count := 0
+	for address, f := range n.fleets {
+		if !n.down[address] && f.Reader(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// know tells all live routers' revision, or that they differ.
+func (n *net) know(t *testing.T, at time.Duration, revision int64) {
+	t.Helper()
+	for address, f := range n.fleets {
+		if n.down[address] {
+			continue
+		}
+		if _, to, known := f.Since(1); !known || to != revision {
+			t.Errorf("%s knows changes up to %d at %v, want %d", address, to, at, revision)
+		}
+		if age, known := f.Contact(at); !known || age > time.Second {
+			t.Errorf("%s: the platform was read %v ago, known %t", address, age, known)
+		}
+	}
+}
+
+// What one router reads reaches all within a second, whatever is lost on the way; few read for all.
+func TestNewsReachAll(t *testing.T) {
+	tests := map[string]struct {
+		near, centres int
+		loss          float64
+		reads         string // the router that reads the change
+		down          []string
+	}{
+		"nine":               {near: 3, centres: 3, reads: "c0-0"},
+		"88":                 {near: 22, centres: 4, reads: "c0-0"},
+		"read by any":        {near: 22, centres: 4, reads: "c3-17"},
+		"a tenth lost":       {near: 3, centres: 3, loss: 0.1, reads: "c1-2"},
+		"without the relays": {near: 3, centres: 3, reads: "c2-1", down: []string{"c0-0", "c1-0"}},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := newNet(c.near, c.centres, 8)
+			n.loss = c.loss
+			for _, f := range n.fleets {
+				f.Read(time.Millisecond, 0, 1, nil)
+			}
+			at := 10 * time.Second
+			n.run(0, at)
+			for _, address := range c.down {
+				n.down[address] = true
+			}
+			n.run(at, at+2*time.Second)
+			at += 2 * time.Second
+			if got := n.readers(at); got > 2*readingCentres {
+				t.Errorf("%d routers read for all", got)
+			}
+			n.fleets[c.reads].Read(at, 1, 7, []Change{change(4, 100), change(7, 12000)})
+			n.run(at, at+900*time.Millisecond)
+			n.know(t, at+900*time.Millisecond, 7)
+		})
+	}
+}
+
+// A change that no datagram can hold is told by its revision alone, so that each router reads it for itself.
+func TestLargeChangesAreAnnounced(t *testing.T) {
+	n := newNet(3, 3, 9)
+	for _, f := range n.fleets {
+		f.Read(time.Millisecond, 0, 1, nil)
+	}
+	n.run(0, 5*time.Second)
+	n.fleets["c0-0"].Read(5*time.Second, 1, 3, []Change{change(2, 10), change(3, newsBytes)})
+	n.run(5*time.Second, 6*time.Second)
+	for address, f := range n.fleets {
+		if _, to, _ := f.Since(1); address != "c0-0" && (to != 2 || f.Revision != 3) {
+			t.Errorf("%s knows changes up to %d and of revision %d, want 2 and 3", address, to, f.Revision)
+		}
+	}
+}
--- a/core/route/config.go
+++ b/core/route/config.go
@@ -70,5 +70,5 @@
 	HeaderBytes     int
 	BodyBytes       int64
 	Idle            time.Duration // for which a connection may stay unused; 0 for the router's own bound
-	TokensPerSecond float64 // that all model servers together give: each token read counts once, each generated twice
+	TokensPerSecond float64       // that all model servers together give: each token read counts once, each generated twice
 }
--- a/router/back/client.go
+++ b/router/back/client.go
@@ -44,6 +44,10 @@
 	DefaultLoadTimeout    = time.Second
 )
 
+// bufferBytes is the size of a connection's buffers: with hundreds of connections the usual 4 KB are most of a small router's
+// memory.
+const bufferBytes = 2 << 10
+
 // Client sends attempts to backend servers; its zero value works.
 type Client struct {
 	Settings Settings
@@ -144,6 +148,8 @@
 		MaxIdleConnsPerHost:    c.Settings.IdlePerServer,
 		IdleConnTimeout:        c.Settings.IdleTimeout,
 		MaxResponseHeaderBytes: c.Settings.HeaderBytes,
+		ReadBufferSize:         bufferBytes,
+		WriteBufferSize:        bufferBytes,
 	}
 }
 
--- a/router/back/events.go
+++ b/router/back/events.go
@@ -14,6 +14,9 @@
 // DefaultEventBytes bounds one server-sent event.
 const DefaultEventBytes = 1 << 20
 
+// eventBuffer holds some events; longer lines are put together from several reads.
+const eventBuffer = 1 << 10
+
 // EventError tells that a stream of server-sent events is not whole.
 type EventError struct {
 	Events int  // whole events read before
@@ -57,7 +60,7 @@
 }
 
 // NewEvents reads events from a server's answer.
-func NewEvents(r io.Reader) *Events { return &Events{reader: bufio.NewReader(r)} }
+func NewEvents(r io.Reader) *Events { return &Events{reader: bufio.NewReaderSize(r, eventBuffer)} }
 
 // Next gives the next whole event; all errors are of type *EventError.
 func (e *Events) Next() (Event, error) {
--- a/router/proc/peers.go
+++ b/router/proc/peers.go
@@ -23,17 +23,14 @@
 			p.gate.With(func(now time.Duration, q *pool.Pool) { own = q.Own(now) })
 			return own
 		},
-		Revision: p.read.Load,
 		Take: func(others digest.Sum, known bool, live []string) {
-			p.reader.Store(p.share.Reader())
 			p.gate.With(func(now time.Duration, q *pool.Pool) { q.Others(now, others, known, live) })
 			if len(live) != routers {
 				p.log.Info("routers", "others", len(live), "before", routers)
 				routers = len(live)
 			}
 		},
-		Newer: func(revision int64) {
-			p.newest.Store(revision)
+		Newer: func() {
 			select {
 			case p.news <- struct{}{}:
 			default: // the source has not yet taken up the news before
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -26,7 +26,7 @@
 
 const (
 	// memoryShare is the part of the memory limit at which garbage collection works harder; the rest is for sockets' bytes.
-	memoryShare = 0.6
+	memoryShare = 0.7
 	// silence is how long a backend server or the platform may acknowledge nothing before a connection is given up.
 	silence = 2 * time.Second
 	// connectTimeout is how long a connection to a backend server may take: some round trips and one lost packet.
@@ -58,12 +58,10 @@
 	metrics    net.Listener   // nil if there is none
 	peers      net.PacketConn // nil if there is none
 	share      *share.Share   // nil if there is none
+	crowd      atomic.Bool    // requests take most of the room: the balancer is to send callers elsewhere
 	leaving    atomic.Int64   // when the signal to stop came, on the clock of now; 0 while it did not
 	sourceLost atomic.Bool
-	reader     atomic.Bool  // see Taker.Reader
-	read       atomic.Int64 // newest revision that was read here
-	newest     atomic.Int64 // newest revision that any router told of
-	news       chan struct{}
+	news       chan struct{} // another router told of a newer state of the platform
 	cut        context.CancelFunc
 }
 
@@ -76,7 +74,6 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
 	}
 	p := &Process{source: source, registry: metrics.NewRegistry(), began: time.Now(), news: make(chan struct{}, 1)}
-	p.reader.Store(true) // until the fleet is known
 	p.settings.Store(&s)
 	p.lines = newLogWriter(os.Stdout)
 	metrics.NewRegisteredFunctionalGauge("logDropped", p.registry, p.lines.dropped.Load)
@@ -96,7 +93,7 @@
 	stopping, cut := context.WithCancel(context.Background())
 	p.cut = cut
 	p.relay = &relay.Relay{
-		Table: p.table.Load, Gate: p.gate, Dialect: d, Clock: p.now, Leaving: p.left, Crowded: p.crowded, Log: p.log, Metrics: p.registry,
+		Table: p.table.Load, Gate: p.gate, Dialect: d, Clock: p.now, Leaving: p.left, Crowded: p.crowded, Full: p.full, Log: p.log, Metrics: p.registry,
 		Client:   &back.Client{Settings: back.Settings{Silence: silence, ConnectTimeout: connectTimeout, IdleTimeout: serverIdle}},
 		Budgets:  pool.Budgets{Ratio: s.Ratio, Slack: s.Slack},
 		Stopping: stopping,
@@ -148,7 +145,7 @@
 }
 
 func (p *Process) readiness(w http.ResponseWriter, _ *http.Request) {
-	if !p.serving() {
+	if !p.serving() || p.crowd.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/router/proc/source.go
+++ b/router/proc/source.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
+	"mangolug.org/core/digest"
 	"mangolug.org/core/pool"
 	"mangolug.org/core/route"
 )
@@ -19,19 +21,22 @@
 	Only      func(ids map[string]bool)                // no other servers than these are told
 	Out       func(names map[string]bool)              // the data centres that are out of service
 	Lost      func(err error)                          // the platform can't be read
-	Regained  func(revision int64)                     // the platform was read
+	Regained  func(revision int64)                     // all changes up to a revision are taken in
 	Note      func(what string, fields ...interface{}) // something about what was read that operators should see
 
-	Reader func() bool     // this router has to notice by itself when a watch was silenced; the others hear of it from readers
-	Newest func() int64    // the newest revision that any router told of
-	News   <-chan struct{} // a newer revision was told
+	// Next waits until there is something to do for a source that knows all changes up to a revision.
+	Next func(ctx context.Context, revision int64) Turn
+	// Read notes what was read for the other routers: all changes after a revision up to another, or all of the state if the
+	// first is 0.
+	Read func(from, to int64, changes []digest.Change)
 }
 
 func (p *Process) taker() *Taker {
 	return &Taker{
 		Configure: p.configure, Server: p.server, Gone: p.gone, Only: p.only, Out: p.out, Lost: p.lost, Regained: p.regained,
-		Note:   func(what string, fields ...interface{}) { p.log.Warn(what, fields...) },
-		Reader: p.reader.Load, Newest: p.newest.Load, News: p.news,
+		Note: func(what string, fields ...interface{}) { p.log.Warn(what, fields...) },
+		Next: (&follower{process: p, limit: followAge + time.Duration(rand.Int64N(int64(followSpread)))}).next,
+		Read: p.noteRead,
 	}
 }
 
@@ -96,7 +101,6 @@
 
 // regained notes that the platform was read, at a revision.
 func (p *Process) regained(revision int64) {
-	p.read.Store(revision)
 	p.gate.With(func(now time.Duration, q *pool.Pool) { q.SourceBack(now) })
 	if p.sourceLost.Swap(false) {
 		p.log.Info("platform back", "revision", revision)
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -23,14 +24,19 @@
 	Clock    func() time.Duration
 	Leaving  func() (time.Duration, bool) // the time until requests are cut, once the process stops; nil for never
 	Crowded  func() bool                  // callers have too many connections open, and are asked to close theirs; nil for never
+	Full     func(open int) bool          // so many requests are more than the router can hold; nil for never
 	Budgets  pool.Budgets                 // guarded by the gate
 	Log      *log.Logger
 	Metrics  metrics.Registry
 	Stopping context.Context // ends when requests that still run have to be cut; nil for never
 
 	lengths lengths
+	open    atomic.Int64
 }
 
+// Open gives how many requests are served now.
+func (s *Relay) Open() int { return int(s.open.Load()) }
+
 const (
 	// bodyTime bounds how long a caller may take over its body.
 	bodyTime = 5 * time.Second
@@ -50,10 +56,16 @@
 func (s *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{relay: s, writer: w, request: r, arrived: s.Clock()}
 	s.count("requests")
+	open := s.open.Add(1)
+	defer s.open.Add(-1)
 	left, leaving := s.leaving()
 	if leaving || s.Crowded != nil && s.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
+	if s.Full != nil && s.Full(int(open)) {
+		c.turnAway()
+		return
+	}
 	if e := c.prepare(); e != nil {
 		c.refuse(e)
 		return
@@ -69,6 +81,18 @@
 	}
 }
 
+// turnAway refuses a request unread, as the router has no room for it; others have.
+func (c *call) turnAway() {
+	c.writer.Header().Set("Connection", "close")
+	asked, err := c.relay.Dialect.Read(c.request.Header)
+	detail := "too many requests open at this router"
+	if err != nil {
+		detail += "; " + err.Error()
+	}
+	c.asked = asked
+	c.refuse(&refusal{reason: fleet.ReasonTooManyOpen, status: http.StatusServiceUnavailable, after: stoppedAfter, detail: detail})
+}
+
 // leaving gives the time in which a request can still end, once the process stops.
 func (s *Relay) leaving() (time.Duration, bool) {
 	if s.Leaving == nil {
--- a/router/share/codec_test.go
+++ b/router/share/codec_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -23,6 +24,10 @@
 func TestRoundTrip(t *testing.T) {
 	want := message(144, 30)
 	want.Part, want.Centre = want.Others, want.Others
+	want.News = &digest.News{
+		Revision: 9, Age: 120 * time.Millisecond, From: 3, To: 8,
+		Changes: []digest.Change{{Key: "a", Value: []byte("x"), Revision: 4}, {Key: "b", Revision: 8, Deleted: true}},
+	}
 	want.Members = []digest.Member{{Address: "10.0.0.1:7000", DataCentre: "east", Beat: 1 << 40}, {Address: "[::1]:9", DataCentre: "west", Beat: 3}}
 	text, err := Encode(want)
 	if err != nil {
--- /dev/null
+++ b/router/share/news.go
@@ -0,0 +1,32 @@
+package share
+
+import (
+	"math"
+	"time"
+
+	"mangolug.org/core/digest"
+)
+
+// news gives the wire's form of what a router knows of the platform's state.
+func news(n *digest.News) *News {
+	if n == nil {
+		return nil
+	}
+	w := &News{Revision: n.Revision, Age: uint32(min(max(0, n.Age.Milliseconds()), math.MaxUint32)), From: n.From, To: n.To}
+	for _, c := range n.Changes {
+		w.Changes = append(w.Changes, &Change{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted})
+	}
+	return w
+}
+
+// told reads it.
+func told(w *News) *digest.News {
+	if w == nil {
+		return nil
+	}
+	n := &digest.News{Revision: w.Revision, Age: time.Duration(w.Age) * time.Millisecond, From: w.From, To: w.To}
+	for _, c := range w.Changes {
+		n.Changes = append(n.Changes, digest.Change{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted})
+	}
+	return n
+}
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -16,30 +16,22 @@
 
 // Share runs a fleet's digest over a UDP socket; all fields must be set.
 type Share struct {
-	Fleet    *digest.Fleet
-	Socket   net.PacketConn
-	Clock    func() time.Duration
-	Own      func() digest.Sum                                     // this router's own use
-	Take     func(others digest.Sum, known bool, routers []string) // what is known of the others, once a period
-	Revision func() int64                                          // of the platform's state, as this router read it
-	Newer    func(revision int64)                                  // a newer one was told by another router
-	Failed   func(error)                                           // a datagram could not be sent or read
+	Fleet  *digest.Fleet
+	Socket net.PacketConn
+	Clock  func() time.Duration
+	Own    func() digest.Sum                                     // this router's own use
+	Take   func(others digest.Sum, known bool, routers []string) // what is known of the others, once a period
+	Newer  func()                                                // another router told of a newer state of the platform
+	Failed func(error)                                           // a datagram could not be sent or read
 
 	mutex sync.Mutex // guards Fleet
 }
 
-// SetSeeds replaces the addresses that may know the fleet.
-func (s *Share) SetSeeds(seeds []string) {
+// With calls a function while nothing else uses the fleet.
+func (s *Share) With(f func(now time.Duration, fleet *digest.Fleet)) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.Fleet.Seeds = seeds
-}
-
-// Reader reports whether this router reads the platform for others too.
-func (s *Share) Reader() bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.Fleet.Reader(s.Clock())
+	f(s.Clock(), s.Fleet)
 }
 
 // Run exchanges messages until the context ends.
@@ -65,7 +57,6 @@
 	own := s.Own()
 	s.mutex.Lock()
 	now := s.Clock()
-	s.Fleet.Revision = max(s.Fleet.Revision, s.Revision())
 	out := s.Fleet.Tick(now, own)
 	others, known := s.Fleet.Others(now)
 	routers := s.Fleet.Live(now)
@@ -110,12 +101,12 @@
 			continue
 		}
 		s.mutex.Lock()
-		before := s.Fleet.Revision
+		before, announced := s.Fleet.Known(), s.Fleet.Revision
 		out := s.Fleet.Receive(s.Clock(), m)
-		newest := s.Fleet.Revision
+		newer := s.Fleet.Known() > before || s.Fleet.Revision > announced
 		s.mutex.Unlock()
-		if newest > before {
-			s.Newer(newest)
+		if newer {
+			s.Newer()
 		}
 		for i := range out {
 			s.send(&out[i])
