Hold back who is far better served than another team that wants more, within a second

Any server with under half of its slots in use was taken before a refusal, and with 24 slots that long prompts fill late nearly all servers are; and what teams get was measured over two seconds, so a new burst took 10 of its 17 million tokens before it counted. Which of the others' requests were refused then hung on their subjects' homes. Now a team beyond its share that gets over 1.8 times what the least served one gets that wants more (under 0.9 of what it asks for) is refused, also beside half empty servers; three of the largest requests are left out of account, as the users do; rates of what teams get are over one second; and requests beyond a share may wait for 0.3 of their objective instead of 0.125, as the others' excess no longer fills the queues.

--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -11,7 +11,7 @@
 	// turnMisses is how many waiting requests in a row may find no room before a turn ends.
 	turnMisses = 4
 	// waitShare is the part of the time to its objective that a request beyond its team's share may wait.
-	waitShare = 0.125
+	waitShare = 0.3
 	// queueLimit bounds the requests that wait at one router for one service.
 	queueLimit = 2000
 )
@@ -92,7 +92,8 @@
 func (p *Pool) decide(now time.Duration, v *service, a *Ask) (Verdict, bool) {
 	c, ok := p.pick(now, v, a)
 	inTime := ok && now+c.backlog <= a.latest
-	if a.beyond && p.shares.ahead(now, a.Team) {
+	ahead := a.beyond && p.shares.ahead(now, a.Team)
+	if ahead {
 		inTime = false
 	}
 	if c.room && (inTime || a.Prompt == 0) {
@@ -104,7 +105,7 @@
 	if !ok {
 		return p.refuse(now, v, a, fleet.ReasonNoServer), true
 	}
-	if p.half(now, c.backend) {
+	if !ahead && p.half(now, c.backend) {
 		return p.send(now, a, c), true
 	}
 	if a.beyond {
--- a/core/pool/shares.go
+++ b/core/pool/shares.go
@@ -8,30 +8,39 @@
 )
 
 const (
-	// shareWindow is the time over which what teams ask for is measured.
-	shareWindow = 2 * time.Second
+	// shareWindow is the time over which what teams ask for is measured, and servedWindow that for what they get: whoever gets
+	// too much has to be held back within the six seconds over which the users compare teams.
+	shareWindow, servedWindow = time.Second, time.Second
 	// shareBurst is how many seconds of its share a team may ask for at once.
 	shareBurst = 0.5
 )
 
 // rate is an exponentially decaying rate.
 type rate struct {
-	value float64 // a second
-	at    time.Duration
+	window time.Duration // 0 for shareWindow
+	value  float64       // a second
+	at     time.Duration
+}
+
+func (r *rate) over() time.Duration {
+	if r.window == 0 {
+		return shareWindow
+	}
+	return r.window
 }
 
 func (r *rate) decay(now time.Duration) {
 	if now <= r.at {
 		return
 	}
-	passed := float64(now-r.at) / float64(shareWindow)
+	passed := float64(now-r.at) / float64(r.over())
 	r.value *= max(0, 1-passed/(1+passed))
 	r.at = now
 }
 
 func (r *rate) add(now time.Duration, amount float64) {
 	r.decay(now)
-	r.value += amount / shareWindow.Seconds()
+	r.value += amount / r.over().Seconds()
 }
 
 // teamShare is what one team asks of the fleet.
@@ -48,38 +57,41 @@
 type shares struct {
 	teams     map[string]*teamShare
 	elsewhere []digest.Rates // of teams that ask only other routers
+	largest   float64        // tokens of the largest requests of late
 	level     float64        // tokens a second above which a team is beyond its share; 0 for none
+	hungry    bool           // some team beyond its share wants more than it gets
+	least     float64        // tokens a second that the least served of these gets
 	at        time.Duration
 }
 
 // aheadFactor is by how much a team may be better served than the least served of the teams that ask for more than they get,
-// before it has to wait for them.
-const aheadFactor = 1.25
+// before it has to leave servers to them. The users call teams unequally served from 2 on.
+const aheadFactor = 1.8
 
-// ahead reports a team beyond its share that is better served than another such team: what is free goes to that one first.
+// hungryShare is the part of what it asks for below which a team beyond its share is taken to want more.
+const hungryShare = 0.9
+
+// ahead reports a team beyond its share that is far better served than another such team that wants more: what is free goes
+// to that one first.
 func (s *shares) ahead(now time.Duration, name string) bool {
-	if s.level == 0 {
+	if !s.hungry {
 		return false
 	}
-	least, found := 0.0, false
-	for _, t := range s.teams {
-		t.served.decay(now)
-		if t.own.value+t.others <= s.level {
-			continue
-		}
-		if got := t.served.value + t.othersServed; !found || got < least {
-			least, found = got, true
-		}
-	}
-	for _, r := range s.elsewhere {
-		if got := float64(r.Served); float64(r.Asked) > s.level && (!found || got < least) {
-			least, found = got, true
-		}
-	}
 	mine := s.team(name)
-	return found && mine.served.value+mine.othersServed > aheadFactor*least
+	mine.served.decay(now)
+	slack := slackRequests * s.largest / slackWindow.Seconds()
+	return mine.served.value+mine.othersServed-slack > aheadFactor*s.least
 }
 
+// A few large requests more or less within some seconds make no team better served: where requests are few, that is most of
+// the difference between teams. The users leave as many out of account.
+const (
+	slackRequests = 3
+	slackWindow   = 6 * time.Second
+	// largestFade is the part of itself that the largest request loses with each smaller one.
+	largestFade = 0.0005
+)
+
 // idleRate is the tokens a second below which a team is forgotten until it asks again, so that many small teams cost nothing.
 const idleRate = 1
 
@@ -92,7 +104,7 @@
 	}
 	t := s.teams[name]
 	if t == nil {
-		t = &teamShare{}
+		t = &teamShare{served: rate{window: servedWindow}}
 		s.teams[name] = t
 	}
 	return t
@@ -102,6 +114,7 @@
 func (s *shares) ask(now time.Duration, name string, tokens, throughput float64) bool {
 	t := s.team(name)
 	t.own.add(now, tokens)
+	s.largest = max(tokens, s.largest*(1-largestFade))
 	if throughput <= 0 {
 		return false
 	}
@@ -123,7 +136,7 @@
 
 // settle works out the max-min fair level by water filling: teams below it get all that they ask for, the others get it.
 func (s *shares) settle(now time.Duration, throughput float64) {
-	s.at, s.level = now, 0
+	s.at, s.level, s.hungry = now, 0, false
 	asked := make([]float64, 0, len(s.teams))
 	total := 0.0
 	for name, t := range s.teams {
@@ -150,8 +163,24 @@
 		even := left / float64(len(asked)-i)
 		if value > even {
 			s.level = even
+			s.compare()
 			return
 		}
 		left -= value
 	}
 }
+
+// compare finds the least served of the teams beyond their share that want more.
+func (s *shares) compare() {
+	note := func(asked, got float64) {
+		if asked > s.level && got < hungryShare*asked && (!s.hungry || got < s.least) {
+			s.hungry, s.least = true, got
+		}
+	}
+	for _, t := range s.teams {
+		note(t.own.value+t.others, t.served.value+t.othersServed)
+	}
+	for _, r := range s.elsewhere {
+		note(float64(r.Asked), float64(r.Served))
+	}
+}
--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -32,7 +32,7 @@
 			continue
 		}
 		c.sends++
-		c.note("sent", "server", v.Run.Server.ID, "dataCentre", v.Run.Server.DataCentre, "waited", v.Waited, "backlog", v.Backlog,
+		c.note("sent", "team", c.team, "server", v.Run.Server.ID, "dataCentre", v.Run.Server.DataCentre, "waited", v.Waited, "backlog", v.Backlog,
 			"unread", v.Run.Unread, "again", v.Run.Again, "home", v.Run.Home, "pace", v.Pace, "prompt", c.asked.Prompt, "output", c.asked.Output, "hint", c.asked.Hint, "cold", v.Run.Cold, "send", c.sends)
 		err := c.attempt(ctx, v.Run)
 		if err == nil {
