--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -95,6 +95,11 @@
 			result.Failed, result.Left = true, ctx.Err() != nil
 			return &attemptError{server: run.Server.ID, reason: fleet.ReasonStreamBroken, cause: err}
 		}
+		now := c.relay.Clock()
+		if c.eventAt > 0 {
+			c.pause = max(c.pause, now-c.eventAt)
+		}
+		c.eventAt = now
 		if first {
 			first = false
 			c.relay.Gate.Began(run)
@@ -122,7 +127,7 @@
 	c.relay.count("answered")
 	c.relay.observe("wholeMillis", c.relay.Clock()-c.arrived)
 	c.relay.lengths.learn(c.route.Name, c.relay.Clock()-c.arrived)
-	c.note("answered", "server", server, "status", status, "lastEvent", c.lastEvent, "after", c.relay.Clock()-c.arrived)
+	c.note("answered", "server", server, "status", status, "lastEvent", c.lastEvent, "longestPause", c.pause, "after", c.relay.Clock()-c.arrived)
 }
 
 // note logs a decision on this request.
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -30,12 +30,14 @@
 	service  string
 	body     []byte
 
-	runs      int      // servers on which it may have run
-	sends     int      // times that it was given to a server
-	tried     []string // servers that are not asked again
-	written   bool     // the answer's header has gone to the caller
-	lastEvent string   // newest event that went to the caller
-	failed    *answer  // a server's own failure, which is the answer if nothing better comes
+	runs      int           // servers on which it may have run
+	sends     int           // times that it was given to a server
+	tried     []string      // servers that are not asked again
+	written   bool          // the answer's header has gone to the caller
+	lastEvent string        // newest event that went to the caller
+	eventAt   time.Duration // when it came
+	pause     time.Duration // longest between two events
+	failed    *answer       // a server's own failure, which is the answer if nothing better comes
 }
 
 // refusal ends a request without a server's answer.
