--- a/core/pool/pick.go
+++ b/core/pool/pick.go
@@ -25,14 +25,6 @@
 	nearLeast, sampleSize = 3, 2
 	// wholeSearch is up to how many servers of a service all are weighed: few routers send to few servers.
 	wholeSearch = 16
-	// disturbShare is the part of the shortest allowed pause of streams that a prompt may take to read before it counts as long:
-	// an event needs several steps of the server, and each reads another piece of the prompt.
-	disturbShare = 0.5
-	// disturbCost is what each request at a server counts for a long prompt: a stream that pauses too long loses most of its
-	// worth, about as much as reading a thousand shared tokens once more, which rereadWeight makes a third of a second.
-	disturbCost = 250 * time.Millisecond
-	// longSample is how many servers are looked at for a long prompt, besides those of its subject.
-	longSample = 24
 	// memoryShare is the part of a server's KV cache that running requests may fill; the rest keeps shared parts.
 	memoryShare = 0.9
 	// abroad is what a server in another data centre counts behind one nearby.
@@ -66,9 +58,6 @@
 	if len(v.servers) <= wholeSearch {
 		return p.best(now, v, a, v.servers, home)
 	}
-	if p.disturbs(v, a.own()) {
-		return p.best(now, v, a, append(near, p.sample(v, longSample)...), home)
-	}
 	c, ok := p.best(now, v, a, near, home)
 	if ok && c.room && now+c.backlog <= a.latest {
 		return c, true
@@ -208,9 +197,6 @@
 	c.backlog = v.rate.time(u.Prefill)
 	reread := c.unread - a.own()
 	c.cost = c.backlog + time.Duration(weight*float64(v.rate.time(reread)))
-	if p.disturbs(v, c.unread) {
-		c.cost += time.Duration(u.Requests) * disturbCost
-	}
 	if b.DataCentre != p.DataCentre {
 		c.cost += abroad
 	}
@@ -218,15 +204,6 @@
 	return c
 }
 
-// disturbs reports a prompt so long that the streams at its server will pause for too long while it is read.
-func (p *Pool) disturbs(v *service, unread int64) bool {
-	if p.table == nil {
-		return false
-	}
-	pause := p.table.Pause(v.name)
-	return pause > 0 && v.rate.time(unread) > time.Duration(disturbShare*float64(pause))
-}
-
 // own gives the tokens of the prompt that no other request shares.
 func (a *Ask) own() int64 {
 	own := a.Prompt
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -571,33 +571,3 @@
 		t.Errorf("the emptiest gets %d, the fullest %d", counts["d0"], counts["d3"])
 	}
 }
-
-// A prompt that takes long to read goes where few streams wait for it; others keep to their home.
-func TestLongPromptsAvoidStreams(t *testing.T) {
-	config := table().Config
-	config.Routes[0].Pause = 500 * time.Millisecond
-	for name, c := range map[string]struct {
-		own  int64 // tokens of the prompt that no other request shares
-		home bool
-	}{
-		"usual": {own: 3000, home: true},
-		"long":  {own: 20000},
-	} {
-		t.Run(name, func(t *testing.T) {
-			p := fill(9)
-			p.Configure(route.NewTable(config))
-			home := sent(t, p, 0, draft(0, 1, 7)).Server.ID
-			for id, b := range p.servers {
-				b.own = Usage{Requests: 2}
-				if id == home {
-					b.own.Requests = 20
-				}
-			}
-			a := draft(time.Second, 2, 7)
-			a.Parts[2].Tokens, a.Prompt = c.own, 6000+c.own
-			if got := sent(t, p, time.Second, a).Server.ID; (got == home) != c.home {
-				t.Errorf("sent to %s, home %s", got, home)
-			}
-		})
-	}
-}
--- a/core/route/config.go
+++ b/core/route/config.go
@@ -31,7 +31,6 @@
 	Kind      Kind
 	Timeout   time.Duration // longest time that a request is kept; 0 for no limit
 	Objective time.Duration // time within which an answer, or the first event of a stream, is of full worth
-	Pause     time.Duration // longest time between two events of a stream that is of full worth; 0 for no limit
 	Attempts  int           // backend servers on which one request may run
 	Public    bool          // needs no key
 	Resumable bool          // a stream may go on at another server
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -15,7 +15,6 @@
 	teams    map[string]*Team // by key
 
 	objectives map[string]time.Duration // by service
-	pauses     map[string]time.Duration // by service
 }
 
 // NewTable indexes a configuration.
@@ -23,7 +22,7 @@
 	t := &Table{
 		Config: c, hosts: make(map[string][]*Route),
 		services: make(map[string]*Service), teams: make(map[string]*Team),
-		objectives: make(map[string]time.Duration), pauses: make(map[string]time.Duration),
+		objectives: make(map[string]time.Duration),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -33,9 +32,6 @@
 			if o, ok := t.objectives[share.Service]; !ok || r.Objective < o {
 				t.objectives[share.Service] = r.Objective
 			}
-			if p, ok := t.pauses[share.Service]; r.Pause > 0 && (!ok || r.Pause < p) {
-				t.pauses[share.Service] = r.Pause
-			}
 		}
 	}
 	for _, routes := range t.hosts {
@@ -111,6 +107,3 @@
 
 // Objective gives the shortest objective of all routes that lead to a service; 0 if none does.
 func (t *Table) Objective(service string) time.Duration { return t.objectives[service] }
-
-// Pause gives the shortest of the pauses that streams of a service may make; 0 if there is no limit.
-func (t *Table) Pause(service string) time.Duration { return t.pauses[service] }
