Send nothing for callers that have left, and shed callers when the processor is short

The HTTP server notices a close in a goroutine that has to wait for the processor too. Now the router asks the system whether the caller is still there just before it sends; and by how much its timers are late tells when it is short of the processor: from 30 ms on it is not ready, from 200 ms on it turns requests away. A likely cause is closed: unused connections beyond a number were closed, also ones on which a request was just being read. Only those unused for longer than callers may leave them are now.

--- a/router/door/conns.go
+++ b/router/door/conns.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 )
@@ -44,28 +43,14 @@
 	return true
 }
 
-// CloseIdle closes connections that were idle for so long, and the longest idle ones beyond a number; 0 is no bound.
-func (i *IdleConns) CloseIdle(length time.Duration, most int) {
-	type idle struct {
-		conn  net.Conn
-		since time.Time
-	}
-	var list []idle
+// CloseIdle closes connections that were idle for so long.
+func (i *IdleConns) CloseIdle(length time.Duration) {
 	i.mutex.Lock()
-	open := len(i.conns)
+	defer i.mutex.Unlock()
 	for c, since := range i.conns {
-		if !since.IsZero() {
-			list = append(list, idle{c, since})
-		}
-	}
-	i.mutex.Unlock()
-	slices.SortFunc(list, func(a, b idle) int { return a.since.Compare(b.since) })
-	for _, c := range list {
-		if (length <= 0 || time.Since(c.since) < length) && (most <= 0 || open <= most) {
-			return
+		if !since.IsZero() && time.Since(since) >= length {
+			_ = c.Close() // its caller, if any, finds out
 		}
-		_ = c.conn.Close() // its caller, if any, finds out
-		open--
 	}
 }
 
--- a/router/proc/callers.go
+++ b/router/proc/callers.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
+
+	"mangolug.org/router/door"
 )
 
 const (
@@ -14,11 +17,16 @@
 	// connShare and requestShare are the parts of the process's memory that callers' connections and requests may take, and
 	// fileShare the part of its descriptors that connections may.
 	connShare, requestShare, fileShare = 0.2, 0.35, 0.4
-	// connExcess is by how much callers may exceed that before unused connections are closed: most go when an answer asks them to.
-	connExcess = 1.25
 	// crowdBegins and crowdEnds are the parts of the room for requests at which the balancer is told to send callers elsewhere,
 	// and to send them again.
 	crowdBegins, crowdEnds = 0.7, 0.35
+	// lagBegins and lagEnds do the same for the time by which timers are late: a process that waits that long for the processor
+	// adds it to each step of each request, of which the tightest objective is 150 ms.
+	lagBegins, lagEnds = 30 * time.Millisecond, 10 * time.Millisecond
+	// lagFull is the lateness at which requests are turned away: callers give up after a second.
+	lagFull = 200 * time.Millisecond
+	// lagPeriod is the time between two measurements, and lagWeight the part of the newest in the mean.
+	lagPeriod, lagWeight = 50 * time.Millisecond, 0.1
 	// crowdPeriod is how often connections and requests are looked at.
 	crowdPeriod = time.Second
 )
@@ -44,11 +52,35 @@
 // full reports whether so many requests are more than this router can hold.
 func (p *Process) full(open int) bool {
 	_, requests := p.settings.Load().room()
-	return requests > 0 && open > requests
+	return requests > 0 && open > requests || p.lag.Load() > int64(lagFull)
+}
+
+// gone reports that a request's caller has left.
+func gone(r *http.Request) bool { return door.Gone(r.Context()) }
+
+// measureLag follows by how much the process's timers are late, until the context ends.
+func (p *Process) measureLag(ctx context.Context) error {
+	for {
+		due := time.Now().Add(lagPeriod)
+		timer := time.NewTimer(lagPeriod)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-timer.C:
+		}
+		p.noteLag(time.Since(due))
+	}
+}
+
+// noteLag takes one measurement in; a pause of the whole machine is no lack of processor, so each counts up to a bound.
+func (p *Process) noteLag(late time.Duration) {
+	mean := p.lag.Load()
+	p.lag.Store(mean + int64(lagWeight*float64(int64(min(late, 2*lagFull))-mean)))
 }
 
-// keepCallers closes connections that callers leave unused for too long, or too many of, and notes when requests crowd,
-// until the context ends.
+// keepCallers closes connections that callers leave unused for too long and notes when requests crowd, until the context
+// ends. Only those unused for longer than callers may leave them: closing others could cut a request that just comes.
 func (p *Process) keepCallers(ctx context.Context) error {
 	ticker := time.NewTicker(crowdPeriod)
 	defer ticker.Stop()
@@ -62,23 +94,23 @@
 		if t := p.table.Load(); t != nil && t.Config.Limits.Idle > 0 {
 			idle = t.Config.Limits.Idle
 		}
-		conns, requests := p.settings.Load().room()
-		p.entrance.Conns.CloseIdle(idle, int(connExcess*float64(conns)))
-		p.noteCrowd(p.relay.Open(), requests)
+		_, requests := p.settings.Load().room()
+		p.entrance.Conns.CloseIdle(idle)
+		p.noteCrowd(p.relay.Open(), requests, time.Duration(p.lag.Load()))
 	}
 }
 
-// noteCrowd takes in how many requests are served, with room for so many.
-func (p *Process) noteCrowd(open, room int) {
+// noteCrowd takes in how many requests are served, with room for so many, and by how much timers are late.
+func (p *Process) noteCrowd(open, room int, lag time.Duration) {
 	was := p.crowd.Load()
-	limit := crowdBegins
+	limit, late := crowdBegins, lagBegins
 	if was {
-		limit = crowdEnds
+		limit, late = crowdEnds, lagEnds
 	}
-	is := room > 0 && float64(open) > limit*float64(room)
+	is := room > 0 && float64(open) > limit*float64(room) || lag > late
 	if is == was {
 		return
 	}
 	p.crowd.Store(is)
-	p.log.Warn("crowd", "is", is, "open", open, "room", room, "callers", p.entrance.Conns.Open())
+	p.log.Warn("crowd", "is", is, "open", open, "room", room, "lag", lag, "callers", p.entrance.Conns.Open())
 }
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -59,6 +59,7 @@
 	peers      net.PacketConn // nil if there is none
 	share      *share.Share   // nil if there is none
 	crowd      atomic.Bool    // requests take most of the room: the balancer is to send callers elsewhere
+	lag        atomic.Int64   // by how much the process's timers are late, a moving mean in nanoseconds
 	leaving    atomic.Int64   // when the signal to stop came, on the clock of now; 0 while it did not
 	sourceLost atomic.Bool
 	news       chan struct{} // another router told of a newer state of the platform
@@ -93,7 +94,7 @@
 	stopping, cut := context.WithCancel(context.Background())
 	p.cut = cut
 	p.relay = &relay.Relay{
-		Table: p.table.Load, Gate: p.gate, Dialect: d, Clock: p.now, Leaving: p.left, Crowded: p.crowded, Full: p.full, Log: p.log, Metrics: p.registry,
+		Table: p.table.Load, Gate: p.gate, Dialect: d, Clock: p.now, Leaving: p.left, Crowded: p.crowded, Full: p.full, Gone: gone, Log: p.log, Metrics: p.registry,
 		Client:   &back.Client{Settings: back.Settings{Silence: silence, ConnectTimeout: connectTimeout, IdleTimeout: serverIdle}},
 		Budgets:  pool.Budgets{Ratio: s.Ratio, Slack: s.Slack},
 		Stopping: stopping,
@@ -160,7 +161,7 @@
 	defer end()
 	callers := &http.Server{
 		Handler: p.relay, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
-		ConnState: p.entrance.Conns.Note, ErrorLog: p.log.StandardLog(),
+		ConnState: p.entrance.Conns.Note, ConnContext: door.WithConn, ErrorLog: p.log.StandardLog(),
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- p.tree(callers).Run(work) }()
@@ -179,7 +180,7 @@
 		{Name: "readiness", Critical: true, Run: func(ctx context.Context) error { return door.Serve(ctx, ready, p.ready) }},
 		{Name: "source", Run: func(ctx context.Context) error { return p.source(ctx, p.taker()) }},
 	}
-	children = append(children, guard.Child{Name: "usage", Run: p.tellUsage}, guard.Child{Name: "connections", Run: p.keepCallers})
+	children = append(children, guard.Child{Name: "usage", Run: p.tellUsage}, guard.Child{Name: "connections", Run: p.keepCallers}, guard.Child{Name: "lag", Run: p.measureLag})
 	if p.metrics != nil {
 		scrapers := &http.Server{Handler: admin.Scrape(p.registry), ReadHeaderTimeout: headerTimeout}
 		children = append(children, guard.Child{Name: "metrics", Run: func(ctx context.Context) error { return door.Serve(ctx, scrapers, p.metrics) }})
--- a/router/proc/usage.go
+++ b/router/proc/usage.go
@@ -32,6 +32,6 @@
 		metrics.Read(samples)
 		value := func(i int) uint64 { return samples[i].Value.Uint64() }
 		p.log.Info("usage", "goroutines", value(0), "heapBytes", value(1), "stackBytes", value(2), "residentBytes", value(3)-value(4),
-			"callers", p.entrance.Conns.Open(), "open", p.relay.Open(), "waiting", p.gate.Waiting(), "droppedLines", p.lines.dropped.Load())
+			"callers", p.entrance.Conns.Open(), "open", p.relay.Open(), "waiting", p.gate.Waiting(), "lag", time.Duration(p.lag.Load()), "droppedLines", p.lines.dropped.Load())
 	}
 }
--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -24,6 +24,10 @@
 		if v.Run == nil {
 			return c.turnedDown(ctx, v)
 		}
+		if c.relay.Gone != nil && c.relay.Gone(c.request) {
+			c.relay.Gate.Ended(v.Run, pool.Result{Left: true})
+			return &refusal{reason: fleet.ReasonCallerGone, status: http.StatusRequestTimeout, detail: "before it was sent", cut: true}
+		}
 		if e := c.relocate(); e != nil || c.service != v.Run.Server.Service {
 			c.relay.Gate.Ended(v.Run, pool.Result{Left: true})
 			if e != nil {
