Ask once more, before the first byte, whether the server still takes work

The choice of a server is now checked just before the first byte; what was not sent is chosen for anew and is no repeat. Requests are turned away from a lag of 80 ms on, and callers sent elsewhere from 15 ms on. Ruled out: late news of the leaving (others kept the bound).

--- a/core/pool/run.go
+++ b/core/pool/run.go
@@ -28,6 +28,9 @@
 	return Verdict{Ask: a, Reason: fleet.ReasonGranted, Run: r, Backlog: c.backlog, Pace: p.service(b.Service).rate.value(), Waited: now - a.Arrived}
 }
 
+// Open reports whether the server of a run may still get new work: it may have begun to leave since it was chosen.
+func (p *Pool) Open(r *Run) bool { return p.open(r.backend) }
+
 // Began notes the first event of an answer: the server has read the prompt.
 func (p *Pool) Began(now time.Duration, r *Run) {
 	if r.began || r.ended {
--- a/router/proc/callers.go
+++ b/router/proc/callers.go
@@ -22,9 +22,10 @@
 	crowdBegins, crowdEnds = 0.7, 0.35
 	// lagBegins and lagEnds do the same for the time by which timers are late: a process that waits that long for the processor
 	// adds it to each step of each request, of which the tightest objective is 150 ms.
-	lagBegins, lagEnds = 30 * time.Millisecond, 10 * time.Millisecond
-	// lagFull is the lateness at which requests are turned away: callers give up after a second.
-	lagFull = 200 * time.Millisecond
+	lagBegins, lagEnds = 15 * time.Millisecond, 5 * time.Millisecond
+	// lagFull is the lateness at which requests are turned away: a request takes some ten steps, and callers give up after a
+	// second.
+	lagFull = 80 * time.Millisecond
 	// lagPeriod is the time between two measurements, and lagWeight the part of the newest in the mean.
 	lagPeriod, lagWeight = 50 * time.Millisecond, 0.1
 	// crowdPeriod is how often connections and requests are looked at.
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"mangolug.org/core/pool"
 	"mangolug.org/core/route"
 )
 
@@ -442,3 +443,40 @@
 		t.Error("not counted as gone")
 	}
 }
+
+// A server that begins to leave after it was chosen, and before the request is written, gets nothing; another runs it, and
+// that is no repeat.
+func TestServerLeavesBeforeTheWrite(t *testing.T) {
+	w := newWorld(t, func(w *world, _ int, rw http.ResponseWriter, _ *http.Request) { w.run(rw, http.StatusOK, "x") })
+	w.relay.Budgets = pool.Budgets{}
+	write := w.relay.Dialect.Write
+	left := ""
+	w.relay.Dialect.Write = func(h http.Header, s Sending) {
+		write(h, s)
+		if left != "" {
+			return
+		}
+		left = s.Server
+		w.relay.Gate.With(func(now time.Duration, p *pool.Pool) {
+			address := ""
+			for i := range w.served {
+				if fmt.Sprint("s", i) == left {
+					address = w.addresses[i]
+				}
+			}
+			p.Set(now, pool.Server{ID: left, Service: "desk", Address: address, DataCentre: "east", Slots: 8, Draining: true})
+		})
+	}
+	for _, path := range []string{"/safe/a", "/unsafe/a"} {
+		left = ""
+		a := w.ask(t, http.MethodPost, path, "b", nil)
+		if a.status != http.StatusOK || a.body != "x" {
+			t.Errorf("%s: got %d %q, %v", path, a.status, a.body, a.err)
+		}
+		for i := range w.served {
+			if n := w.served[i].Swap(0); n > 0 && fmt.Sprint("s", i) == left {
+				t.Errorf("%s: the leaving server %s got %d requests", path, left, n)
+			}
+		}
+	}
+}
--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -113,6 +113,10 @@
 		return c.over(ctx, err.Error())
 	}
 	c.note("failed", "server", failed.server, "reason", failed.reason, "notRun", failed.notRun, "detail", err.Error(), "lastEvent", c.lastEvent)
+	if failed.reason == fleet.ReasonGrantExpired {
+		c.sends-- // nothing was sent
+		return nil
+	}
 	switch {
 	case c.runs > 0 && !c.route.Idempotent(), c.runs >= max(1, c.route.Attempts):
 		return c.last(failed)
@@ -178,11 +182,11 @@
 	send, cancel := context.WithCancel(ctx)
 	defer cancel()
 	begun := c.relay.Clock()
-	response, err := c.relay.Client.Do(c.outgoing(send, run), run.Server.ID, !c.route.Idempotent(), nil)
+	response, err := c.relay.Client.Do(c.outgoing(send, run), run.Server.ID, !c.route.Idempotent(), c.lapsed(run))
 	if err != nil {
 		var failed *back.ServerError
 		errors.As(err, &failed)
-		result.Left = ctx.Err() != nil
+		result.Left = ctx.Err() != nil || failed.Reason == fleet.ReasonGrantExpired
 		result.Lost = !failed.Sent
 		result.Failed = true
 		return &attemptError{server: run.Server.ID, reason: failed.Reason, notRun: failed.NotRun, cause: failed.Err}
@@ -200,6 +204,16 @@
 	return c.passWhole(ctx, run, a, &result)
 }
 
+// lapsed tells, just before the first byte is sent, that the server has begun to leave: between the choice and the write
+// there may be a new connection, and a wait for the processor.
+func (c *call) lapsed(run *pool.Run) func() bool {
+	return func() bool {
+		open := true
+		c.relay.Gate.With(func(_ time.Duration, p *pool.Pool) { open = p.Open(run) })
+		return !open
+	}
+}
+
 // hear takes in what an answer says of its server.
 func (c *call) hear(run *pool.Run, a *answer) {
 	if !a.told.HasLoad && a.told.ColdFor == 0 {
--- a/router/relay/world_test.go
+++ b/router/relay/world_test.go
@@ -65,7 +65,9 @@
 	front  *httptest.Server
 	runs   atomic.Int64 // requests that servers began to work on
 	served [3]atomic.Int64
-	table  atomic.Pointer[route.Table]
+
+	addresses [3]string
+	table     atomic.Pointer[route.Table]
 }
 
 // newWorld starts a relay before three servers that answer as told; each call is given the server's number.
@@ -90,6 +92,7 @@
 			serve(w, i, rw, r)
 		}))
 		t.Cleanup(s.Close)
+		w.addresses[i] = strings.TrimPrefix(s.URL, "http://")
 		p.Set(0, pool.Server{ID: fmt.Sprint("s", i), Service: "desk", Address: strings.TrimPrefix(s.URL, "http://"), DataCentre: "east", Slots: 8})
 	}
 	w.relay = &Relay{
