--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -432,15 +432,23 @@
 // A request whose caller has left before it could be sent goes to no server.
 func TestCallerLeftBeforeSending(t *testing.T) {
 	w := newWorld(t, func(w *world, _ int, rw http.ResponseWriter, _ *http.Request) { w.run(rw, http.StatusOK, "x") })
-	w.relay.Gone = func(*http.Request) bool { return true }
-	if a := w.ask(t, http.MethodGet, "/safe/a", "", nil); a.err == nil {
-		t.Errorf("got %d %q", a.status, a.body)
-	}
-	if n := w.runs.Load(); n != 0 {
-		t.Errorf("%d servers ran it", n)
-	}
-	if w.count("refused.callerGone") != 1 {
-		t.Error("not counted as gone")
+	for name, leaves := range map[string]int{"before a server is chosen": 0, "before the write": 1} {
+		t.Run(name, func(t *testing.T) {
+			looks, before := 0, w.count("refused.callerGone")
+			w.relay.Gone = func(*http.Request) bool {
+				looks++
+				return looks > leaves
+			}
+			if a := w.ask(t, http.MethodGet, "/safe/a", "", nil); a.err == nil {
+				t.Errorf("got %d %q", a.status, a.body)
+			}
+			if n := w.runs.Load(); n != 0 {
+				t.Errorf("%d servers ran it", n)
+			}
+			if w.count("refused.callerGone") != before+1 {
+				t.Error("not counted as gone")
+			}
+		})
 	}
 }
 
--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -24,7 +24,7 @@
 		if v.Run == nil {
 			return c.turnedDown(ctx, v)
 		}
-		if c.relay.Gone != nil && c.relay.Gone(c.request) {
+		if c.gone() {
 			c.relay.Gate.Ended(v.Run, pool.Result{Left: true})
 			return &refusal{reason: fleet.ReasonCallerGone, status: http.StatusRequestTimeout, detail: "before it was sent", cut: true}
 		}
@@ -204,10 +204,16 @@
 	return c.passWhole(ctx, run, a, &result)
 }
 
-// lapsed tells, just before the first byte is sent, that the server has begun to leave: between the choice and the write
-// there may be a new connection, and a wait for the processor.
+// gone reports that the caller has closed its connection.
+func (c *call) gone() bool { return c.relay.Gone != nil && c.relay.Gone(c.request) }
+
+// lapsed tells, just before the first byte is sent, that the server has begun to leave or the caller has left: between the
+// choice and the write there may be a new connection, and a wait for the processor.
 func (c *call) lapsed(run *pool.Run) func() bool {
 	return func() bool {
+		if c.gone() {
+			return true
+		}
 		open := true
 		c.relay.Gate.With(func(_ time.Duration, p *pool.Pool) { open = p.Open(run) })
 		return !open
