Look at all servers where none of a subject's may be sent to

Cause, found on reading the change: of a service of more than 16 servers only a subject's first three and two by chance were weighed. Where all are cold, each takes work from four routers, so that of 140 servers one of 88 routers may send to some six: two by chance hardly find one, and requests wait and are refused while the fleet warms. Ruled out: small services, which are searched whole. TestColdFleetIsUsed: fewer than three of four requests sent at once before, all after.

--- a/core/pool/pick.go
+++ b/core/pool/pick.go
@@ -62,11 +62,14 @@
 	if ok && c.room && now+c.backlog <= a.latest {
 		return c, true
 	}
+	if !ok { // few may be sent to, as when all are cold and each takes work from a few routers only
+		return p.best(now, v, a, v.servers, home)
+	}
 	far, found := p.best(now, v, a, p.sample(v, len(near)), home)
-	if found && (!ok || far.room && far.cost < c.cost) {
+	if found && far.room && far.cost < c.cost {
 		return far, true
 	}
-	return c, ok
+	return c, true
 }
 
 // best gives the cheapest of some servers for a request, and false if none of them may be sent to.
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -571,3 +571,25 @@
 		t.Errorf("the emptiest gets %d, the fullest %d", counts["d0"], counts["d3"])
 	}
 }
+
+// Where all of many servers are cold, a router finds the few that it may send to.
+func TestColdFleetIsUsed(t *testing.T) {
+	const routers = 88
+	p := fill(140)
+	for i := range routers - 1 {
+		p.Routers = append(p.Routers, fmt.Sprint("other", i))
+	}
+	for id := range p.servers {
+		p.Cold(0, id, time.Minute)
+	}
+	sent := 0
+	for i := range 4 {
+		now := time.Duration(i) * 100 * time.Millisecond
+		if v, decided := p.Admit(now, draft(now, i, uint64(i))); decided && v.Run != nil {
+			sent++
+		}
+	}
+	if sent < 3 { // of the 140 servers some six take work from one of 88 routers
+		t.Errorf("%d of 4 requests were sent at once", sent)
+	}
+}
