--- a/core/pool/pick.go
+++ b/core/pool/pick.go
@@ -20,9 +20,9 @@
 	// hotCount is how many requests on a subject, at one router within cacheMemory, make it hot: a subject of the usual days
 	// has one or two.
 	hotCount = 3
-	// nearLeast is how many servers share the requests on a subject, and sampleSize how many others are looked at when none of
-	// them has room (TestGrownFleet: with all servers to choose from, 88 routers send to the same few).
-	nearLeast, sampleSize = 3, 2
+	// nearLeast is how many servers share the requests on a subject, and how many others are looked at when none of them has
+	// room; from TestGrownFleet.
+	nearLeast = 3
 	// wholeSearch is up to how many servers of a service all are weighed: few routers send to few servers.
 	wholeSearch = 16
 	// memoryShare is the part of a server's KV cache that running requests may fill; the rest keeps shared parts.
@@ -89,10 +89,9 @@
 	return best, found
 }
 
-// sample gives a few servers by chance: all routers hear the same old news of loads, so that the
-// one best server of all would get what all of them send at once.
-func (p *Pool) sample(v *service, near int) []*backend {
-	n := max(sampleSize, near)
+// sample gives so many servers by chance. All routers hear the same old news of loads, so that the best server of all would
+// get what all of them send at once.
+func (p *Pool) sample(v *service, n int) []*backend {
 	some := make([]*backend, 0, n)
 	for range n {
 		some = append(some, v.servers[p.Random.IntN(len(v.servers))])
