Wait in one place, and drop state that nothing needs

No behaviour changes but one wording: a request that is turned away with a header that can't be read no longer names that in its log line. - Waiting for a time or a context's end stood in router/plat, router/peers, router/guard and platform/, and the doubling pause with jitter in router/plat and platform/: both are in router/pauses now. Left: loader's (another module, tells whether it was stopped), router/front's (ends the request). - Gate.Waiting counted what Pool.Waiting already tells. - Rates of teams had a window each, though all are of one second by now. - The log of changes was copied with each message; the reader's rank was searched by hand; the header of a request that is turned away was read in a second place. Seen and left: route.Service.Model and Slots and relay.Told.Server are decoded and read by tests only; the main functions of bulletin, desk and engine share a shape, one module a program; two looks whether the caller has left, as a new connection may lie between them.

--- a/core/digest/fleet.go
+++ b/core/digest/fleet.go
@@ -23,8 +23,8 @@
 // Message is what routers send each other.
 type Message struct {
 	From string
-	// Revision is the newest revision of the platform's state that the sender knows of, so that all hear soon of changes
-	// that their own watches miss.
+	// Revision is the newest revision of the platform's state that the sender has heard of, also where it does not have the
+	// changes up to it.
 	Revision int64
 	Members  []Member // gossip; nil if none
 	Part     *Sum     // a router's own use, to its relay
--- a/core/digest/news.go
+++ b/core/digest/news.go
@@ -1,6 +1,9 @@
 package digest
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// logBytes bounds the changes that are kept for other routers, with their keys: those of some seconds.
@@ -61,7 +64,7 @@
 		l.bytes -= l.changes[drop].size()
 		l.oldest = l.changes[drop].Revision
 	}
-	l.changes = append([]Change(nil), l.changes[drop:]...)
+	l.changes = slices.Delete(l.changes, 0, drop)
 	return true
 }
 
@@ -139,10 +142,5 @@
 	if f.relay != f.Address || now-f.since < readerDelay {
 		return false
 	}
-	for i, name := range f.dataCentres(now) {
-		if name == f.DataCentre {
-			return i < readingCentres
-		}
-	}
-	return true
+	return slices.Index(f.dataCentres(now), f.DataCentre) < readingCentres
 }
--- a/core/pool/shares.go
+++ b/core/pool/shares.go
@@ -8,39 +8,31 @@
 )
 
 const (
-	// shareWindow is the time over which what teams ask for is measured, and servedWindow that for what they get: whoever gets
-	// too much has to be held back within the six seconds over which the users compare teams.
-	shareWindow, servedWindow = time.Second, time.Second
+	// shareWindow is the time over which what teams ask for and get is measured: whoever gets too much has to be held back
+	// within the six seconds over which the users compare teams.
+	shareWindow = time.Second
 	// shareBurst is how many seconds of its share a team may ask for at once.
 	shareBurst = 0.5
 )
 
 // rate is an exponentially decaying rate.
 type rate struct {
-	window time.Duration // 0 for shareWindow
-	value  float64       // a second
-	at     time.Duration
-}
-
-func (r *rate) over() time.Duration {
-	if r.window == 0 {
-		return shareWindow
-	}
-	return r.window
+	value float64 // a second
+	at    time.Duration
 }
 
 func (r *rate) decay(now time.Duration) {
 	if now <= r.at {
 		return
 	}
-	passed := float64(now-r.at) / float64(r.over())
+	passed := float64(now-r.at) / float64(shareWindow)
 	r.value *= max(0, 1-passed/(1+passed))
 	r.at = now
 }
 
 func (r *rate) add(now time.Duration, amount float64) {
 	r.decay(now)
-	r.value += amount / r.over().Seconds()
+	r.value += amount / shareWindow.Seconds()
 }
 
 // teamShare is what one team asks of the fleet.
@@ -104,7 +96,7 @@
 	}
 	t := s.teams[name]
 	if t == nil {
-		t = &teamShare{served: rate{window: servedWindow}}
+		t = &teamShare{}
 		s.teams[name] = t
 	}
 	return t
--- a/router/guard/tree.go
+++ b/router/guard/tree.go
@@ -9,6 +9,8 @@
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
+
+	"mangolug.org/router/pauses"
 )
 
 const (
@@ -97,12 +99,9 @@
 		if len(failures) >= restartLimit {
 			return errors.Wrapf(err, "failed %d times within %v", len(failures), restartWindow)
 		}
-		timer := time.NewTimer(restartDelay)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		pauses.For(ctx, restartDelay)
+		if ctx.Err() != nil {
 			return nil
-		case <-timer.C:
 		}
 	}
 }
--- /dev/null
+++ b/router/pauses/pauses_test.go
@@ -0,0 +1,32 @@
+package pauses
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+func TestFor(t *testing.T) {
+	began := time.Now()
+	For(t.Context(), 20*time.Millisecond)
+	if took := time.Since(began); took < 20*time.Millisecond {
+		t.Errorf("waited only %v", took)
+	}
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	For(ended, time.Hour) // the test's own limit shows a wait beyond the context's end
+}
+
+// Without a source of its own the jitter stays between half and all of each pause.
+func TestBackoff(t *testing.T) {
+	b := Backoff{First: 100, Limit: 300}
+	for _, most := range []time.Duration{100, 200, 300, 300} {
+		if got := b.Next(); got < most/2 || got > most {
+			t.Errorf("pause %d, want %d to %d", got, most/2, most)
+		}
+	}
+	b.Reset()
+	if got := b.Next(); got > 100 {
+		t.Errorf("pause %d after a success, want at most 100", got)
+	}
+}
--- a/router/peers/links.go
+++ b/router/peers/links.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 
+	"mangolug.org/router/pauses"
 	"mangolug.org/router/wire"
 )
 
@@ -113,7 +114,7 @@
 		if time.Since(began) > reopenLongest {
 			wait = reopenShortest
 		}
-		pause(ctx, wait/2+rand.N(wait))
+		pauses.For(ctx, wait/2+rand.N(wait))
 		wait = min(2*wait, reopenLongest)
 	}
 }
@@ -208,12 +209,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/router/plat/watcher.go
+++ b/router/plat/watcher.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+
 	"mangolug.org/core/fleet"
+	"mangolug.org/router/pauses"
 )
 
 // Defaults of a Watcher's times.
@@ -74,7 +76,7 @@
 // watchRules watches as a reader and reads now and then otherwise.
 func (w *Watcher) watchRules(ctx context.Context) {
 	var read uint64
-	backoff := backoff{first: w.Times.backoff(), limit: w.Times.backoffLimit(), random: w.random}
+	backoff := backoff{pauses.Backoff{First: w.Times.backoff(), Limit: w.Times.backoffLimit(), Random: w.random}}
 	for first := true; ctx.Err() == nil; first = false {
 		reader := w.reader()
 		var wait time.Duration
@@ -98,12 +100,12 @@
 		switch {
 		case err != nil:
 			w.failed(err)
-			pause(ctx, backoff.next(err))
+			pauses.For(ctx, backoff.next(err))
 		case reader:
-			backoff.reset()
-			pause(ctx, w.spread(w.Times.backoff()))
+			backoff.Reset()
+			pauses.For(ctx, w.spread(w.Times.backoff()))
 		default:
-			backoff.reset()
+			backoff.Reset()
 			w.awaitRole(ctx, w.spread(w.share(w.Times.rulesPeriod())))
 		}
 	}
@@ -118,7 +120,7 @@
 
 // pollList reads the list, often while the router needs it at once.
 func (w *Watcher) pollList(ctx context.Context) {
-	backoff := backoff{first: w.Times.backoff(), limit: w.Times.backoffLimit(), random: w.random}
+	backoff := backoff{pauses.Backoff{First: w.Times.backoff(), Limit: w.Times.backoffLimit(), Random: w.random}}
 	for ctx.Err() == nil {
 		vms, err := w.vms(ctx)
 		if ctx.Err() != nil {
@@ -126,12 +128,12 @@
 		}
 		if err != nil {
 			w.failed(err)
-			pause(ctx, backoff.next(err))
+			pauses.For(ctx, backoff.next(err))
 			continue
 		}
-		backoff.reset()
+		backoff.Reset()
 		w.List(vms)
-		pause(ctx, w.Times.listPeriod())
+		pauses.For(ctx, w.Times.listPeriod())
 		w.awaitUrgent(ctx, w.spread(w.share(w.Times.slowPeriod())-w.Times.listPeriod()))
 	}
 }
@@ -145,14 +147,14 @@
 // awaitRole waits until the time is up or the router has become a reader.
 func (w *Watcher) awaitRole(ctx context.Context, limit time.Duration) {
 	for ; limit > 0 && ctx.Err() == nil && !w.reader(); limit -= rolePoll {
-		pause(ctx, min(limit, rolePoll))
+		pauses.For(ctx, min(limit, rolePoll))
 	}
 }
 
 // awaitUrgent waits until the time is up or the router needs the list at once.
 func (w *Watcher) awaitUrgent(ctx context.Context, limit time.Duration) {
 	for ; limit > 0 && ctx.Err() == nil && !w.urgent() && !w.reader(); limit -= rolePoll {
-		pause(ctx, min(limit, rolePoll))
+		pauses.For(ctx, min(limit, rolePoll))
 	}
 }
 
@@ -187,36 +189,15 @@
 	}
 }
 
-// backoff doubles the pause after each failure, with full jitter over its upper half.
-type backoff struct {
-	first, limit time.Duration
-	random       func() float64
-	failures     int
-}
-
-func (b *backoff) reset() { b.failures = 0 }
+// backoff pauses after failures, for at least as long as the platform asked for.
+type backoff struct{ pauses.Backoff }
 
-// next gives the pause after one more failure, at least what the platform asked for.
+// next gives the pause after one more failure.
 func (b *backoff) next(err error) time.Duration {
-	d := b.first
-	for range b.failures {
-		d = min(2*d, b.limit)
-	}
-	b.failures = min(b.failures+1, 32)
-	d = d/2 + time.Duration(b.random()*float64(d)/2)
+	d := b.Next()
 	var status *StatusError
 	if errors.As(err, &status) {
-		d = max(d, min(status.RetryAfter, retryAfterLimit)+time.Duration(b.random()*float64(b.first)))
+		d = max(d, min(status.RetryAfter, retryAfterLimit)+time.Duration(b.Random()*float64(b.First)))
 	}
 	return d
 }
-
-// pause waits for a time or for the context's end.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/router/plat/watcher_test.go
+++ b/router/plat/watcher_test.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"mangolug.org/core/conf"
 	"mangolug.org/core/fleet"
+	"mangolug.org/router/pauses"
 )
 
 // deadline bounds every wait for a condition.
@@ -247,7 +248,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			b := backoff{first: 100, limit: 500, random: func() float64 { return tt.random }}
+			b := backoff{pauses.Backoff{First: 100, Limit: 500, Random: func() float64 { return tt.random }}}
 			var got []time.Duration
 			for range tt.want {
 				got = append(got, b.next(tt.err))
@@ -267,6 +268,6 @@
 		if time.Now().After(end) {
 			t.Fatalf("not in time: %s", what)
 		}
-		pause(t.Context(), time.Millisecond)
+		pauses.For(t.Context(), time.Millisecond)
 	}
 }
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -33,7 +33,7 @@
 	connectTimeout = 700 * time.Millisecond
 	// headerTimeout bounds how long a caller may take over a request's header.
 	headerTimeout = 10 * time.Second
-	// idleTimeout bounds how long a caller's connection may stay unused; where the configuration gives no bound.
+	// idleTimeout bounds how long a caller's connection may stay unused where the configuration gives no bound.
 	idleTimeout = 60 * time.Second
 	// serverIdle is how long an unused connection to a backend server is kept: each router sends to each of many servers rarely,
 	// and a connection that is long unused may have been dropped at the other end.
@@ -179,8 +179,10 @@
 		{Name: "callers", Critical: true, Run: func(ctx context.Context) error { return door.Serve(ctx, callers, p.entrance.Door) }},
 		{Name: "readiness", Critical: true, Run: func(ctx context.Context) error { return door.Serve(ctx, ready, p.ready) }},
 		{Name: "source", Run: func(ctx context.Context) error { return p.source(ctx, p.taker()) }},
+		{Name: "usage", Run: p.tellUsage},
+		{Name: "connections", Run: p.keepCallers},
+		{Name: "lag", Run: p.measureLag},
 	}
-	children = append(children, guard.Child{Name: "usage", Run: p.tellUsage}, guard.Child{Name: "connections", Run: p.keepCallers}, guard.Child{Name: "lag", Run: p.measureLag})
 	if p.metrics != nil {
 		scrapers := &http.Server{Handler: admin.Scrape(p.registry), ReadHeaderTimeout: headerTimeout}
 		children = append(children, guard.Child{Name: "metrics", Run: func(ctx context.Context) error { return door.Serve(ctx, scrapers, p.metrics) }})
--- a/router/proc/usage.go
+++ b/router/proc/usage.go
@@ -4,6 +4,8 @@
 	"context"
 	"runtime/metrics"
 	"time"
+
+	"mangolug.org/core/pool"
 )
 
 // usagePeriod is how often a process tells what it uses: often enough to see what led to a memory limit.
@@ -30,8 +32,10 @@
 		case <-ticker.C:
 		}
 		metrics.Read(samples)
+		waiting := 0
+		p.gate.With(func(_ time.Duration, q *pool.Pool) { waiting = q.Waiting() })
 		value := func(i int) uint64 { return samples[i].Value.Uint64() }
 		p.log.Info("usage", "goroutines", value(0), "heapBytes", value(1), "stackBytes", value(2), "residentBytes", value(3)-value(4),
-			"callers", p.entrance.Conns.Open(), "open", p.relay.Open(), "waiting", p.gate.Waiting(), "lag", time.Duration(p.lag.Load()), "droppedLines", p.lines.dropped.Load())
+			"callers", p.entrance.Conns.Open(), "open", p.relay.Open(), "waiting", waiting, "lag", time.Duration(p.lag.Load()), "droppedLines", p.lines.dropped.Load())
 	}
 }
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -54,6 +54,10 @@
 	asked, err := c.relay.Dialect.Read(c.request.Header)
 	c.asked = asked
 	c.lastEvent = asked.LastEvent
+	if c.relay.Full != nil && c.relay.Full(c.relay.Open()) { // others have room; the body stays unread
+		c.writer.Header().Set("Connection", "close")
+		return &refusal{reason: fleet.ReasonTooManyOpen, status: http.StatusServiceUnavailable, after: stoppedAfter, detail: "too many requests open at this router"}
+	}
 	if err != nil {
 		return &refusal{reason: fleet.ReasonBadRequest, status: http.StatusBadRequest, detail: err.Error()}
 	}
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -22,13 +22,6 @@
 	ticking bool
 }
 
-// Waiting gives how many requests wait for a decision.
-func (g *Gate) Waiting() int {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return len(g.waiting)
-}
-
 // With calls a function while nothing else uses the pool.
 func (g *Gate) With(f func(now time.Duration, p *pool.Pool)) {
 	g.mutex.Lock()
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -57,16 +57,12 @@
 func (s *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{relay: s, writer: w, request: r, arrived: s.Clock()}
 	s.count("requests")
-	open := s.open.Add(1)
+	s.open.Add(1)
 	defer s.open.Add(-1)
 	left, leaving := s.leaving()
 	if leaving || s.Crowded != nil && s.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
-	if s.Full != nil && s.Full(int(open)) {
-		c.turnAway()
-		return
-	}
 	if e := c.prepare(); e != nil {
 		c.refuse(e)
 		return
@@ -82,18 +78,6 @@
 	}
 }
 
-// turnAway refuses a request unread, as the router has no room for it; others have.
-func (c *call) turnAway() {
-	c.writer.Header().Set("Connection", "close")
-	asked, err := c.relay.Dialect.Read(c.request.Header)
-	detail := "too many requests open at this router"
-	if err != nil {
-		detail += "; " + err.Error()
-	}
-	c.asked = asked
-	c.refuse(&refusal{reason: fleet.ReasonTooManyOpen, status: http.StatusServiceUnavailable, after: stoppedAfter, detail: detail})
-}
-
 // leaving gives the time in which a request can still end, once the process stops.
 func (s *Relay) leaving() (time.Duration, bool) {
 	if s.Leaving == nil {
