Weigh a router's lag by the time that a measurement covers

Ruled out: the noticing of callers that left (looked for twice since). TestOneLongStall was red first: 16 ms after a stall of 2 s, 10 ms after one of 100 ms.

--- a/router/proc/callers.go
+++ b/router/proc/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -26,7 +27,7 @@
 	// lagFull is the lateness at which requests are turned away: a request takes some ten steps, and callers give up after a
 	// second.
 	lagFull = 80 * time.Millisecond
-	// lagPeriod is the time between two measurements, and lagWeight the part of the newest in the mean.
+	// lagPeriod is the time between two measurements, and lagWeight the part in the mean of one that is not late.
 	lagPeriod, lagWeight = 50 * time.Millisecond, 0.1
 	// crowdPeriod is how often connections and requests are looked at.
 	crowdPeriod = time.Second
@@ -74,10 +75,12 @@
 	}
 }
 
-// noteLag takes one measurement in; a pause of the whole machine is no lack of processor, so each counts up to a bound.
+// noteLag takes one measurement in, weighed by the time that it covers: a stall of seconds stands for all the measurements
+// that it kept from being taken. Each counts up to a bound, so that the mean is back soon after a pause of the whole machine.
 func (p *Process) noteLag(late time.Duration) {
 	mean := p.lag.Load()
-	p.lag.Store(mean + int64(lagWeight*float64(int64(min(late, 2*lagFull))-mean)))
+	old := math.Pow(1-lagWeight, 1+float64(max(late, 0))/float64(lagPeriod))
+	p.lag.Store(mean + int64((1-old)*float64(int64(min(late, 2*lagFull))-mean)))
 }
 
 // keepCallers closes connections that callers leave unused for too long and notes when requests crowd, until the context
--- a/router/proc/process_test.go
+++ b/router/proc/process_test.go
@@ -354,3 +354,25 @@
 	}
 	until(t, func() bool { return status(s.ready) == http.StatusOK && status(s.front) == http.StatusOK })
 }
+
+// TestOneLongStall lets the timers be late once by seconds, as where many routers share few cores: a single measurement has
+// to say as much as the many that the time would have held.
+func TestOneLongStall(t *testing.T) {
+	for name, c := range map[string]struct {
+		late  time.Duration
+		above time.Duration
+		below time.Duration
+	}{
+		"seconds":            {late: 2 * time.Second, above: lagFull, below: 2*lagFull + 1},
+		"a tenth of one":     {late: 100 * time.Millisecond, above: lagBegins, below: lagFull},
+		"as late as usually": {late: time.Millisecond, below: lagEnds},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := &Process{}
+			p.noteLag(c.late)
+			if lag := time.Duration(p.lag.Load()); lag < c.above || lag >= c.below {
+				t.Errorf("lag %v after one measurement of %v, want %v to %v", lag, c.late, c.above, c.below)
+			}
+		})
+	}
+}
