Rank plain servers by the mean of their load

By the logs of all routers each server got 0 to 86 requests in 200 ms (variance 13 to 16 times the mean): all routers hear of loads some 200 ms late, work takes 30 ms, and a server that looked full counted next to nothing, so that all went to one server and then all to the other.

--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -35,6 +35,7 @@
 	own      Usage // this router's requests that are open there
 	others   Usage // the other routers' requests
 	othersAt time.Duration
+	busy     mean // requests at a plain server
 	load     Load
 	loadAt   time.Duration
 
