--- a/model/world/plain_test.go
+++ b/model/world/plain_test.go
@@ -59,82 +59,88 @@
 	return ended
 }
 
-// Many routers that hear late of each other's load and have two plain servers left, as after others were taken away: they
-// must not all send to the one that looked emptier, and then all to the other.
-func TestPlainServersUnderStaleNews(t *testing.T) {
-	random := rand.New(rand.NewPCG(3, 5))
-	var pools []*pool.Pool
-	desks := []*desk{{free: plainSlots}, {free: plainSlots}}
+// plainWorld is many routers before two desks.
+type plainWorld struct {
+	random      *rand.Rand
+	pools       []*pool.Pool
+	sums        []digest.Sum
+	desks       []*desk
+	jobs        map[*pool.Ask]*plainJob // that wait at routers
+	asked, late int
+}
+
+func newPlainWorld() *plainWorld {
+	w := &plainWorld{random: rand.New(rand.NewPCG(3, 5)), desks: []*desk{{free: plainSlots}, {free: plainSlots}}, jobs: map[*pool.Ask]*plainJob{}}
 	table := route.NewTable(route.Config{Services: []route.Service{{Name: plainName, Slots: plainSlots}}})
 	for i := range grownRouters {
-		q := &pool.Pool{Self: fmt.Sprint("r", i), DataCentre: "d", Joined: true}
+		q := &pool.Pool{Self: fmt.Sprint("r", i), DataCentre: "north", Joined: true}
 		q.Configure(table)
-		for k, centre := range []string{"east", "west"} {
-			q.Set(0, pool.Server{ID: fmt.Sprint("d", k), Service: plainName, Address: fmt.Sprintf("10.0.0.%d:80", k), DataCentre: centre, Slots: plainSlots})
+		for k := range w.desks {
+			q.Set(0, pool.Server{ID: fmt.Sprint("d", k), Service: plainName, Address: fmt.Sprintf("10.0.0.%d:80", k), DataCentre: "east", Slots: plainSlots})
 		}
-		pools = append(pools, q)
+		w.pools = append(w.pools, q)
 	}
-	jobs := map[*pool.Ask]*plainJob{}
-	asked, late := 0, 0
-	send := func(now time.Duration, v pool.Verdict) {
-		j := jobs[v.Ask]
-		delete(jobs, v.Ask)
-		if v.Run == nil {
-			late++
-			return
-		}
-		j.run = v.Run
-		d := desks[0]
-		if v.Run.Server.ID == "d1" {
-			d = desks[1]
+	return w
+}
+
+// arrive lets one request come to a router by chance.
+func (w *plainWorld) arrive(now time.Duration) {
+	w.asked++
+	router := w.random.IntN(len(w.pools))
+	a := &pool.Ask{ID: fmt.Sprint(w.asked), Service: plainName, Arrived: now, Objective: now + plainAim, Deadline: now + time.Second}
+	w.jobs[a] = &plainJob{router: router, arrived: now}
+	if v, decided := w.pools[router].Admit(now, a); decided {
+		w.decide(v)
+	}
+}
+
+func (w *plainWorld) decide(v pool.Verdict) {
+	j := w.jobs[v.Ask]
+	delete(w.jobs, v.Ask)
+	if v.Run == nil {
+		w.late++
+		return
+	}
+	j.run = v.Run
+	d := w.desks[0]
+	if v.Run.Server.ID == "d1" {
+		d = w.desks[1]
+	}
+	d.queue = append(d.queue, j)
+}
+
+func (w *plainWorld) serve(now time.Duration) {
+	work := func() time.Duration { return time.Duration(w.random.ExpFloat64() * float64(plainWork)) }
+	for _, d := range w.desks {
+		for _, j := range d.step(now, work) {
+			w.pools[j.router].Ended(now, j.run, pool.Result{})
+			if now-j.arrived > plainAim {
+				w.late++
+			}
 		}
-		d.queue = append(d.queue, j)
 	}
-	var sums []digest.Sum
+}
+
+// Many routers that hear late of each other's load and have two plain servers left, as after others were taken away: they
+// must not all send to the one that looked emptier, and then all to the other.
+func TestPlainServersUnderStaleNews(t *testing.T) {
+	w := newPlainWorld()
 	for now := time.Duration(0); now < plainDay; now += tick {
 		if now%grownPeriod == 0 {
-			var all digest.Sum
-			for _, s := range sums {
-				all.Add(s)
-			}
-			for i, q := range pools {
-				var others digest.Sum
-				others.Add(all)
-				if len(sums) > 0 {
-					others.Subtract(sums[i])
-				}
-				q.Others(now, others, now > 0, make([]string, grownRouters-1))
-			}
-			sums = sums[:0]
-			for _, q := range pools {
-				sums = append(sums, q.Own(now))
-			}
+			w.sums = exchange(now, w.pools, w.sums, now > 0)
 		}
-		for n := poisson(random, plainRate*tick.Seconds()); n > 0; n-- {
-			asked++
-			router := random.IntN(len(pools))
-			a := &pool.Ask{ID: fmt.Sprint(asked), Service: plainName, Arrived: now, Objective: now + plainAim, Deadline: now + time.Second}
-			jobs[a] = &plainJob{router: router, arrived: now}
-			if v, decided := pools[router].Admit(now, a); decided {
-				send(now, v)
-			}
+		for n := poisson(w.random, plainRate*tick.Seconds()); n > 0; n-- {
+			w.arrive(now)
 		}
-		for _, q := range pools {
+		for _, q := range w.pools {
 			for _, v := range q.Turn(now) {
-				send(now, v)
-			}
-		}
-		for _, d := range desks {
-			for _, j := range d.step(now, func() time.Duration { return time.Duration(random.ExpFloat64() * float64(plainWork)) }) {
-				pools[j.router].Ended(now, j.run, pool.Result{})
-				if now-j.arrived > plainAim {
-					late++
-				}
+				w.decide(v)
 			}
 		}
+		w.serve(now)
 	}
-	part := float64(late) / float64(asked)
-	t.Logf("%.3f of %d requests late or refused", part, asked)
+	part := float64(w.late) / float64(w.asked)
+	t.Logf("%.3f of %d requests late or refused", part, w.asked)
 	if part > plainLate {
 		t.Errorf("%.3f of the requests are late or refused, want at most %.2f", part, plainLate)
 	}
--- a/model/world/world.go
+++ b/model/world/world.go
@@ -131,22 +131,28 @@
 		return
 	}
 	w.told = now
+	w.sums = exchange(now, w.pools, w.sums, now >= w.period)
+}
+
+// exchange tells each router what all others had in use when it was told last, and gives what each has now.
+func exchange(now time.Duration, pools []*pool.Pool, before []digest.Sum, known bool) []digest.Sum {
 	var all digest.Sum
-	for _, s := range w.sums {
+	for _, s := range before {
 		all.Add(s)
 	}
-	for i, q := range w.pools {
+	sums := make([]digest.Sum, 0, len(pools))
+	for i, q := range pools {
 		var others digest.Sum
 		others.Add(all)
-		if len(w.sums) > 0 {
-			others.Subtract(w.sums[i])
+		if len(before) > 0 {
+			others.Subtract(before[i])
 		}
-		q.Others(now, others, now >= w.period, make([]string, len(w.pools)-1))
+		q.Others(now, others, known, make([]string, len(pools)-1))
 	}
-	w.sums = w.sums[:0]
-	for _, q := range w.pools {
-		w.sums = append(w.sums, q.Own(now))
+	for _, q := range pools {
+		sums = append(sums, q.Own(now))
 	}
+	return sums
 }
 
 func (w *world) arrive(now time.Duration, r *Request) {
--- a/router/proc/process_test.go
+++ b/router/proc/process_test.go
@@ -392,7 +392,9 @@
 	for range goroutines {
 		all.Go(func() {
 			for ctx.Err() == nil {
+				spins := 0
 				for began := time.Now(); time.Since(began) < slice; {
+					spins++
 				}
 				runtime.Gosched()
 			}
