--- a/router/proc/callers.go
+++ b/router/proc/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"runtime"
 	"time"
@@ -25,8 +26,8 @@
 	// lagBegins and lagEnds do the same for the time that goroutines wait for the processor: it is added to each step of each
 	// request, of which the tightest objective is 150 ms.
 	lagBegins, lagEnds = 15 * time.Millisecond, 5 * time.Millisecond
-	// lagFull is the wait at which requests are turned away: a request takes some ten steps, and callers give up after a
-	// second.
+	// lagFull is the wait at which half of the requests are turned away, none at half of it and all at one and a half: a
+	// request takes some ten steps, and callers give up after a second.
 	lagFull = 80 * time.Millisecond
 	// lagPeriod is the time between two measurements, and lagWeight the part in the mean of one that is not late.
 	lagPeriod, lagWeight = 50 * time.Millisecond, 0.1
@@ -55,7 +56,13 @@
 // full reports whether so many requests are more than this router can hold.
 func (p *Process) full(open int) bool {
 	_, requests := p.settings.Load().room()
-	return requests > 0 && open > requests || p.lag.Load() > int64(lagFull)
+	return requests > 0 && open > requests || rand.Float64() < shed(time.Duration(p.lag.Load()))
+}
+
+// shed gives the part of the requests to be turned away for lack of processor. It rises with the wait, so that as much is
+// served as the processor can bear: turning away all for a while and then none leaves it idle in between.
+func shed(lag time.Duration) float64 {
+	return min(1, max(0, float64(lag-lagFull/2)/float64(lagFull)))
 }
 
 // gone reports that a request's caller has left.
--- a/router/proc/process_test.go
+++ b/router/proc/process_test.go
@@ -379,6 +379,25 @@
 	}
 }
 
+// TestShed lets the part that is turned away rise with the wait for the processor.
+func TestShed(t *testing.T) {
+	for name, c := range map[string]struct {
+		lag  time.Duration
+		want float64
+	}{
+		"idle":      {lag: time.Millisecond},
+		"crowded":   {lag: lagBegins},
+		"half":      {lag: lagFull, want: 0.5},
+		"far above": {lag: 2 * lagFull, want: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := shed(c.lag); got != c.want {
+				t.Errorf("%.2f turned away at a wait of %v, want %.2f", got, c.lag, c.want)
+			}
+		})
+	}
+}
+
 // TestLagOfABusyProcess keeps one processor busy with goroutines that take turns: any of them waits for all the others, and
 // the lag says so.
 func TestLagOfABusyProcess(t *testing.T) {
