Read the change once more: one fade, one wait, files for plain servers and the lag

Found in the diff of this work: two means in core/pool that wrote the same fade of old values (rate and mean), three loops in router/proc with a timer or ticker of their own beside pauses.For, the mean over teams, the grown pattern and the printing of a result written twice in the model's tests, and a comment on Relay.Full that did not tell of the processor. Looked at and left: links' pause (other jitter), the waits that also listen to a channel (follow, gate, loop), get-or-make of a map's entry (budget, shares), the generated code.

--- a/core/pool/pick.go
+++ b/core/pool/pick.go
@@ -31,8 +31,6 @@
 	abroad = 4 * time.Millisecond
 	// othersAge is how old other routers' summaries may be to count.
 	othersAge = 1500 * time.Millisecond
-	// loadAge is how old a server's own account of its load may be to count.
-	loadAge = 300 * time.Millisecond
 )
 
 // choice is a server that may be sent a request.
@@ -230,51 +228,6 @@
 	return float64(u.Memory+a.own()+a.Output) <= memoryShare*float64(s.CacheTokens)
 }
 
-// weighPlain ranks servers of a plain service by chance, those that are less busy first as often as they are. News of loads
-// are older than most plain requests last, so what is busy now is not known: the mean of late is, and following it slowly
-// keeps routers from sending all to one server and then all to another.
-func (p *Pool) weighPlain(now time.Duration, b *backend, u Usage) choice {
-	busy := u.Requests
-	if now-b.loadAt < loadAge {
-		busy = max(busy, int64(b.load.Running+b.load.Waiting))
-	}
-	slots := float64(max(1, b.Slots))
-	use := b.busy.follow(now, float64(busy)) / slots
-	weight := 1 / ((1 + use) * (1 + use))
-	if b.DataCentre == p.DataCentre {
-		weight *= homeWeight
-	}
-	// The least of exponential draws falls on each server as often as its weight says.
-	return choice{backend: b, cost: time.Duration(p.Random.ExpFloat64() / weight * float64(time.Second)), room: use < plainQueue}
-}
-
-const (
-	// homeWeight is how much more a server in the own data centre counts: bytes between data centres are paid for.
-	homeWeight = 4
-	// busyWindow is the time over which the mean of a plain server's load is taken: some times the age of the news of it.
-	busyWindow = time.Second
-)
-
-// mean is an amount as it was of late.
-type mean struct {
-	value float64
-	at    time.Duration // 0 if nothing is known
-}
-
-// follow takes the newest amount in and gives the mean.
-func (m *mean) follow(now time.Duration, amount float64) float64 {
-	if m.at == 0 {
-		m.value = amount
-	}
-	passed := float64(now-m.at) / float64(busyWindow)
-	m.value += (amount - m.value) * passed / (1 + passed)
-	m.at = max(1, now)
-	return m.value
-}
-
-// plainQueue is how many times its slots a plain server may hold in running and waiting requests.
-const plainQueue = 2
-
 // bound gives how much work a server may have queued for one more request to be sent: requests that can wait longer leave
 // room for those that can't.
 func (p *Pool) bound(a *Ask) time.Duration {
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -103,11 +103,8 @@
 // decide sends a request if a server has room, or refuses it if its time to wait is over.
 func (p *Pool) decide(now time.Duration, v *service, a *Ask) (Verdict, bool) {
 	c, ok := p.pick(now, v, a)
-	inTime := ok && now+c.backlog <= a.latest
 	ahead := a.beyond && p.shares.ahead(now, a.Team)
-	if ahead {
-		inTime = false
-	}
+	inTime := ok && !ahead && now+c.backlog <= a.latest
 	if c.room && (inTime || a.Prompt == 0) {
 		return p.send(now, a, c), true
 	}
--- a/core/pool/shares.go
+++ b/core/pool/shares.go
@@ -15,26 +15,6 @@
 	shareBurst = 0.5
 )
 
-// rate is an exponentially decaying rate.
-type rate struct {
-	value float64 // a second
-	at    time.Duration
-}
-
-func (r *rate) decay(now time.Duration) {
-	if now <= r.at {
-		return
-	}
-	passed := float64(now-r.at) / float64(shareWindow)
-	r.value *= max(0, 1-passed/(1+passed))
-	r.at = now
-}
-
-func (r *rate) add(now time.Duration, amount float64) {
-	r.decay(now)
-	r.value += amount / shareWindow.Seconds()
-}
-
 // teamShare is what one team asks of the fleet.
 type teamShare struct {
 	own    rate    // tokens a second that it asks of this router
--- a/model/world/grown_test.go
+++ b/model/world/grown_test.go
@@ -28,12 +28,16 @@
 	return kinds
 }
 
+// playGrown plays a grown fleet under a steady load, with so much of it from one hot team.
+func playGrown(load, hot float64, duration time.Duration) Result {
+	p := Pattern{Factor: steady(load), Teams: 30, HotTeam: hot, Duration: duration, Period: grownPeriod}
+	return Run(p, grownKinds(), grownEngine(), grownRouters, grownServers, 1)
+}
+
 // Many routers that hear of each other's load late don't all send to the servers that looked best.
 func TestGrownFleet(t *testing.T) {
-	p := Pattern{Factor: steady(grownLoad), Teams: 30, Duration: 15 * time.Second, Period: grownPeriod}
-	r := Run(p, grownKinds(), grownEngine(), grownRouters, grownServers, 1)
-	t.Logf("worth %.3f, by kind %.3f, in time %d, late %d, refused %d (%d beside a half empty server), failed %d, read again %.3f",
-		r.Worth, r.KindWorth, r.InTime, r.Late, r.Refused, r.FreeRefusals, r.Failed, r.Reread)
+	r := playGrown(grownLoad, 0, 15*time.Second)
+	t.Log(r)
 	if r.Worth < grownWorth {
 		t.Errorf("worth %.3f, want %.3f", r.Worth, grownWorth)
 	}
--- a/model/world/pattern_test.go
+++ b/model/world/pattern_test.go
@@ -66,8 +66,7 @@
 				n = routers
 			}
 			r := play(c.pattern, n)
-			t.Logf("worth %.3f, by kind %.3f, in time %d, late %d, refused %d (%d beside a half empty server), failed %d, read again %.3f",
-				r.Worth, r.KindWorth, r.InTime, r.Late, r.Refused, r.FreeRefusals, r.Failed, r.Reread)
+			t.Log(r)
 			if r.Worth < c.worth {
 				t.Errorf("worth %.3f, want %.3f", r.Worth, c.worth)
 			}
@@ -91,15 +90,22 @@
 	}
 }
 
+// others gives the part of their requests that teams other than the hot one have in time, in the mean.
+func others(r Result) float64 {
+	sum, teams := 0.0, 0.0
+	for team, served := range r.TeamServed {
+		if team != "hot" {
+			sum, teams = sum+served, teams+1
+		}
+	}
+	return sum / teams
+}
+
 // A team that sends far more than its share takes nothing from those within theirs: they are served as well as without it.
 func TestHotTeamHarmsNobody(t *testing.T) {
 	without := play(Pattern{}, routers)
 	with := play(Pattern{Factor: steady(1.6), HotTeam: 0.375}, routers) // the others ask for as much as on a calm day
-	var before, after float64
-	for team, served := range without.TeamServed {
-		before += served / float64(len(without.TeamServed))
-		after += with.TeamServed[team] / float64(len(without.TeamServed))
-	}
+	before, after := others(without), others(with)
 	t.Logf("served in time: %.3f without, %.3f beside the hot team", before, after)
 	if after < fair*before {
 		t.Errorf("the other teams are served %.3f, without the hot team %.3f", after, before)
--- a/model/world/world.go
+++ b/model/world/world.go
@@ -31,6 +31,12 @@
 	Busy                                 float64            // the part of the time in which servers had work, while requests came
 }
 
+// String gives the figures that tests print.
+func (r Result) String() string {
+	return fmt.Sprintf("worth %.3f, by kind %.3f, in time %d, late %d, refused %d (%d beside a half empty server), failed %d, read again %.3f",
+		r.Worth, r.KindWorth, r.InTime, r.Late, r.Refused, r.FreeRefusals, r.Failed, r.Reread)
+}
+
 // world is a run.
 type world struct {
 	kinds   []Kind
--- a/router/pauses/doc.go
+++ b/router/pauses/doc.go
@@ -1,3 +1,3 @@
-// Package pauses holds the pauses between two tries of something that goes on until
-// its context ends.
+// Package pauses waits, between two tries or two looks at something, unless a context
+// ends.
 package pauses
--- a/router/proc/usage.go
+++ b/router/proc/usage.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mangolug.org/core/pool"
+	"mangolug.org/router/pauses"
 )
 
 // usagePeriod is how often a process tells what it uses: often enough to see what led to a memory limit.
@@ -22,14 +23,11 @@
 
 // tellUsage logs what the process uses until the context ends.
 func (p *Process) tellUsage(ctx context.Context) error {
-	ticker := time.NewTicker(usagePeriod)
-	defer ticker.Stop()
 	samples := []metrics.Sample{{Name: usageGoroutines}, {Name: usageHeap}, {Name: usageStacks}, {Name: usageTotal}, {Name: usageReleased}}
 	for {
-		select {
-		case <-ctx.Done():
+		pauses.For(ctx, usagePeriod)
+		if ctx.Err() != nil {
 			return ctx.Err()
-		case <-ticker.C:
 		}
 		metrics.Read(samples)
 		waiting := 0
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -24,7 +24,7 @@
 	Clock    func() time.Duration
 	Leaving  func() (time.Duration, bool) // the time until requests are cut, once the process stops; nil for never
 	Crowded  func() bool                  // callers have too many connections open, and are asked to close theirs; nil for never
-	Full     func(open int) bool          // so many requests are more than the router can hold; nil for never
+	Full     func(open int) bool          // a request is to be turned away, with so many open: the router lacks room or processor; nil for never
 	Gone     func(r *http.Request) bool   // its caller has closed its connection; nil for never
 	Budgets  pool.Budgets                 // guarded by the gate
 	Log      *log.Logger
