Tell whom a router turns away unread, and what it believes of shares

One line a request at over a thousand a second also tore other lines, as the reader of the output takes a bounded amount.

Now the first 20 of a second have a line each, with the team, and a summary each second tells the rest by number and team. A line a second tells the level of the shares, who is beyond it, and the least and the best served.

TestTurnedAway: 200 requests, 20 lines, one summary. No logic is changed.

--- a/core/pool/summary.go
+++ b/core/pool/summary.go
@@ -59,3 +59,45 @@
 	_, _ = h.Write([]byte(name)) // a hash never fails
 	return h.Sum32()
 }
+
+// Shares is what a router believes of the teams' shares; rates are in tokens a second, over the whole fleet.
+type Shares struct {
+	Throughput, Asked, Served float64
+	Level                     float64 // above it a team is beyond its share; 0 if there is enough for all
+	Beyond                    int     // teams that ask for more than the level
+	Least                     string  // the least served of these that want more; empty if none does
+	LeastAsked, LeastServed   float64
+	Most                      string // the most served team that asks this router
+	MostAsked, MostServed     float64
+}
+
+// Shares gives what is believed of the teams' shares; of teams that ask only other routers it knows sums alone.
+func (p *Pool) Shares(now time.Duration) Shares {
+	s := &p.shares
+	b := Shares{Throughput: p.throughput(), Level: s.level}
+	for _, r := range s.elsewhere {
+		b.Asked += float64(r.Asked)
+		b.Served += float64(r.Served)
+		if s.level > 0 && float64(r.Asked) > s.level {
+			b.Beyond++
+		}
+	}
+	for name, t := range s.teams {
+		t.own.decay(now)
+		t.served.decay(now)
+		asked, served := t.own.value+t.others, t.served.value+t.othersServed
+		b.Asked += asked
+		b.Served += served
+		if served > b.MostServed {
+			b.Most, b.MostAsked, b.MostServed = name, asked, served
+		}
+		if s.level == 0 || asked <= s.level {
+			continue
+		}
+		b.Beyond++
+		if served < hungryShare*asked && (b.Least == "" || served < b.LeastServed) {
+			b.Least, b.LeastAsked, b.LeastServed = name, asked, served
+		}
+	}
+	return b
+}
--- a/router/proc/callers.go
+++ b/router/proc/callers.go
@@ -56,8 +56,8 @@
 // gone reports that a request's caller has left.
 func gone(r *http.Request) bool { return door.Gone(r.Context()) }
 
-// keepCallers closes connections that callers leave unused for too long and notes when requests crowd, until the context
-// ends. Only those unused for longer than callers may leave them: closing others could cut a request that just comes.
+// keepCallers closes connections that callers leave unused for too long, notes when requests crowd, and tells whom the router
+// turned away and what it believes of the teams' shares, until the context ends. Only those unused for longer than callers may leave them: closing others could cut a request that just comes.
 func (p *Process) keepCallers(ctx context.Context) error {
 	for {
 		pauses.For(ctx, crowdPeriod)
@@ -70,6 +70,8 @@
 		}
 		_, requests := p.settings.Load().room()
 		p.entrance.Conns.CloseIdle(idle)
+		p.relay.TellAway()
+		p.relay.TellShares()
 		p.noteCrowd(p.relay.Open(), requests, time.Duration(p.lag.Load()))
 	}
 }
--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -144,15 +144,9 @@
 		return
 	}
 	c.relay.count(reasonCounter(e.reason))
-	route, version := "", int64(0)
-	if c.table != nil {
-		version = c.table.Config.Version
-	}
-	if c.route != nil {
-		route = c.route.Name
+	if !e.counted {
+		c.noteRefused(e)
 	}
-	c.note("refused", "reason", e.reason, "status", e.status, "route", route, "team", c.team, "configuration", version,
-		"after", c.relay.Clock()-c.arrived, "sends", c.sends, "mayHaveRun", c.runs > 0, "retryAfter", e.after, "detail", e.detail)
 	if e.cut || c.written { // an answer that has begun must not look whole
 		panic(http.ErrAbortHandler)
 	}
@@ -169,3 +163,16 @@
 		c.note("refusal not delivered", "detail", err)
 	}
 }
+
+// noteRefused logs a refusal with what decided it.
+func (c *call) noteRefused(e *refusal) {
+	route, version := "", int64(0)
+	if c.table != nil {
+		version = c.table.Config.Version
+	}
+	if c.route != nil {
+		route = c.route.Name
+	}
+	c.note("refused", "reason", e.reason, "status", e.status, "route", route, "team", c.team, "configuration", version,
+		"after", c.relay.Clock()-c.arrived, "sends", c.sends, "mayHaveRun", c.runs > 0, "retryAfter", e.after, "detail", e.detail)
+}
--- /dev/null
+++ b/router/relay/away_test.go
@@ -0,0 +1,40 @@
+package relay
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/charmbracelet/log"
+)
+
+// TestTurnedAway floods a router that has no room: its log stays bounded, and still says how many were turned away and whose.
+func TestTurnedAway(t *testing.T) {
+	const flood = 10 * awayLines
+	w := newWorld(t, func(_ *world, _ int, rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusOK) })
+	var lines bytes.Buffer
+	w.relay.Log = log.NewWithOptions(&lines, log.Options{Formatter: log.LogfmtFormatter})
+	w.relay.Full = func(int) bool { return true }
+	for range flood {
+		a := w.ask(t, http.MethodGet, "/keyed/", "", func(r *http.Request) { r.Header.Set(testKey, "k1") })
+		if a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" {
+			t.Fatalf("status %d with Retry-After %q for a request that was turned away", a.status, a.header.Get("Retry-After"))
+		}
+	}
+	if n := strings.Count(lines.String(), "msg=refused"); n != awayLines {
+		t.Errorf("%d lines for %d requests that were turned away, want %d", n, flood, awayLines)
+	}
+	lines.Reset()
+	w.relay.TellAway()
+	for _, want := range []string{"requests=200", "teams=1", "most=farm", "ofThat=200"} {
+		if !strings.Contains(lines.String(), want) {
+			t.Errorf("the summary %q lacks %s", lines.String(), want)
+		}
+	}
+	lines.Reset()
+	w.relay.TellAway()
+	if lines.Len() > 0 {
+		t.Errorf("a summary of nothing: %q", lines.String())
+	}
+}
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -47,6 +47,8 @@
 	after  time.Duration // 0 for no advice
 	detail string
 	cut    bool // the answer has begun and can only be shown to be broken by cutting the connection
+
+	counted bool // a summary tells of it, so it gets no line of its own
 }
 
 // prepare finds out what a request is and whether it may be served, and reads its body.
@@ -54,9 +56,8 @@
 	asked, err := c.relay.Dialect.Read(c.request.Header)
 	c.asked = asked
 	c.lastEvent = asked.LastEvent
-	if c.relay.Full != nil && c.relay.Full(c.relay.Open()) { // others have room; the body stays unread
-		c.writer.Header().Set("Connection", "close")
-		return &refusal{reason: fleet.ReasonTooManyOpen, status: http.StatusServiceUnavailable, after: stoppedAfter, detail: "too many requests open at this router"}
+	if c.relay.Full != nil && c.relay.Full(c.relay.Open()) {
+		return c.turnAway()
 	}
 	if err != nil {
 		return &refusal{reason: fleet.ReasonBadRequest, status: http.StatusBadRequest, detail: err.Error()}
@@ -85,6 +86,18 @@
 	return c.readBody()
 }
 
+// turnAway refuses a request for which this router has no room, with its body unread; others have room.
+func (c *call) turnAway() *refusal {
+	if t := c.relay.Table(); t != nil {
+		_ = c.locate(t) // for its team alone: what it asks for is not judged
+	}
+	c.writer.Header().Set("Connection", "close")
+	return &refusal{
+		reason: fleet.ReasonTooManyOpen, status: http.StatusServiceUnavailable, after: stoppedAfter, detail: "too many requests open at this router",
+		counted: !c.relay.away.note(c.team),
+	}
+}
+
 // locate finds the route, the team and the service in a configuration.
 func (c *call) locate(t *route.Table) *refusal {
 	r := t.Match(c.request.Host, c.request.URL.Path)
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -32,6 +32,7 @@
 	Stopping context.Context // ends when requests that still run have to be cut; nil for never
 
 	lengths lengths
+	away    away
 	open    atomic.Int64
 }
 
