Count what is turned away unread as asked by its team

Routers without room refuse requests before the pool hears of them, so the pool believed that such a team got all that it asked for: 5,952 refusals in six seconds, and the team not among those that want more. Teams that got far more were not held back for it.

Now the team and the cost of such a request are counted; nothing else is judged. Ruled out: that the level of shares decides it (41 refusals of the team were by its share).

TestTurnedAwayCountsAsAsked failed before (granted, want teamShare).

--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -551,6 +551,38 @@
 	}
 }
 
+// TestTurnedAwayCountsAsAsked guards against a team that is served badly because its routers turn it away unread: what it
+// asked for counts all the same, so that a team that gets far more leaves it what is free.
+func TestTurnedAwayCountsAsAsked(t *testing.T) {
+	for name, c := range map[string]struct {
+		turnedAway int
+		want       fleet.Reason
+	}{
+		"none":      {want: fleet.ReasonGranted},
+		"a hundred": {turnedAway: 100, want: fleet.ReasonTeamShare},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := fill(1)
+			p.servers["s0"].own = Usage{Requests: 40}
+			mine, other := p.shares.team("t"), p.shares.team("u")
+			mine.others, mine.othersServed = 1e9, 300000
+			other.own, other.othersServed = rate{value: 100000, at: time.Second}, 100000
+			for i := range c.turnedAway {
+				a := draft(time.Second, 100+i, 9)
+				a.Team = "u"
+				p.TurnedAway(time.Second, a)
+			}
+			v, decided := p.Admit(time.Second, draft(time.Second, 1, 7))
+			for _, w := range p.Turn(time.Second + objective) {
+				v, decided = w, true
+			}
+			if !decided || v.Reason != c.want {
+				t.Errorf("decided %t, reason %s, want %s", decided, v.Reason, c.want)
+			}
+		})
+	}
+}
+
 // Teams that ask only other routers have their part of the throughput too.
 func TestTeamsElsewhereCount(t *testing.T) {
 	p := fill(1)
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -72,6 +72,13 @@
 	return Verdict{}, false
 }
 
+// TurnedAway takes in that a request was refused before it came here: its team asked for it all the same.
+func (p *Pool) TurnedAway(now time.Duration, a *Ask) {
+	if a.Prompt > 0 {
+		p.shares.note(now, a.Team, float64(a.cost()))
+	}
+}
+
 // throughput gives the tokens a second that all model servers give by the operator's word; 0 if not told.
 func (p *Pool) throughput() float64 {
 	if p.table == nil {
--- a/core/pool/shares.go
+++ b/core/pool/shares.go
@@ -82,12 +82,18 @@
 	return t
 }
 
-// ask counts what a team asks for, and reports whether it is beyond the team's share of the throughput, with the part of all
-// that the team asks for that is within.
-func (s *shares) ask(now time.Duration, name string, tokens, throughput float64) (beyond bool, part float64) {
+// note counts what a team asks for.
+func (s *shares) note(now time.Duration, name string, tokens float64) *teamShare {
 	t := s.team(name)
 	t.own.add(now, tokens)
 	s.largest = max(tokens, s.largest*(1-largestFade))
+	return t
+}
+
+// ask counts what a team asks for, and reports whether it is beyond the team's share of the throughput, with the part of all
+// that the team asks for that is within.
+func (s *shares) ask(now time.Duration, name string, tokens, throughput float64) (beyond bool, part float64) {
+	t := s.note(now, name, tokens)
 	if throughput <= 0 {
 		return false, 1
 	}
--- a/router/relay/away_test.go
+++ b/router/relay/away_test.go
@@ -5,16 +5,26 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/charmbracelet/log"
+
+	"mangolug.org/core/pool"
 )
 
 // TestTurnedAway floods a router that has no room: its log stays bounded, and still says how many were turned away and whose.
+// What was asked counts as its team's, so that the others leave it its share.
 func TestTurnedAway(t *testing.T) {
 	const flood = 10 * awayLines
 	w := newWorld(t, func(_ *world, _ int, rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusOK) })
 	var lines bytes.Buffer
 	w.relay.Log = log.NewWithOptions(&lines, log.Options{Formatter: log.LogfmtFormatter})
+	read := w.relay.Dialect.Read
+	w.relay.Dialect.Read = func(h http.Header) (Asked, error) {
+		a, err := read(h)
+		a.Prompt = 1000
+		return a, err
+	}
 	w.relay.Full = func(int) bool { return true }
 	for range flood {
 		a := w.ask(t, http.MethodGet, "/keyed/", "", func(r *http.Request) { r.Header.Set(testKey, "k1") })
@@ -32,6 +42,11 @@
 			t.Errorf("the summary %q lacks %s", lines.String(), want)
 		}
 	}
+	w.relay.Gate.With(func(now time.Duration, p *pool.Pool) {
+		if b := p.Shares(now); b.Asked < 100*flood {
+			t.Errorf("the team asks for %.0f tokens a second after %d requests of over 1,000 that were turned away", b.Asked, flood)
+		}
+	})
 	lines.Reset()
 	w.relay.TellAway()
 	if lines.Len() > 0 {
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -88,8 +88,8 @@
 
 // turnAway refuses a request for which this router has no room, with its body unread; others have room.
 func (c *call) turnAway() *refusal {
-	if t := c.relay.Table(); t != nil {
-		_ = c.locate(t) // for its team alone: what it asks for is not judged
+	if t := c.relay.Table(); t != nil && c.locate(t) == nil { // else it would be refused anyhow
+		c.relay.Gate.With(func(now time.Duration, p *pool.Pool) { p.TurnedAway(now, c.ask()) })
 	}
 	c.writer.Header().Set("Connection", "close")
 	return &refusal{
