Bound the requests that a router serves at once by its wait for the processor

Cause: congestion collapse. A router took in all that came until the mean wait for the processor had risen, which is a stream's length too late: at 0.192 of a core it sent 497 in two seconds, four times what it can serve, and then refused all for four seconds. Each refusal cost a good part of a request, so that at 1,142 a second it ended 16.

Now a valve (core/valve) bounds how many are open at once: the bound falls by half in 0.6 s while the wait is over 15 ms, and doubles in a second while it is under 5 ms and most of it is in use.

--- /dev/null
+++ b/core/valve/valve_test.go
@@ -0,0 +1,51 @@
+package valve
+
+import (
+	"testing"
+	"time"
+)
+
+// TestValve follows the bound through measurements of the wait for the processor.
+func TestValve(t *testing.T) {
+	const period = 50 * time.Millisecond
+	for name, c := range map[string]struct {
+		valve      Valve
+		late       time.Duration
+		since      time.Duration // of each measurement; 0 for period
+		times      int
+		open       int
+		from, upTo int // the bound; both 0 for none
+	}{
+		"no bound while there is time":       {late: time.Millisecond, times: 100, open: 1000},
+		"no bound from a wait between":       {late: 10 * time.Millisecond, times: 100, open: 1000},
+		"falls by half":                      {valve: Valve{Start: 400}, late: 20 * time.Millisecond, times: 12, open: 400, from: 195, upTo: 205},
+		"falls from what is open":            {valve: Valve{Start: 4000}, late: 20 * time.Millisecond, times: 1, open: 100, from: 90, upTo: 99},
+		"one long stall is no more than one": {valve: Valve{Start: 400}, late: 5 * time.Second, since: 5 * time.Second, times: 1, open: 400, from: 200, upTo: 200},
+		"never below the least":              {valve: Valve{Start: 400}, late: time.Second, times: 100, open: 400, from: DefaultLeast, upTo: DefaultLeast},
+		"a least of its own":                 {valve: Valve{Start: 400, Least: 30}, late: time.Second, times: 100, open: 400, from: 30, upTo: 30},
+		"doubles while it is used":           {valve: Valve{Start: 100}, late: time.Millisecond, times: 20, open: 1000, from: 195, upTo: 205},
+		"stays while it is not used":         {valve: Valve{Start: 100}, late: time.Millisecond, times: 20, open: 50, from: 100, upTo: 100},
+		"stays between":                      {valve: Valve{Start: 100}, late: 10 * time.Millisecond, times: 20, open: 1000, from: 100, upTo: 100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := c.valve
+			since := c.since
+			if since == 0 {
+				since = period
+			}
+			for range c.times {
+				v.Note(c.late, since, c.open)
+			}
+			bound := v.Bound()
+			if bound < c.from || bound > c.upTo {
+				t.Errorf("bound %d, want %d to %d", bound, c.from, c.upTo)
+			}
+			if bound > 0 && (v.Full(bound-1) || !v.Full(bound)) {
+				t.Errorf("with a bound of %d: full at %d %t, at %d %t", bound, bound-1, v.Full(bound-1), bound, v.Full(bound))
+			}
+			if bound == 0 && v.Full(1<<20) {
+				t.Error("full without a bound")
+			}
+		})
+	}
+}
--- a/router/proc/callers.go
+++ b/router/proc/callers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -25,6 +24,9 @@
 	// lagBegins and lagEnds do the same for the time that goroutines wait for the processor: it is added to each step of each
 	// request, of which the tightest objective is 150 ms.
 	lagBegins, lagEnds = 15 * time.Millisecond, 5 * time.Millisecond
+	// startShare is the part of the room for requests that a new router takes at once, until it knows what its processor can
+	// serve: two of the usual loads of the users' small VMs.
+	startShare = 0.25
 	// crowdPeriod is how often connections and requests are looked at.
 	crowdPeriod = time.Second
 )
@@ -50,7 +52,7 @@
 // full decides whether to turn a request away: so many are open that their memory would not do, or the processor is short.
 func (p *Process) full(open int) bool {
 	_, requests := p.settings.Load().room()
-	return requests > 0 && open > requests || rand.Float64() < shed(time.Duration(p.lag.Load()))
+	return requests > 0 && open > requests || p.limit.full(open-1)
 }
 
 // gone reports that a request's caller has left.
@@ -72,21 +74,22 @@
 		p.entrance.Conns.CloseIdle(idle)
 		p.relay.TellAway()
 		p.relay.TellShares()
-		p.noteCrowd(p.relay.Open(), requests, time.Duration(p.lag.Load()))
+		p.noteCrowd(p.relay.Open(), requests, p.limit.look(), time.Duration(p.lag.Load()))
 	}
 }
 
-// noteCrowd takes in how many requests are served, with room for so many, and how long goroutines wait for the processor.
-func (p *Process) noteCrowd(open, room int, lag time.Duration) {
+// noteCrowd takes in how many requests are served, with room for so many, whether the processor allowed no more
+// of late, and how long goroutines wait for it.
+func (p *Process) noteCrowd(open, room int, refused bool, lag time.Duration) {
 	was := p.crowd.Load()
 	limit, late := crowdBegins, lagBegins
 	if was {
 		limit, late = crowdEnds, lagEnds
 	}
-	is := room > 0 && float64(open) > limit*float64(room) || lag > late
+	is := room > 0 && float64(open) > limit*float64(room) || refused || lag > late
 	if is == was {
 		return
 	}
 	p.crowd.Store(is)
-	p.log.Warn("crowd", "is", is, "open", open, "room", room, "lag", lag, "callers", p.entrance.Conns.Open())
+	p.log.Warn("crowd", "is", is, "open", open, "room", room, "bound", p.limit.bound(), "refused", refused, "lag", lag, "callers", p.entrance.Conns.Open())
 }
--- a/router/proc/lag.go
+++ b/router/proc/lag.go
@@ -10,15 +10,16 @@
 )
 
 const (
-	// lagFull is the wait at which half of the requests are turned away, none at half of it and all at one and a half: a
-	// request takes some ten steps, and callers give up after a second.
-	lagFull = 80 * time.Millisecond
+	// lagMost bounds what one measurement counts: a request takes some ten steps, and callers give up after a second.
+	lagMost = 160 * time.Millisecond
 	// lagPeriod is the time between two measurements, and lagWeight the part in the mean of one that is not late.
 	lagPeriod, lagWeight = 50 * time.Millisecond, 0.1
 )
 
-// measureLag follows how long the process's goroutines wait for the processor, until the context ends.
+// measureLag follows how long the process's goroutines wait for the processor, and bounds the requests that are served at once
+// by it, until the context ends.
 func (p *Process) measureLag(ctx context.Context) error {
+	last := time.Now()
 	for {
 		due := time.Now().Add(lagPeriod)
 		pauses.For(ctx, lagPeriod)
@@ -27,6 +28,8 @@
 		}
 		runtime.Gosched() // the runtime lets a goroutine run first that a timer wakes; this one waits its turn like all others
 		p.noteLag(time.Since(due))
+		p.limit.note(time.Since(due), time.Since(last), p.relay.Open())
+		last = time.Now()
 	}
 }
 
@@ -35,11 +38,5 @@
 func (p *Process) noteLag(late time.Duration) {
 	mean := p.lag.Load()
 	old := math.Pow(1-lagWeight, 1+float64(max(late, 0))/float64(lagPeriod))
-	p.lag.Store(mean + int64((1-old)*float64(int64(min(late, 2*lagFull))-mean)))
-}
-
-// shed gives the part of the requests to be turned away for lack of processor. It rises with the wait, so that as much is
-// served as the processor can bear: turning away all for a while and then none leaves it idle in between.
-func shed(lag time.Duration) float64 {
-	return min(1, max(0, float64(lag-lagFull/2)/float64(lagFull)))
+	p.lag.Store(mean + int64((1-old)*float64(int64(min(late, lagMost))-mean)))
 }
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -60,6 +60,7 @@
 	share      *share.Share   // nil if there is none
 	crowd      atomic.Bool    // requests take most of the room: the balancer is to send callers elsewhere
 	lag        atomic.Int64   // how long goroutines wait for the processor, a moving mean in nanoseconds
+	limit      limit          // of requests that are served at once
 	leaving    atomic.Int64   // when the signal to stop came, on the clock of now; 0 while it did not
 	sourceLost atomic.Bool
 	news       chan struct{} // another router told of a newer state of the platform
@@ -88,6 +89,8 @@
 		Clock: p.now,
 		Pool:  &pool.Pool{Self: s.Control, DataCentre: s.DataCentre, Event: p.believe},
 	}
+	_, requests := s.room()
+	p.limit.valve.Start = int(startShare * float64(requests))
 	if p.peers != nil {
 		p.share = p.newShare()
 	}
