Let only teams that get under 0.6 of what they ask hold others back

Every team that got less than 0.9 of what it asked counted as one that wants more, and what a router hears is more than was asked for, as callers that were refused ask once more. So the least of many held back the next, down to the level.

The users call a team unequally served below half of what it asks. It counts from 0.6 on now, which with callers that ask twice is 0.84 of the requests.

The case "the other gets most that it wants" of TestFreeCapacityGoesToTheLeastServed failed before.

--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -525,12 +525,13 @@
 		use         Usage   // of the only server
 		want        fleet.Reason
 	}{
-		"least served":                     {mine: 100000, other: 300000, asks: 1e9, use: most, want: fleet.ReasonGranted},
-		"about the same":                   {mine: 130000, other: 100000, asks: 1e9, use: most, want: fleet.ReasonGranted},
-		"far better":                       {mine: 300000, other: 100000, asks: 1e9, use: most, want: fleet.ReasonTeamShare},
-		"far better, half empty server":    {mine: 300000, other: 100000, asks: 1e9, use: little, want: fleet.ReasonTeamShare},
-		"the other gets all that it wants": {mine: 300000, other: 100000, asks: 105000, use: most, want: fleet.ReasonGranted},
-		"the only beyond":                  {mine: 300000, other: -1, use: most, want: fleet.ReasonGranted},
+		"least served":                      {mine: 100000, other: 300000, asks: 1e9, use: most, want: fleet.ReasonGranted},
+		"about the same":                    {mine: 130000, other: 100000, asks: 1e9, use: most, want: fleet.ReasonGranted},
+		"far better":                        {mine: 300000, other: 100000, asks: 1e9, use: most, want: fleet.ReasonTeamShare},
+		"far better, half empty server":     {mine: 300000, other: 100000, asks: 1e9, use: little, want: fleet.ReasonTeamShare},
+		"the other gets all that it wants":  {mine: 300000, other: 100000, asks: 105000, use: most, want: fleet.ReasonGranted},
+		"the other gets most that it wants": {mine: 300000, other: 100000, asks: 150000, use: most, want: fleet.ReasonGranted},
+		"the only beyond":                   {mine: 300000, other: -1, use: most, want: fleet.ReasonGranted},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := fill(1)
--- a/core/pool/shares.go
+++ b/core/pool/shares.go
@@ -40,8 +40,9 @@
 // before it has to leave servers to them. The users call teams unequally served from 2 on.
 const aheadFactor = 1.8
 
-// hungryShare is the part of what it asks for below which a team beyond its share is taken to want more.
-const hungryShare = 0.9
+// hungryShare is the part of what it asks for below which a team beyond its share is taken to want more. The users call teams
+// unequally served below a half; what a router hears is more than was asked for, as callers that were refused ask once more.
+const hungryShare = 0.6
 
 // ahead reports a team beyond its share that is far better served than another such team that wants more: what is free goes
 // to that one first.
