Pass events on together that came together

Where a router is short of the processor, several events of a stream wait in the socket by the time it is read. Each was written on its own, and a write is about a quarter of the processor time of a stream (profile of a stream of 20 events). They are written at once now; an event is never held back for one that is not whole.

TestEventsReady.

--- a/router/back/events.go
+++ b/router/back/events.go
@@ -93,6 +93,12 @@
 	return event, nil
 }
 
+// Ready reports whether a whole further event has come, so that Next will not wait.
+func (e *Events) Ready() bool {
+	here, err := e.reader.Peek(e.reader.Buffered())
+	return err == nil && (bytes.Contains(here, []byte("\n\n")) || bytes.Contains(here, []byte("\n\r\n")))
+}
+
 // line reads one line with its line feed; a line that is cut short comes with an error.
 func (e *Events) line(limit int) ([]byte, error) {
 	var line []byte
--- a/router/back/events_test.go
+++ b/router/back/events_test.go
@@ -87,3 +87,31 @@
 		}
 	})
 }
+
+// TestEventsReady tells whether the next event can be read without a wait, after the first was.
+func TestEventsReady(t *testing.T) {
+	const first = "data: 1\n\n"
+	for name, c := range map[string]struct {
+		rest string
+		want bool
+	}{
+		"nothing":            {},
+		"a part":             {rest: "id: 2\ndata: 2\n"},
+		"a whole one":        {rest: "id: 2\ndata: 2\n\n", want: true},
+		"with line feeds":    {rest: "data: 2\r\n\r\n", want: true},
+		"a part of one line": {rest: "da"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := NewEvents(strings.NewReader(first + c.rest))
+			if e.Ready() {
+				t.Error("ready before anything was read")
+			}
+			if _, err := e.Next(); err != nil {
+				t.Fatal(err)
+			}
+			if e.Ready() != c.want {
+				t.Errorf("ready %t, want %t", !c.want, c.want)
+			}
+		})
+	}
+}
--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -109,7 +109,7 @@
 		if !c.written {
 			a.header(c, -1)
 		}
-		if _, err = c.writer.Write(event.Text); err == nil {
+		if _, err = c.writer.Write(event.Text); err == nil && !events.Ready() { // events that came together go on together
 			err = control.Flush()
 		}
 		if err != nil {
