Keep idle connections on which a request has come

A router that is short of the processor reads a request late; until it does, its connection counts as idle, and each second connections that were idle for the configured time are closed. Now the system is asked first whether bytes wait.

TestRequestOnIdleConnection failed before.

--- a/router/door/close_test.go
+++ b/router/door/close_test.go
@@ -44,3 +44,41 @@
 		})
 	}
 }
+
+// TestRequestOnIdleConnection guards against a request that is lost because its connection, idle for long, is closed just when
+// it has come and nobody has read it.
+func TestRequestOnIdleConnection(t *testing.T) {
+	for name, sent := range map[string]string{"nothing came": "", "a request came": "GET / HTTP/1.1\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			caller, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer caller.Close()
+			c, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			var conns IdleConns
+			conns.Note(c, http.StateIdle)
+			if _, err := caller.Write([]byte(sent)); err != nil {
+				t.Fatal(err)
+			}
+			for limit := time.Now().Add(time.Second); sent != "" && time.Now().Before(limit); {
+				if _, unread := peek(c); unread {
+					break
+				}
+			}
+			conns.CloseIdle(0)
+			if _, err := c.Write([]byte("x")); (err == nil) != (sent != "") {
+				t.Errorf("writing after idle connections were closed: %v", err)
+			}
+		})
+	}
+}
--- a/router/door/conns.go
+++ b/router/door/conns.go
@@ -43,12 +43,16 @@
 	return true
 }
 
-// CloseIdle closes connections that were idle for so long.
+// CloseIdle closes connections that were idle for so long, except those on which a request has come that waits to be read: a
+// process that is short of the processor reads it late.
 func (i *IdleConns) CloseIdle(length time.Duration) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	for c, since := range i.conns {
-		if !since.IsZero() && time.Since(since) >= length {
+		if since.IsZero() || time.Since(since) < length {
+			continue
+		}
+		if _, unread := peek(c); !unread {
 			_ = c.Close() // its caller, if any, finds out
 		}
 	}
