Let small teams go a little beyond a router's bound

Open requests are counted by team now, and a team with less than its even part of the bound may go beyond it by a quarter.

The team is found before the router's room is asked, so wrong keys and unknown routes get their own answer also from a full router.

--- a/core/valve/valve.go
+++ b/core/valve/valve.go
@@ -15,6 +15,8 @@
 	// length of a stream, whose events need the processor long after it was taken in. From TestNarrowEntrance.
 	halving  = 600 * time.Millisecond
 	doubling = time.Second
+	// reserve is by how much of itself teams with less than their even part may go beyond the bound.
+	reserve = 0.25
 	// used is the part of the bound that has to be in use for it to rise.
 	used = 0.8
 )
@@ -64,8 +66,16 @@
 	return int(v.bound)
 }
 
-// Full reports whether a request is one too many, with so many open besides it.
-func (v *Valve) Full(open int) bool {
+// Full reports whether a request of a team is one too many, with so many open besides it, of the team and in all, and so many
+// teams with any. A team with less than its even part goes beyond the bound a little, so that the callers of a team
+// that fills it don't shut out the others.
+func (v *Valve) Full(open, mine, teams int) bool {
 	bound := v.Bound()
-	return bound > 0 && open >= bound
+	if bound == 0 {
+		return false
+	}
+	if mine*max(1, teams) < bound {
+		bound += int(reserve * float64(bound))
+	}
+	return open >= bound
 }
--- a/model/world/narrow.go
+++ b/model/world/narrow.go
@@ -98,7 +98,7 @@
 
 func (w *narrow) arrive(now, came, objective time.Duration, v *valve.Valve, s *Served) {
 	s.Asked++
-	if v.Full(w.open) {
+	if v.Full(w.open, w.open, 1) {
 		s.Refused++
 		w.add(now, w.door.Refuse, func(time.Duration) {})
 		return
--- a/router/proc/callers.go
+++ b/router/proc/callers.go
@@ -7,6 +7,7 @@
 
 	"mangolug.org/router/door"
 	"mangolug.org/router/pauses"
+	"mangolug.org/router/relay"
 )
 
 const (
@@ -60,9 +61,9 @@
 }
 
 // full decides whether to turn a request away: so many are open that their memory would not do, or the processor is short.
-func (p *Process) full(open int) bool {
+func (p *Process) full(l relay.Load) bool {
 	_, requests := p.settings.Load().room()
-	return requests > 0 && open > requests || p.limit.full(open-1)
+	return requests > 0 && l.Open >= requests || p.limit.full(l)
 }
 
 // gone reports that a request's caller has left.
--- a/router/proc/limit.go
+++ b/router/proc/limit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mangolug.org/core/valve"
+	"mangolug.org/router/relay"
 )
 
 // limit bounds the requests that are served at once, for all goroutines; its zero value has no bound.
@@ -14,11 +15,11 @@
 	refused bool // a request was one too many since the last look
 }
 
-// full reports whether a request is one too many, with so many open besides it.
-func (l *limit) full(open int) bool {
+// full reports whether a request is one too many beside a load.
+func (l *limit) full(load relay.Load) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	full := l.valve.Full(open)
+	full := l.valve.Full(load.Open, load.Mine, load.Teams)
 	l.refused = l.refused || full
 	return full
 }
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -24,6 +24,8 @@
 
 	arrived  time.Duration
 	deadline time.Duration
+	entered  bool   // it counts as open
+	holder   string // the team for which it does
 	asked    Asked
 	table    *route.Table
 	route    *route.Route
@@ -57,9 +59,6 @@
 	asked, err := c.relay.Dialect.Read(c.request.Header)
 	c.asked = asked
 	c.lastEvent = asked.LastEvent
-	if c.relay.Full != nil && c.relay.Full(c.relay.Open()) {
-		return c.turnAway()
-	}
 	if err != nil {
 		return &refusal{reason: fleet.ReasonBadRequest, status: http.StatusBadRequest, detail: err.Error()}
 	}
@@ -70,6 +69,9 @@
 	if e := c.locate(c.table); e != nil {
 		return e
 	}
+	if load := c.enter(); c.relay.Full != nil && c.relay.Full(load) {
+		return c.turnAway()
+	}
 	if limit := c.table.Config.Limits.HeaderBytes; limit > 0 && headerBytes(c.request) > limit {
 		return &refusal{
 			reason: fleet.ReasonBadRequest, status: http.StatusRequestHeaderFieldsTooLarge,
@@ -90,9 +92,7 @@
 // turnAway refuses a request for which this router has no room: its caller is to come back once it reaches another. Until then
 // the connection stays open, as to accept one more costs three times as much as to refuse on it.
 func (c *call) turnAway() *refusal {
-	if t := c.relay.Table(); t != nil && c.locate(t) == nil { // else it would be refused anyhow
-		c.relay.Gate.With(func(now time.Duration, p *pool.Pool) { p.TurnedAway(now, c.ask()) })
-	}
+	c.relay.Gate.With(func(now time.Duration, p *pool.Pool) { p.TurnedAway(now, c.ask()) })
 	after := stoppedAfter
 	if c.relay.Moved != nil {
 		after += c.relay.Moved()
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -24,7 +23,7 @@
 	Clock    func() time.Duration
 	Leaving  func() (time.Duration, bool) // the time until requests are cut, once the process stops; nil for never
 	Crowded  func() bool                  // callers have too many connections open, and are asked to close theirs; nil for never
-	Full     func(open int) bool          // a request is to be turned away, with so many open: the router lacks room or processor; nil for never
+	Full     func(l Load) bool            // a request is to be turned away, with so many others open: the router lacks room or processor; nil for never
 	Moved    func() time.Duration         // how long until new connections of callers reach other routers, 0 if they do now; nil for now
 	Gone     func(r *http.Request) bool   // its caller has closed its connection; nil for never
 	Budgets  pool.Budgets                 // guarded by the gate
@@ -34,11 +33,11 @@
 
 	lengths lengths
 	away    away
-	open    atomic.Int64
+	open    open
 }
 
 // Open gives how many requests are served now.
-func (s *Relay) Open() int { return int(s.open.Load()) }
+func (s *Relay) Open() int { return s.open.count() }
 
 const (
 	// bodyTime bounds how long a caller may take over its body.
@@ -59,8 +58,7 @@
 func (s *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{relay: s, writer: w, request: r, arrived: s.Clock()}
 	s.count("requests")
-	s.open.Add(1)
-	defer s.open.Add(-1)
+	defer c.leave()
 	left, leaving := s.leaving()
 	if leaving || s.Crowded != nil && s.Crowded() {
 		w.Header().Set("Connection", "close")
