--- a/model/world/load.go
+++ b/model/world/load.go
@@ -38,14 +38,15 @@
 
 // Pattern is a load on the world.
 type Pattern struct {
-	Factor   func(at time.Duration, kind string) float64 // of a kind's usual rate; nil for 1
-	Skew     float64                                     // the part of all requests that one router gets beyond its even part
-	HotTeam  float64                                     // the part of all requests that come from one team
-	HotKey   float64                                     // the part of the first kind's requests that are on one subject
-	Lose     map[int]time.Duration                       // servers that are lost, and when
-	Teams    int
-	Duration time.Duration
-	Period   time.Duration // in which routers hear of each other's load; 0 for that of a small fleet
+	Factor    func(at time.Duration, kind string) float64 // of a kind's usual rate; nil for 1
+	Skew      float64                                     // the part of all requests that one router gets beyond its even part
+	HotTeam   float64                                     // the part of all requests that come from one team
+	HotRouter bool                                        // all callers of the hot team enter at one router
+	HotKey    float64                                     // the part of the first kind's requests that are on one subject
+	Lose      map[int]time.Duration                       // servers that are lost, and when
+	Teams     int
+	Duration  time.Duration
+	Period    time.Duration // in which routers hear of each other's load; 0 for that of a small fleet
 }
 
 // Scaled gives kinds with so many times the requests and subjects.
@@ -121,7 +122,7 @@
 		team = "hot"
 	}
 	router := random.IntN(routers)
-	if random.Float64() < p.Skew {
+	if random.Float64() < p.Skew || team == "hot" && p.HotRouter {
 		router = 0
 	}
 	r := &Request{
--- a/model/world/world.go
+++ b/model/world/world.go
@@ -28,6 +28,7 @@
 	TeamServed                           map[string]float64 // requests in time, as a part of those asked
 	FreeRefusals                         int                // refused while a server had half of its slots free and none waiting
 	Reread                               float64            // shared tokens read again, as a part of all that was read
+	Unfair                               *Unfair            // the first time in which a team got far less than another; nil if there is none
 	Busy                                 float64            // the part of the time in which servers had work, while requests came
 }
 
@@ -261,6 +262,9 @@
 			res.Failed++
 		}
 	}
+	if u, ok := unfair(requests, w.length); ok {
+		res.Unfair = &u
+	}
 	res.Worth = earned / owed
 	for i := range w.kinds {
 		res.KindWorth = append(res.KindWorth, kindEarned[i]/max(kindOwed[i], 1e-9))
