Keep to what servers say of their leaving and of the time in which they want nothing

Until now a leaving server got requests until the platform told of it (later than DrainMs where the store is silent), and one that turned requests away was tried again at once.

The adapter decodes both into typed fields; what can't be read is logged, counted (oddHeaders) and bounded. The pool keeps them by the start of a server (id, address and time of birth), so that they outlast an entry that goes and comes back and do not bind the next start or another server at the address. Every way to send asks them: the choice, the look just before the first byte, repeats and resumed streams. After a rest one request tries the server, at a moment spread by up to half a second. When all servers of a service rest for longer than a request can wait, it is refused at once (serversRest) with the end of the rest as its Retry-After; else it waits.

--- a/core/fleet/reason.go
+++ b/core/fleet/reason.go
@@ -44,6 +44,7 @@
 	ReasonSlowCaller                       // slowCaller
 	ReasonUnknownRoute                     // unknownRoute
 	ReasonTeamShare                        // teamShare
+	ReasonServersRest                      // serversRest
 )
 
 // Trouble says whether the reason is one of a refusal, retry or failure, and no part of a request's usual way.
@@ -55,7 +56,7 @@
 // UnmarshalText reads a reason's name; an unknown name becomes ReasonNone.
 func (r *Reason) UnmarshalText(text []byte) error {
 	*r = ReasonNone
-	for c := ReasonNone; c <= ReasonTeamShare; c++ {
+	for c := ReasonNone; c <= ReasonServersRest; c++ {
 		if c.String() == string(text) {
 			*r = c
 		}
--- a/core/pool/ask.go
+++ b/core/pool/ask.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"mangolug.org/core/fleet"
@@ -28,6 +29,9 @@
 // cost gives the tokens that the request is charged: read ones count once and generated ones twice.
 func (a *Ask) cost() int64 { return a.Prompt + 2*a.Output }
 
+// tried reports a server that failed the request.
+func (a *Ask) tried(server string) bool { return slices.Contains(a.Tried, server) }
+
 // shared gives the parts of the prompt that other requests may have in common.
 func (a *Ask) shared() []Part {
 	if len(a.Parts) < 2 {
--- a/core/pool/pick.go
+++ b/core/pool/pick.go
@@ -99,14 +99,9 @@
 
 // usable reports whether a server may be sent a request now, whatever its load.
 func (p *Pool) usable(now time.Duration, b *backend, a *Ask) bool {
-	if !p.open(b) || b.health.aside(now) {
+	if !p.open(b) || b.health.aside(now) || b.said.silent(now) || a.tried(b.ID) {
 		return false
 	}
-	for _, id := range a.Tried {
-		if id == b.ID {
-			return false
-		}
-	}
 	if p.cold(now, b) {
 		return b.meter.ready(now, p.coldRate(b, p.coldLimit(b)))
 	}
@@ -114,7 +109,9 @@
 }
 
 // open reports whether operators and the server itself let it have new work.
-func (p *Pool) open(b *backend) bool { return !b.gone && !b.Draining && !p.evacuated[b.DataCentre] }
+func (p *Pool) open(b *backend) bool {
+	return !b.gone && !b.Draining && !p.evacuated[b.DataCentre] && (b.said == nil || !b.said.leaving)
+}
 
 // cold reports whether a server has to be warmed slowly; one whose data centre came back may have become cold meanwhile.
 func (p *Pool) cold(now time.Duration, b *backend) bool {
@@ -153,7 +150,7 @@
 	}
 	first := make([]ranked, 0, n+1)
 	for _, b := range v.servers {
-		if !p.open(b) || b.health.aside(now) || p.cold(now, b) {
+		if !p.open(b) || b.health.aside(now) || b.said.silent(now) || p.cold(now, b) {
 			continue
 		}
 		h := route.Mix(b.hash ^ subject)
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -23,6 +23,7 @@
 	evacuated map[string]bool          // data centres that get no new work
 	returned  map[string]time.Duration // when a data centre came back
 	shares    shares
+	said      map[start]*said // what servers told of themselves
 
 	sourceOut bool // the platform can't be read
 }
@@ -53,6 +54,7 @@
 	p.addresses = make(map[string]string)
 	p.evacuated = make(map[string]bool)
 	p.returned = make(map[string]time.Duration)
+	p.said = make(map[start]*said)
 	if p.Random == nil {
 		p.Random = rand.New(rand.NewPCG(hash64(p.Self), 0))
 	}
@@ -86,7 +88,7 @@
 		p.tell(o, "gone", "server "+s.ID+" has its address")
 	}
 	p.addresses[s.Address] = s.ID
-	b = &backend{Server: s, hash: hash64(s.ID), coldUntil: now + s.ColdFor}
+	b = &backend{Server: s, hash: hash64(s.ID), coldUntil: now + s.ColdFor, said: p.said[s.start()]}
 	p.servers[s.ID] = b
 	v := p.service(s.Service)
 	at := len(v.servers)
@@ -200,7 +202,7 @@
 // Serving reports whether any server could be sent work.
 func (p *Pool) Serving() bool {
 	for _, b := range p.servers {
-		if !b.Draining && !p.evacuated[b.DataCentre] {
+		if p.open(b) {
 			return true
 		}
 	}
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -115,6 +115,13 @@
 	if c.room && (inTime || a.Prompt == 0) {
 		return p.send(now, a, c), true
 	}
+	if !ok {
+		if end, all := p.restEnds(now, v, a); all && end > a.latest {
+			verdict := p.refuse(now, v, a, fleet.ReasonServersRest)
+			verdict.RetryAfter = end - now + time.Duration(p.Random.Float64()*float64(restSpread))
+			return verdict, true
+		}
+	}
 	if inTime || !ok && now < a.latest {
 		return Verdict{}, false
 	}
@@ -193,7 +200,7 @@
 	var least time.Duration
 	found := false
 	for _, b := range v.servers {
-		if !p.open(b) || b.health.aside(now) {
+		if !p.open(b) || b.health.aside(now) || b.said.silent(now) {
 			continue
 		}
 		if t := v.rate.time(b.usage(now).Prefill); !found || t < least {
--- a/core/pool/run.go
+++ b/core/pool/run.go
@@ -18,6 +18,7 @@
 	}
 	r.ahead = b.usage(now).Prefill
 	b.own.add(r.usage)
+	b.said.sent(r)
 	if r.Cold {
 		b.meter.take(now)
 	}
@@ -28,8 +29,10 @@
 	return Verdict{Ask: a, Reason: fleet.ReasonGranted, Run: r, Backlog: c.backlog, Pace: p.service(b.Service).rate.value(), Waited: now - a.Arrived}
 }
 
-// Open reports whether the server of a run may still get new work: it may have begun to leave since it was chosen.
-func (p *Pool) Open(r *Run) bool { return p.open(r.backend) }
+// Open reports whether the server of a run may still get new work: it may have begun to leave or to rest since it was chosen.
+func (p *Pool) Open(now time.Duration, r *Run) bool {
+	return p.open(r.backend) && (r.backend.said == nil || now >= r.backend.said.rest)
+}
 
 // Began notes the first event of an answer: the server has read the prompt.
 func (p *Pool) Began(now time.Duration, r *Run) {
@@ -37,6 +40,7 @@
 		return
 	}
 	r.began = true
+	r.backend.said.ended(now, r, true)
 	if r.ask.Prompt > 0 && !r.Cold && r.ahead < r.Unread/paceAhead {
 		p.service(r.Server.Service).rate.learn(r.Unread+r.ahead, now-r.sent)
 	}
@@ -57,6 +61,7 @@
 	r.ended = true
 	b := r.backend
 	b.own.subtract(r.usage)
+	b.said.ended(now, r, false)
 	if result.Left || b.gone {
 		return
 	}
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -30,6 +30,7 @@
 	hash      uint64 // of the id
 	coldUntil time.Duration
 	lapses    time.Duration // when it is forgotten, as its entry went during an outage; 0 for never
+	said      *said         // what it told of itself; nil if nothing
 	gone      bool          // no longer told by the platform, or another server has its address
 
 	own      Usage // this router's requests that are open there
--- a/router/relay/dialect.go
+++ b/router/relay/dialect.go
@@ -36,6 +36,9 @@
 	Load    pool.Load
 	HasLoad bool
 	ColdFor time.Duration // how much longer the server is cold; 0 if it is not told
+	Leaving bool          // the server is about to end, and is to get nothing more
+	RestFor time.Duration // how long the server wants nothing from this router; 0 if it is not told
+	Odd     string        // a header that could not be read, as it came; empty for none
 }
 
 // Dialect translates between headers on the wire and what they mean; all fields must be set.
--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -215,14 +215,26 @@
 			return true
 		}
 		open := true
-		c.relay.Gate.With(func(_ time.Duration, p *pool.Pool) { open = p.Open(run) })
+		c.relay.Gate.With(func(now time.Duration, p *pool.Pool) { open = p.Open(now, run) })
 		return !open
 	}
 }
 
-// hear takes in what an answer says of its server.
+// hear takes in what an answer says of its server, if it is that server's: it may be one that has its address now, or the
+// answer to another request.
 func (c *call) hear(run *pool.Run, a *answer) {
-	if !a.told.HasLoad && a.told.ColdFor == 0 {
+	if a.told.Odd != "" {
+		c.relay.count("oddHeaders")
+		c.note("odd header", "server", run.Server.ID, "header", a.told.Odd)
+	}
+	if a.status == http.StatusMisdirectedRequest || a.told.ID != c.asked.ID {
+		return
+	}
+	rest := a.told.RestFor
+	if a.status != http.StatusServiceUnavailable {
+		rest = 0
+	}
+	if !a.told.HasLoad && a.told.ColdFor == 0 && !a.told.Leaving && rest == 0 {
 		return
 	}
 	c.relay.Gate.With(func(now time.Duration, p *pool.Pool) {
@@ -232,6 +244,12 @@
 		if a.told.ColdFor > 0 {
 			p.Cold(now, run.Server.ID, a.told.ColdFor)
 		}
+		if a.told.Leaving {
+			p.Leaving(now, run)
+		}
+		if rest > 0 {
+			p.Rest(now, run, rest)
+		}
 	})
 }
 
--- a/router/relay/world_test.go
+++ b/router/relay/world_test.go
@@ -32,6 +32,8 @@
 	testLast   = "Last-Event-Id"
 	testSigned = "X-Signed"
 	testNotRun = "X-Not-Run"
+	testLeave  = "X-Leaving"
+	testRest   = "X-Rest" // whole seconds
 )
 
 func testDialect() Dialect {
@@ -53,7 +55,13 @@
 			}
 		},
 		Told: func(h http.Header) Told {
-			return Told{ID: h.Get(testID), Signed: h.Get(testSigned) != "", NotRun: h.Get(testNotRun) != ""}
+			t := Told{ID: h.Get(testID), Signed: h.Get(testSigned) != "", NotRun: h.Get(testNotRun) != "", Leaving: h.Get(testLeave) != ""}
+			if seconds, err := strconv.Atoi(h.Get(testRest)); err == nil {
+				t.RestFor = time.Duration(seconds) * time.Second
+			} else {
+				t.Odd = h.Get(testRest)
+			}
+			return t
 		},
 		Name: func(h http.Header, id string) { h.Set(testID, id) },
 	}
