Divide what a team that is held back may get among the routers

A team beyond its share that is served far better than another is held back (ahead) by the total that it gets, which each router hears some 200 ms late.

Each router now also holds to its part of what the team may get, by what it asks here of what it asks in all. The limit by the total stays.

--- /dev/null
+++ b/core/pool/ahead_test.go
@@ -0,0 +1,84 @@
+package pool
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"mangolug.org/core/digest"
+	"mangolug.org/core/route"
+)
+
+// TestHeldTeamIsServedEvenly guards against many routers that all let a team through, and then all hold it back, as they hear of
+// what it gets late: a team that wants all it can get, beside one that gets little, is served at about the same rate in each second.
+func TestHeldTeamIsServedEvenly(t *testing.T) {
+	const (
+		routers  = 80
+		period   = 120 * time.Millisecond
+		perMilli = 2 // requests a millisecond, at random routers
+		little   = 800000
+		length   = 8 * time.Second
+		settled  = 2 * time.Second
+	)
+	c := table().Config
+	c.Limits.TokensPerSecond = 2300000
+	limits := route.NewTable(c)
+	pools := make([]*Pool, routers)
+	sums := make([]digest.Sum, routers)
+	for i := range pools {
+		pools[i] = fill(12)
+		pools[i].Self = fmt.Sprint("r", i)
+		pools[i].Configure(limits)
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	served := make([]int64, length/time.Second)
+	type running struct {
+		pool *Pool
+		run  *Run
+		end  time.Duration
+	}
+	var runs []running
+	id := 0
+	for now := time.Millisecond; now < length; now += time.Millisecond {
+		for len(runs) > 0 && runs[0].end <= now {
+			runs[0].pool.Began(now, runs[0].run)
+			runs[0].pool.Ended(now, runs[0].run, Result{})
+			runs = runs[1:]
+		}
+		if now%period == 0 {
+			var all digest.Sum
+			for _, s := range sums {
+				all.Add(s)
+			}
+			for i, p := range pools {
+				var others digest.Sum
+				others.Add(all)
+				others.Subtract(sums[i])
+				others.Servers = nil // they have room
+				others.Teams[key("low")] = digest.Rates{Asked: 10 * little, Served: little}
+				p.Others(now, others, true, make([]string, routers-1))
+			}
+			for i, p := range pools {
+				sums[i] = p.Own(now)
+			}
+		}
+		for range perMilli {
+			id++
+			p := pools[random.IntN(routers)]
+			a := draft(now, id, uint64(random.IntN(1000)))
+			if v, decided := p.Admit(now, a); decided && v.Run != nil {
+				served[now/time.Second] += a.cost()
+				runs = append(runs, running{p, v.Run, now + 100*time.Millisecond})
+			} else if !decided {
+				p.Leave(a)
+			}
+		}
+	}
+	t.Log(served)
+	for second := settled / time.Second; second < length/time.Second; second++ {
+		if served[second] > 2*little || served[second] < little {
+			t.Errorf("%d tokens in second %d, want %d to %d", served[second], second, little, 2*little)
+		}
+	}
+}
--- a/core/pool/run.go
+++ b/core/pool/run.go
@@ -24,7 +24,7 @@
 	}
 	if a.Prompt > 0 {
 		b.cache.note(now, a.Parts)
-		p.shares.team(a.Team).served.add(now, float64(a.cost()))
+		p.shares.sent(now, a.Team, float64(a.cost()))
 	}
 	return Verdict{Ask: a, Reason: fleet.ReasonGranted, Run: r, Backlog: c.backlog, Pace: p.service(b.Service).rate.value(), Waited: now - a.Arrived}
 }
--- a/core/pool/shares.go
+++ b/core/pool/shares.go
@@ -23,6 +23,8 @@
 
 	othersServed float64 // tokens a second that it gets at the other routers
 	credit       float64 // tokens that it may still ask for here within its share
+	hand         float64 // tokens that it may get here while it is held back for another; less than 0 after a large request
+	heldAt       time.Duration
 }
 
 // shares divides the fleet's throughput between teams, max-min fair.
@@ -45,17 +47,31 @@
 const hungryShare = 0.6
 
 // ahead reports a team beyond its share that is far better served than another such team that wants more: what is free goes
-// to that one first.
+// to that one first. What the team may get is also divided among the routers as it asks them: what the others just sent is heard
+// too late, so that all would let the team through at once.
 func (s *shares) ahead(now time.Duration, name string) bool {
 	if !s.hungry {
 		return false
 	}
 	mine := s.team(name)
+	mine.own.decay(now)
 	mine.served.decay(now)
-	slack := slackRequests * s.largest / slackWindow.Seconds()
-	return mine.served.value+mine.othersServed-slack > aheadFactor*s.least
+	allowed := aheadFactor*s.least + slackRequests*s.largest/slackWindow.Seconds()
+	if mine.served.value+mine.othersServed > allowed {
+		return true
+	}
+	part := 1.0
+	if asked := mine.own.value + mine.others; asked > 0 {
+		part = mine.own.value / asked
+	}
+	refill := allowed * part * (now - mine.heldAt).Seconds()
+	mine.hand, mine.heldAt = min(mine.hand+refill, allowed*part*handTime.Seconds()), now
+	return mine.hand <= 0
 }
 
+// handTime is for how long a team that is held may save up what a router lets it have: about the age of the news of others.
+const handTime = 200 * time.Millisecond
+
 // A few large requests more or less within some seconds make no team better served: where requests are few, that is most of
 // the difference between teams. The users leave as many out of account.
 const (
@@ -65,6 +81,15 @@
 	largestFade = 0.0005
 )
 
+// sent counts what a team gets.
+func (s *shares) sent(now time.Duration, name string, tokens float64) {
+	t := s.team(name)
+	t.served.add(now, tokens)
+	if s.hungry {
+		t.hand -= tokens
+	}
+}
+
 // idleRate is the tokens a second below which a team is forgotten until it asks again, so that many small teams cost nothing.
 const idleRate = 1
 
