Bound callers' connections, open and waiting, by the memory of the VM

Cause: what comes faster than it is read. Each connection, accepted or not, may hold a request of 9 KB in the mean that counts as memory of the process; the system lets 4,096 wait.

Now the listener is opened with a bound on those that wait (a twentieth of the memory), and the door holds to one and a half times the connections that callers may keep: beyond that it closes some that are not in use, and the new one, unread, if all are. Ruled out: requests (139 to 283 open, bound by the valve) and the heap (39 MB).

TestConnectionsAreBounded failed before (26 open, want 24); TestFullDoor.

--- a/router/door/close_test.go
+++ b/router/door/close_test.go
@@ -82,3 +82,40 @@
 		})
 	}
 }
+
+// A door with no room closes new connections unread, and takes the next once there is room.
+func TestFullDoor(t *testing.T) {
+	l, err := Listen("127.0.0.1:0", 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	d := New(l)
+	full := true
+	d.Full = func() bool {
+		was := full
+		full = false
+		return was
+	}
+	first, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	second, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+	c, err := d.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if got := c.RemoteAddr().String(); got != second.LocalAddr().String() {
+		t.Errorf("accepted %s, want the second connection, %s", got, second.LocalAddr())
+	}
+	if _, err := first.Read(make([]byte, 1)); err == nil {
+		t.Error("the connection without room was not closed")
+	}
+}
--- a/router/door/conns.go
+++ b/router/door/conns.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -49,13 +50,35 @@
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	for c, since := range i.conns {
-		if since.IsZero() || time.Since(since) < length {
-			continue
+		if !since.IsZero() && time.Since(since) >= length {
+			i.close(c)
 		}
-		if _, unread := peek(c); !unread {
-			_ = c.Close() // its caller, if any, finds out
+	}
+}
+
+// CloseSome closes some of the connections that were idle longest, except those on which a request waits.
+func (i *IdleConns) CloseSome(n int) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	idle := make([]net.Conn, 0, len(i.conns))
+	for c, since := range i.conns {
+		if !since.IsZero() {
+			idle = append(idle, c)
 		}
 	}
+	slices.SortFunc(idle, func(a, b net.Conn) int { return i.conns[a].Compare(i.conns[b]) })
+	for _, c := range idle[:min(n, len(idle))] {
+		i.close(c)
+	}
+}
+
+// close closes an idle connection unless a request waits on it; the caller holds the mutex.
+func (i *IdleConns) close(c net.Conn) {
+	if _, unread := peek(c); unread {
+		return
+	}
+	_ = c.Close()      // its caller, if any, finds out
+	delete(i.conns, c) // the server notes its end later
 }
 
 // Open gives how many connections of callers are open.
--- a/router/proc/callers.go
+++ b/router/proc/callers.go
@@ -19,6 +19,15 @@
 	// connShare and requestShare are the parts of the process's memory that callers' connections and requests may take, and
 	// fileShare the part of its descriptors that connections may.
 	connShare, requestShare, fileShare = 0.2, 0.35, 0.4
+	// connsMost is how many times the connections that callers may keep are held at most, while they are asked to close theirs.
+	connsMost = 1.5
+	// someShare is the part of the connections that are closed at once, if unused, when one more comes.
+	someShare = 0.1
+	// backlogShare is the part of the memory that connections may take which wait to be accepted, each with a request of
+	// waitingBytes: the users' long prompts are 9 KB in the mean, and the system's buffers are larger than what is in them.
+	backlogShare, waitingBytes = 0.05, 16 << 10
+	// backlogLeast is enough for the callers of one moment.
+	backlogLeast = 64
 	// crowdBegins and crowdEnds are the parts of the room for requests at which the balancer is told to send callers elsewhere,
 	// and to send them again.
 	crowdBegins, crowdEnds = 0.7, 0.35
@@ -55,6 +64,29 @@
 	return conns > 0 && p.entrance.Conns.Open() > conns
 }
 
+// overfull reports that a new connection is one too many, after it closed some that are not in use.
+func (p *Process) overfull() bool {
+	conns, _ := p.settings.Load().room()
+	most := int(connsMost * float64(conns))
+	if most == 0 || p.entrance.Conns.Open() < most {
+		return false
+	}
+	p.entrance.Conns.CloseSome(max(1, int(someShare*float64(conns))))
+	if p.entrance.Conns.Open() < most {
+		return false
+	}
+	p.count("connectionsRefused")
+	return true
+}
+
+// backlog gives how many connections may wait to be accepted; 0 for the system's own bound.
+func (s *Settings) backlog() int {
+	if s.Memory <= 0 {
+		return 0
+	}
+	return max(backlogLeast, int(backlogShare*float64(s.Memory)/waitingBytes))
+}
+
 // moved gives how long until the balancer sends new connections to other routers, and 0 if it does.
 func (p *Process) moved() time.Duration {
 	return time.Duration(max(0, movedMisses-p.misses.Load())) * askedPeriod
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -108,11 +108,12 @@
 
 func (p *Process) open() error {
 	s := p.settings.Load()
-	front, err := net.Listen("tcp", s.Front)
+	front, err := door.Listen(s.Front, s.backlog())
 	if err != nil {
 		return errors.Wrapf(err, "front address %s can't be opened", s.Front)
 	}
-	p.entrance.Door = door.New(front.(*net.TCPListener))
+	p.entrance.Door = door.New(front)
+	p.entrance.Door.Full = p.overfull
 	if p.ready, err = net.Listen("tcp", s.Ready); err != nil {
 		return errors.Wrapf(err, "readiness address %s can't be opened", s.Ready)
 	}
--- a/router/proc/process_test.go
+++ b/router/proc/process_test.go
@@ -491,3 +491,37 @@
 		t.Errorf("lag %v where %d goroutines take turns of %v", lag, goroutines, slice)
 	}
 }
+
+// TestConnectionsAreBounded guards against callers' connections that fill the memory of a router whose processor is too slow to
+// ask for their end: beyond one and a half times what fits, unused ones are closed,
+// and new ones if all are in use.
+func TestConnectionsAreBounded(t *testing.T) {
+	release := make(chan struct{})
+	s := start(t, func(w http.ResponseWriter, r *http.Request) {
+		echo(w, r)
+		<-release
+	})
+	<-s.taker
+	next := *s.process.settings.Load()
+	next.Memory = 60 * connBytes // 12 may be kept
+	s.process.settings.Store(&next)
+	kept, _ := next.room()
+	most := int(connsMost * float64(kept))
+	for range 3 * most {
+		c, err := net.Dial("tcp", s.front)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if n := s.process.entrance.Conns.Open(); n > most {
+			t.Fatalf("%d connections are open, want %d at most", n, most)
+		}
+	}
+	answered := make(chan int, 1)
+	go func() { answered <- status(s.front) }()
+	until(t, func() bool { return s.process.relay.Open() == 1 })
+	close(release)
+	if got := <-answered; got != http.StatusOK {
+		t.Errorf("status %d for a request on a new connection beside %d unused ones", got, most)
+	}
+}
