Let the bound of requests fall from where it is, not from what is open

A wait for the processor while few requests are open, as after a freeze of the VM or a large change of the configuration, set the bound to its least of 16: for two seconds after it callers were refused by a router with time. The bound now falls from its own value, and after a freeze by half at most.

TestValve: "one wait beside few requests" and "a freeze beside few requests" failed before (bound 16).

--- a/core/valve/valve.go
+++ b/core/valve/valve.go
@@ -44,9 +44,9 @@
 		if least == 0 {
 			least = DefaultLeast
 		}
-		bound := float64(open)
-		if v.bound > 0 {
-			bound = min(bound, v.bound)
+		bound := v.bound
+		if bound == 0 {
+			bound = float64(open)
 		}
 		v.bound = max(least, bound*math.Pow(0.5, min(1, since.Seconds()/halving.Seconds())))
 	case late < lateLeast && v.bound > 0 && float64(open) >= used*v.bound:
