Look at the crowd when the balancer asks, and take callers again as soon as none is turned away

It now looks when it is asked, and is ready again once it refused nobody for a second and the wait is under 15 ms, as the bound of requests protects it.

--- a/router/proc/callers.go
+++ b/router/proc/callers.go
@@ -31,9 +31,9 @@
 	// crowdBegins and crowdEnds are the parts of the room for requests at which the balancer is told to send callers elsewhere,
 	// and to send them again.
 	crowdBegins, crowdEnds = 0.7, 0.35
-	// lagBegins and lagEnds do the same for the time that goroutines wait for the processor: it is added to each step of each
-	// request, of which the tightest objective is 150 ms.
-	lagBegins, lagEnds = 15 * time.Millisecond, 5 * time.Millisecond
+	// lagMany is the wait for the processor that does the same: it is added to each step of each request, of which the tightest
+	// objective is 150 ms.
+	lagMany = 15 * time.Millisecond
 	// startShare is the part of the room for requests that a new router takes at once, until it knows what its processor can
 	// serve: two of the usual loads of the users' small VMs.
 	startShare = 0.25
@@ -113,26 +113,29 @@
 		if t := p.table.Load(); t != nil && t.Config.Limits.Idle > 0 {
 			idle = t.Config.Limits.Idle
 		}
-		_, requests := p.settings.Load().room()
 		p.entrance.Conns.CloseIdle(idle)
 		p.relay.TellAway()
 		p.relay.TellShares()
-		p.noteCrowd(p.relay.Open(), requests, p.limit.look(), time.Duration(p.lag.Load()))
+		p.lookAtCrowd()
 	}
 }
 
+// lookAtCrowd notes whether requests crowd now.
+func (p *Process) lookAtCrowd() {
+	_, requests := p.settings.Load().room()
+	p.noteCrowd(p.relay.Open(), requests, p.limit.refusedWithin(crowdPeriod), time.Duration(p.lag.Load()))
+}
+
 // noteCrowd takes in how many requests are served, with room for so many, whether the processor allowed no more
 // of late, and how long goroutines wait for it.
 func (p *Process) noteCrowd(open, room int, refused bool, lag time.Duration) {
-	was := p.crowd.Load()
-	limit, late := crowdBegins, lagBegins
-	if was {
-		limit, late = crowdEnds, lagEnds
+	limit := crowdBegins
+	if p.crowd.Load() {
+		limit = crowdEnds
 	}
-	is := room > 0 && float64(open) > limit*float64(room) || refused || lag > late
-	if is == was {
+	is := room > 0 && float64(open) > limit*float64(room) || refused || lag > lagMany
+	if p.crowd.Swap(is) == is {
 		return
 	}
-	p.crowd.Store(is)
 	p.log.Warn("crowd", "is", is, "open", open, "room", room, "bound", p.limit.bound(), "refused", refused, "lag", lag, "callers", p.entrance.Conns.Open())
 }
--- a/router/proc/limit.go
+++ b/router/proc/limit.go
@@ -12,7 +12,7 @@
 type limit struct {
 	mutex   sync.Mutex // guards all below
 	valve   valve.Valve
-	refused bool // a request was one too many since the last look
+	refused time.Time // when a request was one too many last
 }
 
 // full reports whether a request is one too many beside a load.
@@ -20,7 +20,9 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	full := l.valve.Full(load.Open, load.Mine, load.Teams)
-	l.refused = l.refused || full
+	if full {
+		l.refused = time.Now()
+	}
 	return full
 }
 
@@ -31,13 +33,11 @@
 	l.valve.Note(late, since, open)
 }
 
-// look reports whether a request was one too many since it was last called.
-func (l *limit) look() bool {
+// refusedWithin reports whether a request was one too many within the last time of a length.
+func (l *limit) refusedWithin(length time.Duration) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	refused := l.refused
-	l.refused = false
-	return refused
+	return time.Since(l.refused) < length
 }
 
 // bound gives how many requests the processor allows to be open, 0 for no bound.
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -151,6 +151,7 @@
 }
 
 func (p *Process) readiness(w http.ResponseWriter, _ *http.Request) {
+	p.lookAtCrowd()
 	if !p.serving() || p.crowd.Load() {
 		p.misses.Add(1)
 		w.WriteHeader(http.StatusServiceUnavailable)
