--- a/core/sched/orphan.go
+++ b/core/sched/orphan.go
@@ -13,11 +13,10 @@
 // another scheduler what it runs.
 const handover = fleet.GrantLifetime + fleet.ClockDrift + transit
 
-// freeOrphans drops orphans that several reports in a row, measured since, leave no room for. Reports may miss requests on
-// their way, so where no other scheduler has a part of the limit, only weighed ones free orphans (freeWeighed).
-func (s *Scheduler) freeOrphans(now time.Duration, v *server, l fleet.Load) {
+// freeOrphans drops orphans that several reports in a row, measured since, leave no room for.
+func (v *server) freeOrphans(now time.Duration, l fleet.Load) {
 	measured := now - time.Duration(l.Age)*time.Millisecond
-	if v.orphans == 0 || measured <= v.orphanedAt || s.part(v.limiter.Bound()) == v.limiter.Bound() {
+	if v.orphans == 0 || measured <= v.orphanedAt {
 		return
 	}
 	v.spare[v.spares%orphanReports] = v.excess
@@ -32,20 +31,6 @@
 	v.orphans = min(v.orphans, most)
 }
 
-// freeWeighed drops orphans that a report, measured well after they were lost and weighed by what surely ran then, leaves no room for.
-func (s *Scheduler) freeWeighed(v *server, others int) {
-	if v.orphans > others && v.tellsOrphans(v.sample.measured) {
-		v.orphans = others
-		s.forgetLost()
-		s.touch(v)
-	}
-}
-
-// tellsOrphans says whether a report measured then tells which orphans still run.
-func (v *server) tellsOrphans(measured time.Duration) bool {
-	return v.orphans > 0 && measured >= v.orphanedAt+transit
-}
-
 // covering says whether a report measured then may show that other schedulers' parts hold the orphans.
 func (v *server) covering(measured time.Duration) bool {
 	return v.orphans > 0 && !v.covered && measured >= v.orphanedAt+handover
--- a/core/sched/server.go
+++ b/core/sched/server.go
@@ -136,7 +136,7 @@
 	}
 	v.seeForeign(v.excess)
 	before := v.orphans
-	s.freeOrphans(now, v, l)
+	v.freeOrphans(now, l)
 	if v.orphans < before {
 		s.forgetLost()
 	}
--- a/core/sched/settle.go
+++ b/core/sched/settle.go
@@ -52,7 +52,7 @@
 
 // keep holds the report that tells soonest about the time after the part grew, or after grants were lost.
 func (s *Scheduler) keep(v *server, measured time.Duration, load int) {
-	if v.sample.kept || !v.growing(measured) && !v.covering(measured) && v.foreign == 0 && !v.tellsOrphans(measured) {
+	if v.sample.kept || !v.growing(measured) && !v.covering(measured) && v.foreign == 0 {
 		return
 	}
 	v.sample = sample{measured: measured, load: load, kept: true}
@@ -84,7 +84,6 @@
 	v.sample.kept = false
 	others := max(0, v.sample.load-s.surelyRan(v))
 	v.foreign = min(v.foreign, others)
-	s.freeWeighed(v, others)
 	if v.growing(v.sample.measured) {
 		v.weighed = true
 		v.allowed = max(v.allowed, v.limiter.Bound()-others)
