Bound the wait for the body of a request that is turned away

Since refused callers keep their connections, the server reads the rest of a body before it answers, so a slow sender got its refusal late, or never. It has a second for it now. Found by reading the change once more; TestSlowSenderIsTurnedAway failed before (no answer after 3 s).

--- a/core/pool/said.go
+++ b/core/pool/said.go
@@ -9,7 +9,7 @@
 	restSpreadShare = 0.25
 	// saidMemory is how long what a server said of itself outlasts its entry at the platform, which may lapse and come back.
 	saidMemory = 10 * time.Minute
-	// saidLimit is from how many servers on what is older than that is forgotten.
+	// saidLimit is the number of remembered servers above which those silent for saidMemory are forgotten.
 	saidLimit = 1024
 )
 
--- a/model/world/narrow.go
+++ b/model/world/narrow.go
@@ -18,7 +18,7 @@
 	Pause  time.Duration // between two events
 }
 
-// SmallDoor is like the small VMs of the users' sheets; the costs are those of a profile of the relay.
+// SmallDoor is like the small VMs of the users' sheets: it ends about as many requests a second as they did in the incident FAIR.
 func SmallDoor() Door {
 	return Door{
 		Share: 0.192, Admit: 400 * time.Microsecond, Event: 45 * time.Microsecond, Refuse: 40 * time.Microsecond,
--- a/router/door/door.go
+++ b/router/door/door.go
@@ -12,9 +12,9 @@
 	"github.com/pkg/errors"
 )
 
-// Listen opens an address (ip:port) at which no more than so many connections may wait to be accepted; 0 for the system's bound. Each of them
-// may hold a request that counts as the process's memory, and a process that is short of the processor accepts late. Beyond the
-// bound callers reach no connection, and try another router.
+// Listen opens an address (ip:port) at which no more than so many connections may wait to be accepted; 0 for the system's bound.
+// Each of them may hold a request that counts as the process's memory, and a process that is short of the processor accepts late.
+// Beyond the bound callers reach no connection, and try another router.
 func Listen(address string, waiting int) (*net.TCPListener, error) {
 	at, err := netip.ParseAddrPort(address)
 	if err != nil || waiting == 0 || !at.Addr().Is4() { // net gives no way to bound them
--- a/router/proc/callers.go
+++ b/router/proc/callers.go
@@ -102,7 +102,8 @@
 func gone(r *http.Request) bool { return door.Gone(r.Context()) }
 
 // keepCallers closes connections that callers leave unused for too long, notes when requests crowd, and tells whom the router
-// turned away and what it believes of the teams' shares, until the context ends. Only those unused for longer than callers may leave them: closing others could cut a request that just comes.
+// turned away and what it believes of the teams' shares, until the context ends. Only connections unused for longer than callers
+// may leave them are closed: closing others could cut a request that just comes.
 func (p *Process) keepCallers(ctx context.Context) error {
 	for {
 		pauses.For(ctx, crowdPeriod)
--- a/router/relay/away_test.go
+++ b/router/relay/away_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bufio"
 	"bytes"
 	"net/http"
 	"strings"
@@ -53,3 +54,26 @@
 		t.Errorf("a summary of nothing: %q", lines.String())
 	}
 }
+
+// TestSlowSenderIsTurnedAway guards against refusals that wait for a body that does not come, where the connection is to stay open.
+func TestSlowSenderIsTurnedAway(t *testing.T) {
+	w := newWorld(t, func(_ *world, _ int, rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusOK) })
+	w.relay.Full = func(Load) bool { return true }
+	w.relay.Moved = func() time.Duration { return time.Second }
+	c := w.dial(t)
+	began := time.Now()
+	if _, err := c.Write([]byte("POST /safe/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nContent-Length: 100\r\n\r\nonly this")); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.SetReadDeadline(began.Add(3 * awayTime)); err != nil {
+		t.Fatal(err)
+	}
+	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("no answer after %v: %v", time.Since(began), err)
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusServiceUnavailable || !answer.Close {
+		t.Errorf("status %d, to be closed %t, want 503 on a connection that ends", answer.StatusCode, answer.Close)
+	}
+}
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -93,6 +93,8 @@
 // the connection stays open, as to accept one more costs three times as much as to refuse on it.
 func (c *call) turnAway() *refusal {
 	c.relay.Gate.With(func(now time.Duration, p *pool.Pool) { p.TurnedAway(now, c.ask()) })
+	// The server reads the rest of the body before it answers on a connection that stays open.
+	_ = http.NewResponseController(c.writer).SetReadDeadline(time.Now().Add(awayTime)) // unsupported only by test recorders
 	after := stoppedAfter
 	if c.relay.Moved != nil {
 		after += c.relay.Moved()
@@ -108,6 +110,9 @@
 	}
 }
 
+// awayTime bounds how long a caller that is turned away may take over the rest of its body.
+const awayTime = time.Second
+
 // returnSpread is by how much of itself the advice to come back is lengthened at most, so that refused callers do not return together.
 const returnSpread = 0.5
 
