--- a/router/door/close_test.go
+++ b/router/door/close_test.go
@@ -50,21 +50,7 @@
 func TestRequestOnIdleConnection(t *testing.T) {
 	for name, sent := range map[string]string{"nothing came": "", "a request came": "GET / HTTP/1.1\r\n"} {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer l.Close()
-			caller, err := net.Dial("tcp", l.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer caller.Close()
-			c, err := l.Accept()
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer c.Close()
+			caller, c := pair(t)
 			var conns IdleConns
 			conns.Note(c, http.StateIdle)
 			if _, err := caller.Write([]byte(sent)); err != nil {
--- a/router/door/gone_test.go
+++ b/router/door/gone_test.go
@@ -6,6 +6,27 @@
 	"time"
 )
 
+// pair gives both ends of a connection, the caller's first.
+func pair(t *testing.T) (*net.TCPConn, net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { caller.Close() })
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return caller.(*net.TCPConn), c
+}
+
 func TestGone(t *testing.T) {
 	tests := map[string]struct {
 		does func(c *net.TCPConn)
@@ -19,22 +40,8 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer l.Close()
-			caller, err := net.Dial("tcp", l.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer caller.Close()
-			c, err := l.Accept()
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer c.Close()
-			tt.does(caller.(*net.TCPConn))
+			caller, c := pair(t)
+			tt.does(caller)
 			limit := time.Now().Add(time.Second)
 			ctx := WithConn(t.Context(), c)
 			for tt.gone && !Gone(ctx) && time.Now().Before(limit) {
