--- a/core/pool/pick.go
+++ b/core/pool/pick.go
@@ -99,7 +99,7 @@
 
 // usable reports whether a server may be sent a request now, whatever its load.
 func (p *Pool) usable(now time.Duration, b *backend, a *Ask) bool {
-	if !p.open(b) || b.health.aside(now) || b.said.silent(now) || a.tried(b.ID) {
+	if !p.takes(now, b) || a.tried(b.ID) {
 		return false
 	}
 	if p.cold(now, b) {
@@ -110,7 +110,12 @@
 
 // open reports whether operators and the server itself let it have new work.
 func (p *Pool) open(b *backend) bool {
-	return !b.gone && !b.Draining && !p.evacuated[b.DataCentre] && (b.said == nil || !b.said.leaving)
+	return !b.gone && !b.Draining && !p.evacuated[b.DataCentre] && !b.said.leaves()
+}
+
+// takes reports whether a server may get new work now: it is open, and neither set aside nor silent by its own word.
+func (p *Pool) takes(now time.Duration, b *backend) bool {
+	return p.open(b) && !b.health.aside(now) && !b.said.silent(now)
 }
 
 // cold reports whether a server has to be warmed slowly; one whose data centre came back may have become cold meanwhile.
@@ -150,7 +155,7 @@
 	}
 	first := make([]ranked, 0, n+1)
 	for _, b := range v.servers {
-		if !p.open(b) || b.health.aside(now) || b.said.silent(now) || p.cold(now, b) {
+		if !p.takes(now, b) || p.cold(now, b) {
 			continue
 		}
 		h := route.Mix(b.hash ^ subject)
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -200,7 +200,7 @@
 	var least time.Duration
 	found := false
 	for _, b := range v.servers {
-		if !p.open(b) || b.health.aside(now) || b.said.silent(now) {
+		if !p.takes(now, b) {
 			continue
 		}
 		if t := v.rate.time(b.usage(now).Prefill); !found || t < least {
--- a/core/pool/run.go
+++ b/core/pool/run.go
@@ -31,7 +31,7 @@
 
 // Open reports whether the server of a run may still get new work: it may have begun to leave or to rest since it was chosen.
 func (p *Pool) Open(now time.Duration, r *Run) bool {
-	return p.open(r.backend) && (r.backend.said == nil || now >= r.backend.said.rest)
+	return p.open(r.backend) && !r.backend.said.rests(now)
 }
 
 // Began notes the first event of an answer: the server has read the prompt.
--- a/core/pool/said.go
+++ b/core/pool/said.go
@@ -80,9 +80,13 @@
 
 // silent reports a server that may get nothing now, by its own word.
 func (s *said) silent(now time.Duration) bool {
-	return s != nil && (s.leaving || now < s.rest || s.trial && s.trying != nil && !s.trying.ended)
+	return s.leaves() || s.rests(now) || s != nil && s.trial && s.trying != nil && !s.trying.ended
 }
 
+func (s *said) leaves() bool { return s != nil && s.leaving }
+
+func (s *said) rests(now time.Duration) bool { return s != nil && now < s.rest }
+
 // sent notes a run, which may be the one that tries the server after its rest.
 func (s *said) sent(r *Run) {
 	if s != nil && s.trial && s.trying == nil {
@@ -108,7 +112,7 @@
 		if !p.open(b) || a.tried(b.ID) {
 			continue
 		}
-		if b.said == nil || now >= b.said.rest {
+		if !b.said.rests(now) {
 			return 0, false
 		}
 		if first == 0 || b.said.rest < first {
--- a/core/pool/shares.go
+++ b/core/pool/shares.go
@@ -27,6 +27,10 @@
 	heldAt       time.Duration
 }
 
+// asked gives the tokens a second that the team asks of the fleet, and gets those that it gets.
+func (t *teamShare) asked() float64 { return t.own.value + t.others }
+func (t *teamShare) gets() float64  { return t.served.value + t.othersServed }
+
 // shares divides the fleet's throughput between teams, max-min fair.
 type shares struct {
 	teams     map[string]*teamShare
@@ -46,6 +50,11 @@
 // unequally served below a half; what a router hears is more than was asked for, as callers that were refused ask once more.
 const hungryShare = 0.6
 
+// wantsMore reports whether a team that asks for so much and gets so much, in tokens a second, is beyond its share and wants more.
+func (s *shares) wantsMore(asked, got float64) bool {
+	return asked > s.level && got < hungryShare*asked
+}
+
 // ahead reports a team beyond its share that is far better served than another such team that wants more: what is free goes
 // to that one first. What the team may get is also divided among the routers as it asks them: what the others just sent is heard
 // too late, so that all would let the team through at once.
@@ -57,11 +66,11 @@
 	mine.own.decay(now)
 	mine.served.decay(now)
 	allowed := aheadFactor*s.least + slackRequests*s.largest/slackWindow.Seconds()
-	if mine.served.value+mine.othersServed > allowed {
+	if mine.gets() > allowed {
 		return true
 	}
 	part := 1.0
-	if asked := mine.own.value + mine.others; asked > 0 {
+	if asked := mine.asked(); asked > 0 {
 		part = mine.own.value / asked
 	}
 	refill := allowed * part * (now - mine.heldAt).Seconds()
@@ -127,7 +136,7 @@
 		s.settle(now, throughput)
 	}
 	part = 1
-	if total := t.own.value + t.others; s.level > 0 && total > s.level {
+	if total := t.asked(); s.level > 0 && total > s.level {
 		part = s.level / total
 	}
 	t.credit = min(t.credit+tokens*part, max(tokens, shareBurst*t.own.value*part))
@@ -149,7 +158,7 @@
 	for name, t := range s.teams {
 		t.own.decay(now)
 		t.served.decay(now)
-		value := t.own.value + t.others
+		value := t.asked()
 		if value < idleRate && t.served.value < idleRate {
 			delete(s.teams, name)
 			continue
@@ -180,12 +189,12 @@
 // compare finds the least served of the teams beyond their share that want more.
 func (s *shares) compare() {
 	note := func(asked, got float64) {
-		if asked > s.level && got < hungryShare*asked && (!s.hungry || got < s.least) {
+		if s.wantsMore(asked, got) && (!s.hungry || got < s.least) {
 			s.hungry, s.least = true, got
 		}
 	}
 	for _, t := range s.teams {
-		note(t.own.value+t.others, t.served.value+t.othersServed)
+		note(t.asked(), t.gets())
 	}
 	for _, r := range s.elsewhere {
 		note(float64(r.Asked), float64(r.Served))
--- a/core/pool/summary.go
+++ b/core/pool/summary.go
@@ -85,7 +85,7 @@
 	for name, t := range s.teams {
 		t.own.decay(now)
 		t.served.decay(now)
-		asked, served := t.own.value+t.others, t.served.value+t.othersServed
+		asked, served := t.asked(), t.gets()
 		b.Asked += asked
 		b.Served += served
 		if served > b.MostServed {
@@ -95,7 +95,7 @@
 			continue
 		}
 		b.Beyond++
-		if served < hungryShare*asked && (b.Least == "" || served < b.LeastServed) {
+		if s.wantsMore(asked, served) && (b.Least == "" || served < b.LeastServed) {
 			b.Least, b.LeastAsked, b.LeastServed = name, asked, served
 		}
 	}
--- a/mangoctl/story/tell.go
+++ b/mangoctl/story/tell.go
@@ -144,9 +144,7 @@
 		return fmt.Sprintf("answered with status %s by server %s, %v after its first line", l.Get("status"), l.Get("server"), after)
 	case "refused", "failed":
 		var r fleet.Reason
-		if err := r.UnmarshalText([]byte(l.Get("reason"))); err != nil { // an unknown name is no error
-			return l.What
-		}
+		_ = r.UnmarshalText([]byte(l.Get("reason"))) // never fails: an unknown name becomes ReasonNone
 		text := fmt.Sprintf("%s by router %s with status %s: %s", l.What, l.Router, l.Get("status"), expl.Words(r))
 		if l.What == "failed" {
 			text = "failed at server " + l.Get("server") + ", and no line tells what followed: " + expl.Words(r)
--- a/router/proc/callers.go
+++ b/router/proc/callers.go
@@ -121,15 +121,11 @@
 	}
 }
 
-// lookAtCrowd notes whether requests crowd now.
+// lookAtCrowd notes whether requests crowd: they take most of the room, the processor allowed no more of late, or goroutines wait
+// long for it.
 func (p *Process) lookAtCrowd() {
-	_, requests := p.settings.Load().room()
-	p.noteCrowd(p.relay.Open(), requests, p.limit.refusedWithin(crowdPeriod), time.Duration(p.lag.Load()))
-}
-
-// noteCrowd takes in how many requests are served, with room for so many, whether the processor allowed no more
-// of late, and how long goroutines wait for it.
-func (p *Process) noteCrowd(open, room int, refused bool, lag time.Duration) {
+	_, room := p.settings.Load().room()
+	open, refused, lag := p.relay.Open(), p.limit.refusedWithin(crowdPeriod), time.Duration(p.lag.Load())
 	limit := crowdBegins
 	if p.crowd.Load() {
 		limit = crowdEnds
--- a/router/proc/process_test.go
+++ b/router/proc/process_test.go
@@ -125,6 +125,16 @@
 	return s
 }
 
+// startHeld is start with a server that answers once the channel is closed.
+func startHeld(t *testing.T) (*started, chan struct{}) {
+	t.Helper()
+	release := make(chan struct{})
+	return start(t, func(w http.ResponseWriter, r *http.Request) {
+		echo(w, r)
+		<-release
+	}), release
+}
+
 func dialect() relay.Dialect {
 	return relay.Dialect{
 		Read:  func(h http.Header) (relay.Asked, error) { return relay.Asked{ID: h.Get("X-Id")}, nil },
@@ -279,11 +289,7 @@
 // A router whose requests take most of its memory tells the balancer so until they have ended, and turns away what it can't
 // hold unread, as not run.
 func TestFullRouter(t *testing.T) {
-	release := make(chan struct{})
-	s := start(t, func(w http.ResponseWriter, r *http.Request) {
-		echo(w, r)
-		<-release
-	})
+	s, release := startHeld(t)
 	<-s.taker
 	next := *s.process.settings.Load()
 	next.Memory = 6 * requestBytes // room for two
@@ -411,11 +417,7 @@
 // TestShortOfProcessor guards against a router that refuses everything once its processor is short: it serves as many requests
 // at once as the bound allows, turns away what is beyond, and tells the balancer so.
 func TestShortOfProcessor(t *testing.T) {
-	release := make(chan struct{})
-	s := start(t, func(w http.ResponseWriter, r *http.Request) {
-		echo(w, r)
-		<-release
-	})
+	s, release := startHeld(t)
 	k := <-s.taker
 	k.Server(pool.Server{ID: "s", Service: "desk", Address: s.server, DataCentre: "east", Slots: 2 * valve.DefaultLeast})
 	s.process.limit.note(time.Second, time.Minute, 1)
@@ -499,11 +501,7 @@
 // ask for their end: beyond one and a half times what fits, unused ones are closed,
 // and new ones if all are in use.
 func TestConnectionsAreBounded(t *testing.T) {
-	release := make(chan struct{})
-	s := start(t, func(w http.ResponseWriter, r *http.Request) {
-		echo(w, r)
-		<-release
-	})
+	s, release := startHeld(t)
 	<-s.taker
 	next := *s.process.settings.Load()
 	next.Memory = 60 * connBytes // 12 may be kept
