--- a/mangoctl/expl/words.go
+++ b/mangoctl/expl/words.go
@@ -41,6 +41,7 @@
 	fleet.ReasonSlowCaller:         "its caller read the answer too slowly",
 	fleet.ReasonUnknownRoute:       "the configuration in force has no route for its host and path",
 	fleet.ReasonTeamShare:          "its team asks for more than its share while all backend servers are busy",
+	fleet.ReasonServersRest:        "all backend servers said that they want nothing for now",
 }
 
 // Words gives a reason in plain words.
--- a/mangoctl/root/root.go
+++ b/mangoctl/root/root.go
@@ -15,6 +15,7 @@
 	"mangolug.org/mangoctl/replay"
 	"mangolug.org/mangoctl/shell"
 	"mangolug.org/mangoctl/status"
+	"mangolug.org/mangoctl/story"
 )
 
 // Run runs the command that args name and gives the exit code.
@@ -27,6 +28,7 @@
 		diff.NewCommand(f),
 		status.NewCommand(f),
 		expl.NewCommand(f),
+		story.NewCommand(f),
 		record.NewCommand(f),
 		replay.NewCommand(f),
 		compl.NewCommand(f),
--- a/mangoctl/shell/factory.go
+++ b/mangoctl/shell/factory.go
@@ -15,12 +15,15 @@
 // requestTimeout bounds one question to one router.
 const requestTimeout = 3 * time.Second
 
+// OpenFunction opens a file by its name, and standard input for -.
+type OpenFunction func(name string) (io.ReadCloser, error)
+
 // Factory gives commands their dependencies; tests replace its fields.
 type Factory struct {
 	Streams  *stream.Streams
 	HTTP     *http.Client
 	ReadFile func(name string) ([]byte, error)
-	Open     func(name string) (io.ReadCloser, error) // - is standard input
+	Open     OpenFunction
 	Parse    func(text []byte) (*rule.File, error)
 	Diff     func(from, to *rule.File) []rule.Change
 }
--- /dev/null
+++ b/mangoctl/story/story.go
@@ -0,0 +1,104 @@
+package story
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mangolug.org/mangoctl/shell"
+	"mangolug.org/mangoctl/stream"
+	"mangolug.org/mangoctl/table"
+)
+
+// Options are what a run needs.
+type Options struct {
+	Streams *stream.Streams    `no-flag:"yes"`
+	Open    shell.OpenFunction `no-flag:"yes"`
+	Around  time.Duration      `long:"around" default:"2s" value-name:"TIME" description:"how long before and after the request other lines are looked at"`
+	JSON    bool               `long:"json" description:"write the story as JSON"`
+	Args    struct {
+		Request string   `positional-arg-name:"REQUEST" required:"yes" description:"the request's id"`
+		Logs    []string `positional-arg-name:"LOG" description:"routers' logs; - or none for standard input"`
+	} `positional-args:"yes"`
+}
+
+// Execute runs the command.
+func (o *Options) Execute([]string) error { return storyRun(o) }
+
+// NewCommand makes the command.
+func NewCommand(f *shell.Factory) *shell.Command {
+	return &shell.Command{
+		Name:  "why",
+		Short: "Tell a request's way from the logs of several routers",
+		Long: "Read routers' logs, tell in order what they decided on a request and what they believed of its servers and of themselves around that time, " +
+			"and name what the logs lack. Exit code 7 if no log has the request.",
+		Examples: `mangoctl why dbfdff587a13730a router-*.log
+collect-logs | mangoctl why dbfdff587a13730a --around 5s`,
+		Action: &Options{Streams: f.Streams, Open: f.Open},
+	}
+}
+
+func storyRun(o *Options) error {
+	logs := o.Args.Logs
+	if len(logs) == 0 {
+		logs = []string{"-"}
+	}
+	c := collector{request: o.Args.Request}
+	for _, name := range logs {
+		if err := o.collect(&c, name); err != nil {
+			return err
+		}
+	}
+	s := c.story(o.Around)
+	if len(s.Steps) == 0 {
+		return shell.Exitf(shell.ExitNotFound, "no line of %d logs names request %s (%d lines could not be read)", len(logs), o.Args.Request, c.torn)
+	}
+	if o.JSON {
+		return o.Streams.WriteJSON(s)
+	}
+	return o.write(s)
+}
+
+func (o *Options) collect(c *collector, name string) error {
+	r, err := o.Open(name)
+	if err != nil {
+		return errors.Wrapf(err, "log %s", name)
+	}
+	defer r.Close()
+	torn, err := read(r, c.take)
+	c.torn += torn
+	return errors.Wrapf(err, "log %s", name)
+}
+
+func (o *Options) write(s Story) error {
+	t := &table.Table{Kind: "step", Title: "request " + s.Request, Header: []string{"AFTER", "ROUTER", "WHAT", "DETAIL"}}
+	for _, step := range s.Steps {
+		detail := make([]string, 0, len(step.Line.Fields))
+		for _, f := range step.Line.Fields {
+			if f.Key != "request" {
+				detail = append(detail, f.Key+"="+f.Value)
+			}
+		}
+		what := step.Line.What
+		if !step.Own {
+			what = "(" + what + ")"
+		}
+		t.Add(step.After.Round(time.Millisecond).String(), step.Line.Router, what, strings.Join(detail, " "))
+	}
+	if err := t.Write(o.Streams); err != nil {
+		return err
+	}
+	lines := &table.Table{Kind: "gap", Title: "missing", Header: []string{"WHAT"}}
+	for _, g := range s.Gaps {
+		lines.Add(g)
+	}
+	if len(lines.Rows) > 0 {
+		if err := lines.Write(o.Streams); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintf(o.Streams.Out, "end\t%s\n", s.End)
+	return errors.Wrap(err, "write end")
+}
--- a/router/wire/message.go
+++ b/router/wire/message.go
@@ -72,7 +72,7 @@
 		m.KeyAnswer = &fleet.KeyAnswer{
 			Ticket:  k.GetTicket(),
 			Verdict: fleet.KeyVerdict(c.enum("verdict", k.GetVerdict(), int64(fleet.KeyUnknown))),
-			Reason:  fleet.Reason(c.enum("reason", k.GetReason(), int64(fleet.ReasonTeamShare))),
+			Reason:  fleet.Reason(c.enum("reason", k.GetReason(), int64(fleet.ReasonServersRest))),
 			Answer:  decodeAnswer(k.GetAnswer(), &c),
 			Wait:    c.count("wait", k.GetWait()),
 		}
