Use kept connections for calls that may not be repeated, where they are sound

Ruled out: a longer idle time alone, as it gives nothing to these calls. Change: such a call takes a kept connection that was unused for at most 2 s. Just before the first byte is written the system is asked whether the other end has closed it or sent something; then, or if net/http found out first, a fresh one is taken, as nothing was sent. A connection on which another request's answer came carries nothing more. Also: a write of which the system took nothing leaves an attempt unsent.

--- a/router/back/client.go
+++ b/router/back/client.go
@@ -33,6 +33,7 @@
 	HeaderBytes    int64         // of an answer's header
 	LoadTimeout    time.Duration // for one load report
 	Silence        time.Duration // after which a connection whose other end acknowledges nothing is broken off; 0 for the system's default
+	OnceIdle       time.Duration // unused for longer than this, a kept connection does not carry a call that may not be repeated; 0 for a fresh one each
 }
 
 // Defaults of Settings.
@@ -53,8 +54,8 @@
 	Settings Settings
 
 	once   sync.Once
-	pooled *http.Transport // for calls that may be repeated
-	single *http.Transport // a fresh connection for each call that may not
+	pooled *http.Transport // keeps connections
+	single *http.Transport // a fresh connection for each call
 }
 
 // Attempt is one try of a request at one backend server.
@@ -173,27 +174,56 @@
 	return accept(&a, response)
 }
 
-// Do sends a request to a server, on a connection of its own if it may not be repeated; lapsed is asked before the first
-// write and may be nil. All errors are of type *ServerError.
+// Do sends a request to a server, on a kept connection only where OnceIdle allows it if it may not be repeated; lapsed is asked
+// before the first write and may be nil. All errors are of type *ServerError.
 func (c *Client) Do(request *http.Request, server string, once bool, lapsed func() bool) (*http.Response, error) {
 	c.once.Do(c.init)
+	transport := c.pooled
+	if once && c.Settings.OnceIdle == 0 {
+		transport = c.single
+	}
 	g := &gate{lapsed: lapsed, once: once}
+	response, err := c.try(transport, request, g)
+	if g.unused() {
+		if err == nil {
+			response.Body.Close() // it answers something else, as nothing was asked yet
+		}
+		if request.GetBody != nil {
+			request.Body, _ = request.GetBody() // SetBody's never fails
+		}
+		g = &gate{lapsed: lapsed, once: once}
+		response, err = c.try(c.single, request, g)
+	}
+	if err != nil {
+		return nil, g.failure(server, err)
+	}
+	response.Body = &answerBody{response.Body, g.used()}
+	return response, nil
+}
+
+// try sends a request through a gate.
+func (c *Client) try(transport *http.Transport, request *http.Request, g *gate) (*http.Response, error) {
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if own, ok := info.Conn.(*conn); ok {
-				own.enter(g)
+				own.enter(g, info.Reused, g.once && info.IdleTime > c.Settings.OnceIdle)
 			}
 		},
 	})
-	transport := c.pooled
-	if once {
-		transport = c.single
-	}
-	response, err := transport.RoundTrip(request.WithContext(ctx))
-	if err != nil {
-		return nil, g.failure(server, err)
+	return transport.RoundTrip(request.WithContext(ctx))
+}
+
+// answerBody is the body of an answer with the connection on which it comes.
+type answerBody struct {
+	io.ReadCloser
+	conn *conn
+}
+
+// Spoil closes the connection of an answer that Do gave, since what comes next on it may belong to another request.
+func Spoil(response *http.Response) {
+	if body, ok := response.Body.(*answerBody); ok && body.conn != nil {
+		_ = body.conn.Close() // it is given up either way
 	}
-	return response, nil
 }
 
 // failure names what went wrong before an answer's header came.
@@ -213,15 +243,14 @@
 	return e
 }
 
-// request builds the request; its body can't be read twice, so net/http can't send it twice by itself.
+// request builds the request; net/http reads its body a second time only where nothing was written.
 func (a *Attempt) request(ctx context.Context) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, a.Method, "http://"+a.Address+a.Target, nil)
 	if err != nil {
 		return nil, err
 	}
 	if len(a.Body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(a.Body))
-		request.ContentLength = int64(len(a.Body))
+		SetBody(request, a.Body)
 	}
 	for name, values := range a.Header {
 		request.Header[name] = values
@@ -236,6 +265,14 @@
 	return request, nil
 }
 
+// SetBody gives a request its body, which net/http may read again for a second connection: the gate lets it write to
+// one only if nothing went to the first.
+func SetBody(request *http.Request, body []byte) {
+	request.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(body)), nil }
+	request.Body, _ = request.GetBody() // it never fails
+	request.ContentLength = int64(len(body))
+}
+
 // accept checks that an answer belongs to the attempt and that its end can be told.
 func accept(a *Attempt, response *http.Response) (*Answer, error) {
 	refuse := func(reason fleet.Reason, notRun bool) error {
@@ -243,6 +280,7 @@
 		return &ServerError{Server: a.Server, Reason: reason, Sent: true, NotRun: notRun, Status: response.StatusCode}
 	}
 	if response.Header.Get(HeaderAttempt) != a.ID {
+		Spoil(response)
 		return nil, refuse(fleet.ReasonForeignAnswer, false)
 	}
 	overloaded := response.StatusCode == http.StatusTooManyRequests || response.StatusCode == http.StatusServiceUnavailable
--- /dev/null
+++ b/router/back/kept_test.go
@@ -0,0 +1,183 @@
+package back
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"mangolug.org/core/fleet"
+)
+
+// keptServer answers requests on kept connections; after tells what it does with a connection once the n-th answer has gone.
+type keptServer struct {
+	address  string
+	conns    atomic.Int64
+	requests atomic.Int64
+	done     chan struct{} // after has returned
+}
+
+func newKeptServer(t *testing.T, after func(c net.Conn, n int64, id string)) *keptServer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := &keptServer{address: l.Addr().String(), done: make(chan struct{}, 8)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go s.serve(c, after)
+		}
+	}()
+	return s
+}
+
+func (s *keptServer) serve(c net.Conn, after func(c net.Conn, n int64, id string)) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		n, id := s.requests.Add(1), r.Header.Get(HeaderAttempt)
+		if _, err := io.WriteString(c, answerTo(id)); err != nil {
+			return
+		}
+		after(c, n, id)
+		s.done <- struct{}{}
+	}
+}
+
+// answerTo is a whole answer that names its attempt in the body too.
+func answerTo(id string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", HeaderAttempt, id, len(id), id)
+}
+
+// sendOnce makes an attempt that may not be repeated and gives its body.
+func sendOnce(c *Client, address, id string) (string, error) {
+	a := attempt(address)
+	a.ID, a.Once = id, true
+	answer, err := c.Send(context.Background(), a)
+	if err != nil {
+		return "", err
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	return string(body), err
+}
+
+// TestOnceOnKeptConnection guards against a call that may not be repeated being lost on a kept connection that its server has
+// closed, and against taking a second copy of an earlier answer for its own.
+func TestOnceOnKeptConnection(t *testing.T) {
+	tests := map[string]struct {
+		idle  time.Duration // after which a kept connection is not used
+		after func(c net.Conn, n int64, id string)
+		conns int64
+		stray bool // bytes may come just as the next request is written, which then has no answer that can be trusted
+	}{
+		"sound":                     {idle: time.Minute, after: func(net.Conn, int64, string) {}, conns: 1},
+		"unused for too long":       {idle: time.Nanosecond, after: func(net.Conn, int64, string) {}, conns: 2},
+		"never kept":                {after: func(net.Conn, int64, string) {}, conns: 2},
+		"closed by the server":      {idle: time.Minute, after: func(c net.Conn, _ int64, _ string) { c.Close() }, conns: 2},
+		"reset by the server":       {idle: time.Minute, after: func(c net.Conn, _ int64, _ string) { c.(*net.TCPConn).SetLinger(0); c.Close() }, conns: 2},
+		"second copy of the answer": {idle: time.Minute, after: func(c net.Conn, _ int64, id string) { _, _ = io.WriteString(c, answerTo(id)) }, conns: 2, stray: true},
+		"bytes that are no answer":  {idle: time.Minute, after: func(c net.Conn, _ int64, _ string) { _, _ = io.WriteString(c, "\x00\x01") }, conns: 2, stray: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newKeptServer(t, tt.after)
+			c := &Client{Settings: Settings{OnceIdle: tt.idle}}
+			defer c.Close()
+			for i := range 2 {
+				id := fmt.Sprint("a", i)
+				body, err := sendOnce(c, s.address, id)
+				var failed *ServerError
+				if tt.stray && errors.As(err, &failed) && failed.Sent && !failed.NotRun {
+					return
+				}
+				if err != nil || body != id {
+					t.Errorf("attempt %s: body %q, error %v", id, body, err)
+				}
+				select {
+				case <-s.done:
+				case <-time.After(time.Second):
+					t.Fatal("no request reached the server")
+				}
+			}
+			if n := s.requests.Load(); n != 2 {
+				t.Errorf("%d requests reached the server, want 2", n)
+			}
+			if n := s.conns.Load(); n != tt.conns {
+				t.Errorf("%d connections, want %d", n, tt.conns)
+			}
+		})
+	}
+}
+
+// TestLateSecondAnswer guards against a second copy of an answer that comes when the connection is in use again: the next caller
+// must not get it, and the connection carries nothing more.
+func TestLateSecondAnswer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var conns atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			first := conns.Add(1) == 1
+			go func() {
+				defer c.Close()
+				reader, last := bufio.NewReader(c), ""
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, r.Body); err != nil {
+						return
+					}
+					id := r.Header.Get(HeaderAttempt)
+					if first && last != "" { // the copy comes first, empty so that net/http would keep the connection
+						_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", HeaderAttempt, last)
+					}
+					last = id
+					_, _ = io.WriteString(c, answerTo(id))
+				}
+			}()
+		}
+	}()
+	c := &Client{Settings: Settings{OnceIdle: time.Minute}}
+	defer c.Close()
+	if body, err := sendOnce(c, l.Addr().String(), "a0"); err != nil || body != "a0" {
+		t.Fatalf("body %q, error %v", body, err)
+	}
+	_, err = sendOnce(c, l.Addr().String(), "a1")
+	checkError(t, err, &ServerError{Reason: fleet.ReasonForeignAnswer, Sent: true, Status: http.StatusOK})
+	if body, err := sendOnce(c, l.Addr().String(), "a2"); err != nil || body != "a2" {
+		t.Errorf("after the late copy: body %q, error %v", body, err)
+	}
+	if n := conns.Load(); n != 2 {
+		t.Errorf("%d connections, want 2", n)
+	}
+}
--- a/router/door/close_test.go
+++ b/router/door/close_test.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"mangolug.org/router/sock"
 )
 
 // Connections that callers leave unused for too long are closed; others, and those that serve, stay.
@@ -57,7 +59,7 @@
 				t.Fatal(err)
 			}
 			for limit := time.Now().Add(time.Second); sent != "" && time.Now().Before(limit); {
-				if _, unread := peek(c); unread {
+				if _, unread := sock.Peek(c); unread {
 					break
 				}
 			}
--- a/router/door/conns.go
+++ b/router/door/conns.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"mangolug.org/router/sock"
 )
 
 // IdleConns knows since when callers' connections have been idle.
@@ -74,7 +76,7 @@
 
 // close closes an idle connection unless a request waits on it; the caller holds the mutex.
 func (i *IdleConns) close(c net.Conn) {
-	if _, unread := peek(c); unread {
+	if _, unread := sock.Peek(c); unread {
 		return
 	}
 	_ = c.Close()      // its caller, if any, finds out
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -38,6 +38,8 @@
 	// serverIdle is how long an unused connection to a backend server is kept: each router sends to each of many servers rarely,
 	// and a connection that is long unused may have been dropped at the other end.
 	serverIdle = 4 * time.Second
+	// serverOnceIdle is the same for a call that may not be repeated: the shorter, the less likely the other end dropped it.
+	serverOnceIdle = 2 * time.Second
 	// headerBytes bounds a request's header before a configuration is known.
 	headerBytes = 64 << 10
 )
@@ -99,7 +101,7 @@
 	p.cut = cut
 	p.relay = &relay.Relay{
 		Table: p.table.Load, Gate: p.gate, Dialect: d, Clock: p.now, Leaving: p.left, Crowded: p.crowded, Full: p.full, Moved: p.moved, Gone: gone, Log: p.log, Metrics: p.registry,
-		Client:   &back.Client{Settings: back.Settings{Silence: silence, ConnectTimeout: connectTimeout, IdleTimeout: serverIdle}},
+		Client:   &back.Client{Settings: back.Settings{Silence: silence, ConnectTimeout: connectTimeout, IdleTimeout: serverIdle, OnceIdle: serverOnceIdle}},
 		Budgets:  pool.Budgets{Ratio: s.Ratio, Slack: s.Slack},
 		Stopping: stopping,
 	}
--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -1,10 +1,8 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -169,8 +167,7 @@
 		URL: &url.URL{Scheme: "http", Host: run.Server.Address, Opaque: path, RawQuery: query, ForceQuery: hasQuery && query == ""},
 	}
 	if len(c.body) > 0 {
-		out.Body = io.NopCloser(bytes.NewReader(c.body)) // can't be read twice, so that net/http does not send it again by itself
-		out.ContentLength = int64(len(c.body))
+		back.SetBody(out, c.body)
 	}
 	return out.WithContext(ctx)
 }
@@ -195,6 +192,9 @@
 	a := &answer{response: response, status: response.StatusCode, told: c.relay.Dialect.Told(response.Header)}
 	c.hear(run, a)
 	if err := c.check(run, a, &result); err != nil {
+		if a.told.ID != c.asked.ID {
+			back.Spoil(response)
+		}
 		return err
 	}
 	c.relay.observe("firstHeaderMillis", c.relay.Clock()-begun)
--- a/router/relay/world_test.go
+++ b/router/relay/world_test.go
@@ -79,7 +79,7 @@
 }
 
 // newWorld starts a relay before three servers that answer as told; each call is given the server's number.
-func newWorld(t *testing.T, serve func(w *world, server int, rw http.ResponseWriter, r *http.Request)) *world {
+func newWorld(t testing.TB, serve func(w *world, server int, rw http.ResponseWriter, r *http.Request)) *world {
 	t.Helper()
 	began := time.Now()
 	clock := func() time.Duration { return time.Since(began) + time.Second }
@@ -140,12 +140,12 @@
 }
 
 // ask sends one request; change may alter it.
-func (w *world) ask(t *testing.T, method, path, body string, change func(*http.Request)) got {
+func (w *world) ask(t testing.TB, method, path, body string, change func(*http.Request)) got {
 	t.Helper()
 	return w.askWith(t.Context(), t, method, path, body, change)
 }
 
-func (w *world) askWith(ctx context.Context, t *testing.T, method, path, body string, change func(*http.Request)) got {
+func (w *world) askWith(ctx context.Context, t testing.TB, method, path, body string, change func(*http.Request)) got {
 	t.Helper()
 	r, err := http.NewRequestWithContext(ctx, method, w.front.URL+path, strings.NewReader(body))
 	if err != nil {
