Hold a team that asks for far more at once, by parts that add up and by what began

Cause, by trials on TestHeldTeamIsServedEvenly: (1) each router worked its part of what a held team may get out of what it is asked now over what the others were asked some 200 ms ago; when all rise at once the parts add up to as much more. (2) What the team asks for within its share passes without a look at what it gets, and that share is worked out the same way. Change: a part is bounded by that of the last news plus an even one; a team that gets over 0.6 of what it may get beside the least served one has all its requests looked at; the least served is never held; a team that asks for less than it may get isn't either; requests that are sent and never begin are not counted as served; the bound is 1.6 times the least served with its single large requests, instead of 1.8 without.

--- a/core/pool/ahead_test.go
+++ b/core/pool/ahead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -93,3 +94,34 @@
 		}
 	}
 }
+
+// TestSentButNeverBegunIsNotServed guards against a team that is taken to be served by requests that servers never begin: the users
+// count what begins, so a far better served team would not be held back for it.
+func TestSentButNeverBegunIsNotServed(t *testing.T) {
+	const sent = 10
+	for name, c := range map[string]struct {
+		begun int
+		want  float64
+	}{"none begins": {}, "half begin": {begun: sent / 2, want: 0.5}, "all begin": {begun: sent, want: 1}} {
+		t.Run(name, func(t *testing.T) {
+			p := fill(sent)
+			const now = time.Second
+			total := 0.0
+			for i := range sent {
+				a := draft(now, i, uint64(i))
+				total += float64(a.cost())
+				v, decided := p.Admit(now, a)
+				if !decided || v.Run == nil {
+					t.Fatalf("request %d: decided %t, reason %s", i, decided, v.Reason)
+				}
+				if i < c.begun {
+					p.Began(now, v.Run)
+				}
+				p.Ended(now, v.Run, Result{Failed: i >= c.begun})
+			}
+			if got := p.shares.team("t").gets() / total; math.Abs(got-c.want) > 0.01 {
+				t.Errorf("the team is taken to get %.2f of what it asked for, want %.2f", got, c.want)
+			}
+		})
+	}
+}
--- a/core/pool/run.go
+++ b/core/pool/run.go
@@ -62,6 +62,9 @@
 	b := r.backend
 	b.own.subtract(r.usage)
 	b.said.ended(now, r, false)
+	if r.ask.Prompt > 0 && !r.began {
+		p.shares.unserved(now, r.ask.Team, float64(r.ask.cost()), now-r.sent)
+	}
 	if result.Left || b.gone {
 		return
 	}
--- a/core/pool/shares.go
+++ b/core/pool/shares.go
@@ -21,9 +21,11 @@
 	others float64 // tokens a second that it asks of the other routers
 	served rate    // tokens a second that it gets at this router
 
-	othersServed float64 // tokens a second that it gets at the other routers
-	credit       float64 // tokens that it may still ask for here within its share
-	hand         float64 // tokens that it may get here while it is held back for another; less than 0 after a large request
+	othersServed float64    // tokens a second that it gets at the other routers
+	told         [2]float64 // what it asked of this router when the others were last told, and the time before
+	part         float64    // of all that it asks for that it asks of this router, as the others know it
+	credit       float64    // tokens that it may still ask for here within its share
+	hand         float64    // tokens that it may get here while it is held back for another; less than 0 after a large request
 	heldAt       time.Duration
 }
 
@@ -35,29 +37,38 @@
 type shares struct {
 	teams     map[string]*teamShare
 	elsewhere []digest.Rates // of teams that ask only other routers
+	routers   int            // that live, this one included
 	largest   float64        // tokens of the largest requests of late
 	level     float64        // tokens a second above which a team is beyond its share; 0 for none
-	hungry    bool           // some team beyond its share wants more than it gets
+	hungry    bool           // some team wants more than it gets
 	least     float64        // tokens a second that the least served of these gets
 	at        time.Duration
 }
 
 // aheadFactor is by how much a team may be better served than the least served of the teams that ask for more than they get,
 // before it has to leave servers to them. The users call teams unequally served from 2 on.
-const aheadFactor = 1.8
+const aheadFactor = 1.6
 
-// hungryShare is the part of what it asks for below which a team beyond its share is taken to want more. The users call teams
-// unequally served below a half; what a router hears is more than was asked for, as callers that were refused ask once more.
+// hungryShare is the part of what it asks for below which a team is taken to want more. The users call teams unequally served
+// below a half; what a router hears is more than was asked for, as callers that were refused ask once more.
 const hungryShare = 0.6
 
-// wantsMore reports whether a team that asks for so much and gets so much, in tokens a second, is beyond its share and wants more.
+// wantsMore reports whether a team that asks for so much and gets so much, in tokens a second, wants more. It may be within
+// its share of the fleet if the routers at which its callers enter can't serve them; then it has to miss more than some large requests.
 func (s *shares) wantsMore(asked, got float64) bool {
-	return asked > s.level && got < hungryShare*asked
+	if s.level == 0 || asked <= s.level {
+		got += slackRequests * s.largest / shareWindow.Seconds()
+	}
+	return got < hungryShare*asked
 }
 
-// ahead reports a team beyond its share that is far better served than another such team that wants more: what is free goes
-// to that one first. What the team may get is also divided among the routers as it asks them: what the others just sent is heard
-// too late, so that all would let the team through at once.
+// slack gives the tokens a second by which teams may differ because of single large requests.
+func (s *shares) slack() float64 { return slackRequests * s.largest / slackWindow.Seconds() }
+
+// ahead reports a team that is far better served than another that wants more: what is free goes to that one first. What
+// the team may get is also divided among the routers as it asked them when they last told each other: what the others just sent is
+// heard too late, so that all would let the team through at once, and parts of what is asked now would add up to more than all
+// when the team asks for more from one moment to the next.
 func (s *shares) ahead(now time.Duration, name string) bool {
 	if !s.hungry {
 		return false
@@ -65,19 +76,29 @@
 	mine := s.team(name)
 	mine.own.decay(now)
 	mine.served.decay(now)
-	allowed := aheadFactor*s.least + slackRequests*s.largest/slackWindow.Seconds()
-	if mine.gets() > allowed {
+	allowed := s.allowed()
+	switch {
+	case mine.gets() <= s.least, mine.asked() <= allowed:
+		return false
+	case mine.gets() > allowed:
 		return true
 	}
-	part := 1.0
+	part := mine.part + 1/float64(max(1, s.routers))
 	if asked := mine.asked(); asked > 0 {
-		part = mine.own.value / asked
+		part = min(part, mine.own.value/asked)
 	}
 	refill := allowed * part * (now - mine.heldAt).Seconds()
 	mine.hand, mine.heldAt = min(mine.hand+refill, allowed*part*handTime.Seconds()), now
 	return mine.hand <= 0
 }
 
+// allowed gives the tokens a second that a team may get beside the least served one.
+func (s *shares) allowed() float64 { return aheadFactor * (s.least + s.slack()) }
+
+// heldFrom is the part of what is allowed from which on all that a team asks for counts as beyond its share: what it may still
+// ask for within it is worked out from news that miss a sudden rise.
+const heldFrom = 0.6
+
 // handTime is for how long a team that is held may save up what a router lets it have: about the age of the news of others.
 const handTime = 200 * time.Millisecond
 
@@ -99,6 +120,32 @@
 	}
 }
 
+// unserved takes back what is left of the count of a request that was sent some time ago and never began to run: the users
+// count what begins.
+func (s *shares) unserved(now time.Duration, name string, tokens float64, ago time.Duration) {
+	t := s.team(name)
+	t.served.add(now, -tokens*remaining(ago, shareWindow))
+	t.served.value = max(0, t.served.value)
+}
+
+// tell gives what a team asks of this router and gets at it, in tokens a second, to be told to the other routers.
+func (t *teamShare) tell(now time.Duration) digest.Rates {
+	t.own.decay(now)
+	t.served.decay(now)
+	t.told[1], t.told[0] = t.told[0], t.own.value
+	return digest.Rates{Asked: int64(t.own.value), Served: int64(t.served.value)}
+}
+
+// hear takes in what the team asks of the other routers and gets at them. That is about as old as what this router told the
+// time before last, so that the parts of all routers add up to one.
+func (t *teamShare) hear(r digest.Rates) {
+	t.others, t.othersServed = float64(r.Asked), float64(r.Served)
+	t.part = 1
+	if t.others > 0 {
+		t.part = t.told[1] / (t.told[1] + t.others)
+	}
+}
+
 // idleRate is the tokens a second below which a team is forgotten until it asks again, so that many small teams cost nothing.
 const idleRate = 1
 
@@ -111,7 +158,7 @@
 	}
 	t := s.teams[name]
 	if t == nil {
-		t = &teamShare{}
+		t = &teamShare{part: 1}
 		s.teams[name] = t
 	}
 	return t
@@ -143,7 +190,7 @@
 	if part == 1 {
 		return false, part
 	}
-	if t.credit < tokens {
+	if t.credit < tokens || s.hungry && t.gets() > heldFrom*s.allowed() {
 		return true, part
 	}
 	t.credit -= tokens
@@ -170,23 +217,28 @@
 		asked = append(asked, float64(r.Asked))
 		total += float64(r.Asked)
 	}
+	s.level = level(asked, total, throughput)
+	s.compare()
+}
+
+// level gives the max-min fair part of a throughput, and 0 if it is enough for all.
+func level(asked []float64, total, throughput float64) float64 {
 	if total <= throughput {
-		return
+		return 0
 	}
 	slices.Sort(asked)
 	left := throughput
 	for i, value := range asked {
 		even := left / float64(len(asked)-i)
 		if value > even {
-			s.level = even
-			s.compare()
-			return
+			return even
 		}
 		left -= value
 	}
+	return 0
 }
 
-// compare finds the least served of the teams beyond their share that want more.
+// compare finds the least served of the teams that want more.
 func (s *shares) compare() {
 	note := func(asked, got float64) {
 		if s.wantsMore(asked, got) && (!s.hungry || got < s.least) {
--- a/core/pool/summary.go
+++ b/core/pool/summary.go
@@ -17,9 +17,7 @@
 		}
 	}
 	for name, t := range p.shares.teams {
-		t.own.decay(now)
-		t.served.decay(now)
-		if r := (digest.Rates{Asked: int64(t.own.value), Served: int64(t.served.value)}); r != (digest.Rates{}) {
+		if r := t.tell(now); r != (digest.Rates{}) {
 			s.Teams[key(name)] = r
 		}
 	}
@@ -36,11 +34,11 @@
 	for id, b := range p.servers {
 		b.others, b.othersAt = Usage(s.Servers[key(id)]), now
 	}
+	p.shares.routers = len(routers) + 1
 	mine := make(map[uint32]bool, len(p.shares.teams))
 	for name, t := range p.shares.teams {
-		r := s.Teams[key(name)]
 		mine[key(name)] = true
-		t.others, t.othersServed = float64(r.Asked), float64(r.Served)
+		t.hear(s.Teams[key(name)])
 	}
 	p.shares.elsewhere = p.shares.elsewhere[:0]
 	for id, r := range s.Teams {
@@ -65,7 +63,7 @@
 	Throughput, Asked, Served float64
 	Level                     float64 // above it a team is beyond its share; 0 if there is enough for all
 	Beyond                    int     // teams that ask for more than the level
-	Least                     string  // the least served of these that want more; empty if none does
+	Least                     string  // the least served team that wants more; empty if none does
 	LeastAsked, LeastServed   float64
 	Most                      string // the most served team that asks this router
 	MostAsked, MostServed     float64
@@ -91,10 +89,9 @@
 		if served > b.MostServed {
 			b.Most, b.MostAsked, b.MostServed = name, asked, served
 		}
-		if s.level == 0 || asked <= s.level {
-			continue
+		if s.level > 0 && asked > s.level {
+			b.Beyond++
 		}
-		b.Beyond++
 		if s.wantsMore(asked, served) && (b.Least == "" || served < b.LeastServed) {
 			b.Least, b.LeastAsked, b.LeastServed = name, asked, served
 		}
