Bound what callers' bodies take together, and hold answers without end against a test

Cause, looked for on the users' list (bytes that never end): a router bounds each body (4 MB by the operator's limit) and the number of its requests by 64 KB each, so that 200 callers with large bodies take 800 MB of a VM of 112. A body that was announced and not sent took its whole length at once. Change: the bytes of all bodies that are held are counted as they come and have 0.15 of the VM's memory; beyond it a request is refused unread, truly not run, with Retry-After. On an idle kept connection: TestOnceOnKeptConnection.

--- a/router/back/kept_test.go
+++ b/router/back/kept_test.go
@@ -82,6 +82,13 @@
 	return string(body), err
 }
 
+// endlessly sends until the other end closes.
+func endlessly(c net.Conn, _ int64, _ string) {
+	for err := error(nil); err == nil; {
+		_, err = io.WriteString(c, "no answer ")
+	}
+}
+
 // TestOnceOnKeptConnection guards against a call that may not be repeated being lost on a kept connection that its server has
 // closed, and against taking a second copy of an earlier answer for its own.
 func TestOnceOnKeptConnection(t *testing.T) {
@@ -97,6 +104,7 @@
 		"closed by the server":      {idle: time.Minute, after: func(c net.Conn, _ int64, _ string) { c.Close() }, conns: 2},
 		"reset by the server":       {idle: time.Minute, after: func(c net.Conn, _ int64, _ string) { c.(*net.TCPConn).SetLinger(0); c.Close() }, conns: 2},
 		"second copy of the answer": {idle: time.Minute, after: func(c net.Conn, _ int64, id string) { _, _ = io.WriteString(c, answerTo(id)) }, conns: 2, stray: true},
+		"bytes without end":         {idle: time.Minute, after: endlessly, conns: 2, stray: true},
 		"bytes that are no answer":  {idle: time.Minute, after: func(c net.Conn, _ int64, _ string) { _, _ = io.WriteString(c, "\x00\x01") }, conns: 2, stray: true},
 	}
 	for name, tt := range tests {
--- a/router/proc/callers.go
+++ b/router/proc/callers.go
@@ -19,6 +19,9 @@
 	// connShare and requestShare are the parts of the process's memory that callers' connections and requests may take, and
 	// fileShare the part of its descriptors that connections may.
 	connShare, requestShare, fileShare = 0.2, 0.35, 0.4
+	// bodyShare is the part of the process's memory that callers' bodies may take, whatever their number: one may be 4 MB, and a
+	// small VM has 112.
+	bodyShare = 0.15
 	// connsMost is how many times the connections that callers may keep are held at most, while they are asked to close theirs.
 	connsMost = 1.5
 	// someShare is the part of the connections that are closed at once, if unused, when one more comes.
@@ -57,6 +60,9 @@
 	return conns, requests
 }
 
+// bodyRoom gives how many bytes callers' bodies may take in all; 0 for no bound.
+func (p *Process) bodyRoom() int64 { return int64(bodyShare * float64(p.settings.Load().Memory)) }
+
 // crowded reports whether callers are to be asked to close their connections: too many are open. While requests crowd only
 // those that are turned away are asked, so that as many stay as this router can serve.
 func (p *Process) crowded() bool {
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -100,7 +100,7 @@
 	stopping, cut := context.WithCancel(context.Background())
 	p.cut = cut
 	p.relay = &relay.Relay{
-		Table: p.table.Load, Gate: p.gate, Dialect: d, Clock: p.now, Leaving: p.left, Crowded: p.crowded, Full: p.full, Moved: p.moved, Gone: gone, Log: p.log, Metrics: p.registry,
+		Table: p.table.Load, Gate: p.gate, Dialect: d, Clock: p.now, Leaving: p.left, Crowded: p.crowded, Full: p.full, BodyRoom: p.bodyRoom, Moved: p.moved, Gone: gone, Log: p.log, Metrics: p.registry,
 		Client:   &back.Client{Settings: back.Settings{Silence: silence, ConnectTimeout: connectTimeout, IdleTimeout: serverIdle, OnceIdle: serverOnceIdle}},
 		Budgets:  pool.Budgets{Ratio: s.Ratio, Slack: s.Slack},
 		Stopping: stopping,
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -32,6 +32,7 @@
 	team     string
 	service  string
 	body     []byte
+	held     int64 // bytes of the body that count as held
 
 	runs      int           // servers on which it may have run
 	sends     int           // times that it was given to a server
@@ -180,9 +181,13 @@
 	_ = control.SetReadDeadline(time.Now().Add(bodyTime)) // unsupported only by test recorders
 	var held bytes.Buffer
 	if n := c.request.ContentLength; n > 0 {
-		held.Grow(int(n) + bytes.MinRead)
+		held.Grow(int(min(n, bodyAhead)) + bytes.MinRead)
 	}
-	_, err := held.ReadFrom(http.MaxBytesReader(c.writer, c.request.Body, limit))
+	room := int64(0)
+	if c.relay.BodyRoom != nil {
+		room = c.relay.BodyRoom()
+	}
+	_, err := held.ReadFrom(&bodyReader{http.MaxBytesReader(c.writer, c.request.Body, limit), c, room})
 	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
 		c.body = held.Bytes()
@@ -191,6 +196,8 @@
 	c.writer.Header().Set("Connection", "close")
 	var large *http.MaxBytesError
 	switch {
+	case errors.Is(err, errBodyRoom):
+		return &refusal{reason: fleet.ReasonTooManyOpen, status: http.StatusServiceUnavailable, after: bodyRoomAfter, detail: err.Error()}
 	case errors.As(err, &large):
 		return &refusal{reason: fleet.ReasonBodyTooLarge, status: http.StatusRequestEntityTooLarge, detail: err.Error()}
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/router/relay/open.go
+++ b/router/relay/open.go
@@ -53,8 +53,9 @@
 	return c.relay.open.enter(c.holder)
 }
 
-// leave ends the count.
+// leave ends the counts.
 func (c *call) leave() {
+	c.relay.bodies.free(c.held)
 	if c.entered {
 		c.relay.open.leave(c.holder)
 	}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -24,6 +24,7 @@
 	Leaving  func() (time.Duration, bool) // the time until requests are cut, once the process stops; nil for never
 	Crowded  func() bool                  // callers have too many connections open, and are asked to close theirs; nil for never
 	Full     func(l Load) bool            // a request is to be turned away, with so many others open: the router lacks room or processor; nil for never
+	BodyRoom func() int64                 // bytes that callers' bodies may take in all; nil or 0 for no bound
 	Moved    func() time.Duration         // how long until new connections of callers reach other routers, 0 if they do now; nil for now
 	Gone     func(r *http.Request) bool   // its caller has closed its connection; nil for never
 	Budgets  pool.Budgets                 // guarded by the gate
@@ -34,6 +35,7 @@
 	lengths lengths
 	away    away
 	open    open
+	bodies  bodies
 }
 
 // Open gives how many requests are served now.
@@ -42,6 +44,10 @@
 const (
 	// bodyTime bounds how long a caller may take over its body.
 	bodyTime = 5 * time.Second
+	// bodyAhead bounds what is set aside for a body before it comes, in bytes: a caller may announce more than it sends.
+	bodyAhead = 64 << 10
+	// bodyRoomAfter is the advice to come back while bodies take all their room: about the time in which requests end.
+	bodyRoomAfter = time.Second
 	// defaultBody bounds a body while the configuration gives no limit, in bytes.
 	defaultBody = 4 << 20
 	// answerBytes bounds an answer of a plain service that is held until it is whole.
--- a/router/relay/world_test.go
+++ b/router/relay/world_test.go
@@ -123,6 +123,7 @@
 			{Name: "brief", Host: "h", Prefix: "/brief/", Kind: route.KindSafe, Timeout: 200 * time.Millisecond, Objective: second, Attempts: 2, Public: true, Split: split},
 			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: route.KindStream, Timeout: 2 * second, Objective: second, Attempts: 2, Resumable: true, Public: true, Split: split},
 			{Name: "fixed", Host: "h", Prefix: "/fixed/", Kind: route.KindStream, Timeout: 2 * second, Objective: second, Attempts: 2, Public: true, Split: split},
+			{Name: "briefFixed", Host: "h", Prefix: "/briefFixed/", Kind: route.KindStream, Timeout: 200 * time.Millisecond, Objective: second, Attempts: 2, Public: true, Split: split},
 			{Name: "keyed", Host: "h", Prefix: "/keyed/", Kind: route.KindSafe, Timeout: 2 * second, Objective: second, Attempts: 2, Split: split},
 		},
 		Services: []route.Service{{Name: "desk"}},
