Let a fleet that does not reach the platform try it together, not each router for itself

Change: a router that hears others waits for its turn by chance, so that all together make 20 calls a second; one that hears nobody goes on asking for itself. As most routers then make no try of their own, a router to which nobody told of a reading for 3 s takes the platform to be out of reach: entries that lapsed meanwhile are given time. TestOutageOfThePlatform, red before for 295 routers (each a call a second: 295 in the first second instead of 20); three runs under the race detector.

--- a/core/digest/fleet.go
+++ b/core/digest/fleet.go
@@ -62,6 +62,7 @@
 	contact  time.Duration    // when some router read the platform last, as far as is known; 0 for never
 	reads    map[string]int64 // up to which revision other routers know all changes
 	grew     bool             // a member came to be known since the last round
+	heardAt  time.Duration    // when the newest message of another router came; 0 for never
 }
 
 // partner is a router that is told this data centre's sum, and since when.
@@ -106,6 +107,7 @@
 // Receive takes a message in and gives the answer to it, if any: who knows fewer members than this router is told the rest.
 func (f *Fleet) Receive(now time.Duration, m Message) []Out {
 	f.init()
+	f.heardAt = max(1, now)
 	f.learn(now, m.Members)
 	f.Revision = max(f.Revision, m.Revision)
 	if m.News != nil {
@@ -262,6 +264,11 @@
 // avoid notes that a router went silent.
 func (f *Fleet) avoid(now time.Duration, address string) { f.avoided[address] = now + avoidTime }
 
+// Hears reports whether messages of other routers come, so that what some router learns is known here soon.
+func (f *Fleet) Hears(now time.Duration) bool {
+	return f.heardAt > 0 && now-f.heardAt <= staleAfter*f.Period(now)
+}
+
 // Others gives what all other routers have in use, and false if that is not known now.
 func (f *Fleet) Others(now time.Duration) (Sum, bool) {
 	if f.others.at == 0 || now-f.others.at > staleAfter*f.Period(now) {
--- a/core/digest/member.go
+++ b/core/digest/member.go
@@ -84,6 +84,17 @@
 	return live
 }
 
+// Size gives how many routers live, this one included.
+func (f *Fleet) Size(now time.Duration) int {
+	n := 1
+	for _, m := range f.members {
+		if f.live(now, m) {
+			n++
+		}
+	}
+	return n
+}
+
 // gossip lists all members that live, this router first.
 func (f *Fleet) gossip(now time.Duration) []Member {
 	list := []Member{{Address: f.Address, DataCentre: f.DataCentre, Beat: f.beat}}
--- a/router/proc/follow.go
+++ b/router/proc/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"mangolug.org/core/digest"
@@ -20,6 +21,12 @@
 	followSpread = 400 * time.Millisecond
 	// followPause is the least time between two calls of a router that does not read for all.
 	followPause = time.Second
+	// fleetTries is how many calls a second all routers together make while none of them reaches the platform, each of which is
+	// priced: the first to reach it again tells the others within some tenths of a second.
+	fleetTries = 20
+	// lostAge is how long nobody may have read the platform before a router takes it to be out of reach without a try of its own:
+	// entries of live servers lapse after three heartbeats of 1.2 s.
+	lostAge = 3 * time.Second
 	// followMiss is how long a change that was announced may take to be told.
 	followMiss = 400 * time.Millisecond
 	// followCheck is how often a router that waits looks at the age of what it knows.
@@ -41,6 +48,7 @@
 	read      time.Duration // when this router read last
 	announced int64         // a revision that is not told yet
 	since     time.Duration // when it was announced first
+	tryAt     time.Duration // when to read next while nobody reaches the platform; 0 while somebody does
 }
 
 // next waits until there is something to do.
@@ -67,14 +75,19 @@
 	now := p.now()
 	lost := p.sourceLost.Load()
 	reader, fresh, late := true, false, false
+	pause, age := followPause, time.Duration(0)
 	turn := Turn{At: revision}
 	if p.share != nil {
 		p.share.With(func(now time.Duration, fleet *digest.Fleet) {
 			if changes, to, ok := fleet.Since(revision); ok && to > revision {
 				turn = Turn{Told: true, Changes: changes, At: to}
 			}
-			age, known := fleet.Contact(now)
+			known := false
+			age, known = fleet.Contact(now)
 			fresh = known && age <= f.limit
+			if fleet.Hears(now) {
+				pause = max(pause, time.Duration(fleet.Size(now))*time.Second/fleetTries)
+			}
 			late = f.late(now, revision, fleet.Revision)
 			reader = fleet.Reader(now)
 		})
@@ -91,16 +104,45 @@
 			turn.Wait = readWait
 		}
 		return turn, 0
-	case (!fresh || late) && (f.read == 0 || now-f.read >= followPause):
+	case late && (f.read == 0 || now-f.read >= followPause), !fresh && f.due(now, pause):
 		f.read = now
 		return turn, 0
 	case fresh && lost:
 		turn.Told = true
 		return turn, 0
+	case !fresh && !lost && age > lostAge:
+		p.lost(&unreadError{age})
+	}
+	if fresh {
+		f.tryAt = 0
 	}
 	return turn, followCheck
 }
 
+// unreadError tells that no router has read the platform for some time.
+type unreadError struct{ age time.Duration }
+
+// Error gives the time.
+func (e *unreadError) Error() string {
+	return "no router has read the platform for " + e.age.Round(time.Millisecond).String()
+}
+
+// due reports whether it is this router's turn to try the platform, which nobody reaches: once in a pause, from a moment in it by chance
+// on.
+func (f *follower) due(now, pause time.Duration) bool {
+	if f.tryAt == 0 {
+		f.tryAt = now + time.Duration(rand.Float64()*float64(pause-followPause))
+		if f.read > 0 {
+			f.tryAt = max(f.tryAt, f.read+followPause)
+		}
+	}
+	if now < f.tryAt {
+		return false
+	}
+	f.tryAt = now + pause
+	return true
+}
+
 // late reports a change that was announced and not told for too long, as it is too large for a message.
 func (f *follower) late(now time.Duration, revision, announced int64) bool {
 	if announced <= revision {
--- /dev/null
+++ b/router/proc/outage_test.go
@@ -0,0 +1,76 @@
+package proc
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
+
+	"mangolug.org/core/digest"
+	"mangolug.org/core/pool"
+	"mangolug.org/router/relay"
+	"mangolug.org/router/share"
+)
+
+// TestOutageOfThePlatform guards against many routers that all ask a platform that none of them reaches, each call of which is priced;
+// one that hears no other router still asks for itself.
+func TestOutageOfThePlatform(t *testing.T) {
+	const (
+		step   = 50 * time.Millisecond
+		length = 6 * time.Second
+	)
+	for name, tt := range map[string]struct {
+		routers int
+		hears   bool
+		most    int // calls of all routers
+		least   int
+	}{
+		"nine routers":                {routers: 9, hears: true, least: 9 * 4, most: 9 * 6},
+		"295 routers":                 {routers: 295, hears: true, least: 5 * fleetTries / 2, most: 6 * fleetTries},
+		"295 routers, each by itself": {routers: 295, least: 295 * 4, most: 295 * 6},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := &Process{began: time.Now(), registry: metrics.NewRegistry(), log: log.New(io.Discard)}
+			p.gate = &relay.Gate{Clock: p.now, Pool: &pool.Pool{}}
+			fleet := &digest.Fleet{Address: "10.0.0.1:1", DataCentre: "d", Began: 1}
+			p.share = &share.Share{Fleet: fleet, Clock: p.now}
+			followers := make([]follower, tt.routers)
+			for i := range followers {
+				followers[i] = follower{process: p, limit: followAge}
+			}
+			p.share.With(func(now time.Duration, f *digest.Fleet) { f.Read(now, 0, 5, nil) })
+			calls := 0
+			for end := p.now() + length; p.now() < end; {
+				p.began = p.began.Add(-step) // the clock goes on
+				p.share.With(func(now time.Duration, f *digest.Fleet) {
+					if tt.hears {
+						f.Receive(now, digest.Message{From: "10.0.0.2:1", Members: members(tt.routers-1, now)})
+					}
+				})
+				for i := range followers {
+					if turn, wait := followers[i].decide(5); wait == 0 && !turn.Told {
+						calls++
+					}
+				}
+			}
+			if calls < tt.least || calls > tt.most {
+				t.Errorf("%d calls in %v, want %d to %d", calls, length, tt.least, tt.most)
+			}
+			if !p.sourceLost.Load() && tt.hears {
+				t.Error("nobody noticed that the platform is out of reach")
+			}
+		})
+	}
+}
+
+// members gives so many others of another data centre, whose counters grow with time.
+func members(n int, at time.Duration) []digest.Member {
+	list := make([]digest.Member, n)
+	for i := range list {
+		list[i] = digest.Member{Address: fmt.Sprintf("10.0.%d.%d:1", 1+i/250, i%250), DataCentre: "a", Beat: uint64(at + 1)}
+	}
+	return list
+}
