Don't hold the worst served team back against itself

So it is compared with its own rate of a moment ago: whatever it gets more is held back, and it can't rise. Change: a team is compared with the least served other one, and the worst served one's requests beyond its share may wait as long as any team's. TestWorstServedTeamIsNotHeldAgainstItself: 10 of 40 requests sent before, though its server has room; all now.

--- a/core/pool/ahead_test.go
+++ b/core/pool/ahead_test.go
@@ -125,3 +125,35 @@
 		})
 	}
 }
+
+// TestWorstServedTeamIsNotHeldAgainstItself guards against the worst served of some teams being held to what it gets itself, while servers
+// have room: it then never gets more, and all others are held to little more than it gets.
+func TestWorstServedTeamIsNotHeldAgainstItself(t *testing.T) {
+	const (
+		asks = 40
+		gap  = 25 * time.Millisecond
+	)
+	p := fill(1)
+	p.servers["s0"].own = Usage{Requests: 40} // more than half of its slots, so that it is not idle
+	mine, other := p.shares.team("t"), p.shares.team("u")
+	mine.others, mine.othersServed = 1e7, 50000
+	other.others, other.othersServed = 1e7, 1e6
+	sent := 0
+	for i := range asks {
+		now := time.Second + time.Duration(i)*gap
+		a := draft(now, i, uint64(i))
+		v, decided := p.Admit(now, a)
+		if !decided {
+			p.Leave(a)
+			continue
+		}
+		if v.Run != nil {
+			sent++
+			p.Began(now, v.Run)
+			p.Ended(now, v.Run, Result{})
+		}
+	}
+	if sent < asks*9/10 {
+		t.Errorf("%d of %d requests of the worst served team are sent, though the server has room", sent, asks)
+	}
+}
--- a/core/pool/shares.go
+++ b/core/pool/shares.go
@@ -40,8 +40,10 @@
 	routers   int            // that live, this one included
 	largest   float64        // tokens of the largest requests of late
 	level     float64        // tokens a second above which a team is beyond its share; 0 for none
-	hungry    bool           // some team wants more than it gets
+	hungry    int            // teams that want more than they get
 	least     float64        // tokens a second that the least served of these gets
+	second    float64        // tokens a second that the next of these gets
+	worst     *teamShare     // the least served, if it asks this router; else nil
 	at        time.Duration
 }
 
@@ -70,15 +72,16 @@
 // heard too late, so that all would let the team through at once, and parts of what is asked now would add up to more than all
 // when the team asks for more from one moment to the next.
 func (s *shares) ahead(now time.Duration, name string) bool {
-	if !s.hungry {
+	mine := s.team(name)
+	least, ok := s.rival(mine)
+	if !ok {
 		return false
 	}
-	mine := s.team(name)
 	mine.own.decay(now)
 	mine.served.decay(now)
-	allowed := s.allowed()
+	allowed := s.allowed(least)
 	switch {
-	case mine.gets() <= s.least, mine.asked() <= allowed:
+	case mine.gets() <= least, mine.asked() <= allowed:
 		return false
 	case mine.gets() > allowed:
 		return true
@@ -92,11 +95,25 @@
 	return mine.hand <= 0
 }
 
-// allowed gives the tokens a second that a team may get beside the least served one.
-func (s *shares) allowed() float64 { return aheadFactor * (s.least + s.slack()) }
+// rival gives the tokens a second of the least served other team that wants more than it gets; false if there is none.
+func (s *shares) rival(mine *teamShare) (float64, bool) {
+	if mine == s.worst {
+		return s.second, s.hungry > 1
+	}
+	return s.least, s.hungry > 0
+}
+
+// allowed gives the tokens a second that a team may get beside one that gets so many and wants more.
+func (s *shares) allowed(least float64) float64 { return aheadFactor * (least + s.slack()) }
 
-// heldFrom is the part of what is allowed from which on all that a team asks for counts as beyond its share: what it may still
-// ask for within it is worked out from news that miss a sudden rise.
+// held reports that a team that asks for more than its share gets so much of what it may get beside a rival that all it asks for is to be
+// held against that: what it may still ask for within its share is worked out from news that miss a sudden rise.
+func (s *shares) held(t *teamShare) bool {
+	least, ok := s.rival(t)
+	return ok && t.gets() > heldFrom*s.allowed(least)
+}
+
+// heldFrom is the part of what is allowed from which on a team is held.
 const heldFrom = 0.6
 
 // handTime is for how long a team that is held may save up what a router lets it have: about the age of the news of others.
@@ -115,7 +132,7 @@
 func (s *shares) sent(now time.Duration, name string, tokens float64) {
 	t := s.team(name)
 	t.served.add(now, tokens)
-	if s.hungry {
+	if s.hungry > 0 {
 		t.hand -= tokens
 	}
 }
@@ -190,7 +207,10 @@
 	if part == 1 {
 		return false, part
 	}
-	if t.credit < tokens || s.hungry && t.gets() > heldFrom*s.allowed() {
+	if t.credit < tokens || s.held(t) {
+		if t == s.worst && s.hungry > 1 {
+			part = 1 // it may wait as long as any, whatever it asks for
+		}
 		return true, part
 	}
 	t.credit -= tokens
@@ -199,7 +219,7 @@
 
 // settle works out the max-min fair level by water filling: teams below it get all that they ask for, the others get it.
 func (s *shares) settle(now time.Duration, throughput float64) {
-	s.at, s.level, s.hungry = now, 0, false
+	s.at, s.level = now, 0
 	asked := make([]float64, 0, len(s.teams))
 	total := 0.0
 	for name, t := range s.teams {
@@ -238,17 +258,27 @@
 	return 0
 }
 
-// compare finds the least served of the teams that want more.
+// compare finds the least served of the teams that want more, and what the next of them gets.
 func (s *shares) compare() {
-	note := func(asked, got float64) {
-		if s.wantsMore(asked, got) && (!s.hungry || got < s.least) {
-			s.hungry, s.least = true, got
+	s.hungry, s.least, s.second, s.worst = 0, 0, 0, nil
+	note := func(t *teamShare, asked, got float64) {
+		if !s.wantsMore(asked, got) {
+			return
+		}
+		s.hungry++
+		switch {
+		case s.hungry == 1:
+			s.least, s.worst = got, t
+		case got < s.least:
+			s.least, s.second, s.worst = got, s.least, t
+		case s.hungry == 2 || got < s.second:
+			s.second = got
 		}
 	}
 	for _, t := range s.teams {
-		note(t.asked(), t.gets())
+		note(t, t.asked(), t.gets())
 	}
 	for _, r := range s.elsewhere {
-		note(float64(r.Asked), float64(r.Served))
+		note(nil, float64(r.Asked), float64(r.Served))
 	}
 }
