--- a/router/relay/endless_test.go
+++ b/router/relay/endless_test.go
@@ -135,6 +135,32 @@
 	}
 }
 
+// TestSlowSoundStreams guards against cutting streams that are slow but sound, however their bytes come.
+func TestSlowSoundStreams(t *testing.T) {
+	const events, gap = 5, 150 * time.Millisecond
+	for name, piece := range map[string]int{"whole events, far apart": 1 << 10, "a few bytes now and then": 4} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, func(w *world, _ int, rw http.ResponseWriter, _ *http.Request) {
+				w.runs.Add(1)
+				rw.Header().Set(testSigned, "yes")
+				rw.Header().Set("Content-Type", "text/event-stream")
+				text := wholeStream(events)
+				pause := gap * events / time.Duration(len(text)/piece+1)
+				for len(text) > 0 {
+					n := min(piece, len(text))
+					_, _ = io.WriteString(rw, text[:n]) // a caller that left is the test's own doing
+					rw.(http.Flusher).Flush()
+					text = text[n:]
+					time.Sleep(pause)
+				}
+			})
+			if a := w.ask(t, http.MethodPost, "/fixed/a", "body", nil); a.err != nil || a.body != wholeStream(events) || w.runs.Load() != 1 {
+				t.Errorf("got %+v in %d runs, want the whole stream in one", a, w.runs.Load())
+			}
+		})
+	}
+}
+
 // checkEndless checks what the caller of an answer without end got.
 func checkEndless(t *testing.T, a got, whole string, status int) {
 	t.Helper()
