--- a/router/relay/bodies.go
+++ b/router/relay/bodies.go
@@ -1,14 +1,18 @@
 package relay
 
 import (
+	"fmt"
 	"io"
 	"sync"
-
-	"github.com/pkg/errors"
 )
 
-// errBodyRoom tells that the bodies of all requests leave no room for more.
-var errBodyRoom = errors.New("the bodies held for all callers take all their room")
+// bodyRoomError tells that the bodies held for all callers leave no room for one more.
+type bodyRoomError struct{ Room int64 }
+
+// Error gives the room.
+func (e *bodyRoomError) Error() string {
+	return fmt.Sprintf("callers' bodies take all their room of %d bytes", e.Room)
+}
 
 // bodies counts the bytes of callers' bodies that are held; its zero value works.
 type bodies struct {
@@ -41,11 +45,11 @@
 	room int64
 }
 
-// Read gives errBodyRoom when there is no room for what came.
+// Read gives a *bodyRoomError when there is no room for what came.
 func (r *bodyReader) Read(p []byte) (int, error) {
 	n, err := r.Reader.Read(p)
 	if !r.call.relay.bodies.take(int64(n), r.room) {
-		return 0, errBodyRoom
+		return 0, &bodyRoomError{r.room}
 	}
 	r.call.held += int64(n)
 	return n, err
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -195,8 +195,9 @@
 	}
 	c.writer.Header().Set("Connection", "close")
 	var large *http.MaxBytesError
+	var full *bodyRoomError
 	switch {
-	case errors.Is(err, errBodyRoom):
+	case errors.As(err, &full):
 		return &refusal{reason: fleet.ReasonTooManyOpen, status: http.StatusServiceUnavailable, after: bodyRoomAfter, detail: err.Error()}
 	case errors.As(err, &large):
 		return &refusal{reason: fleet.ReasonBodyTooLarge, status: http.StatusRequestEntityTooLarge, detail: err.Error()}
