--- a/router/back/kept_test.go
+++ b/router/back/kept_test.go
@@ -15,36 +15,37 @@
 	"mangolug.org/core/fleet"
 )
 
-// keptServer answers requests on kept connections; after tells what it does with a connection once the n-th answer has gone.
+// keptServer answers requests on kept connections.
 type keptServer struct {
+	// before and after tell what it does with the n-th connection before and after the answer to an attempt; nil for nothing.
+	before, after func(c net.Conn, n int64, id string)
+
 	address  string
 	conns    atomic.Int64
 	requests atomic.Int64
 	done     chan struct{} // after has returned
 }
 
-func newKeptServer(t *testing.T, after func(c net.Conn, n int64, id string)) *keptServer {
+func (s *keptServer) start(t *testing.T) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	s := &keptServer{address: l.Addr().String(), done: make(chan struct{}, 8)}
+	s.address, s.done = l.Addr().String(), make(chan struct{}, 8)
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			s.conns.Add(1)
-			go s.serve(c, after)
+			go s.serve(c, s.conns.Add(1))
 		}
 	}()
-	return s
 }
 
-func (s *keptServer) serve(c net.Conn, after func(c net.Conn, n int64, id string)) {
+func (s *keptServer) serve(c net.Conn, n int64) {
 	defer c.Close()
 	reader := bufio.NewReader(c)
 	for {
@@ -55,11 +56,17 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		n, id := s.requests.Add(1), r.Header.Get(HeaderAttempt)
+		id := r.Header.Get(HeaderAttempt)
+		s.requests.Add(1)
+		if s.before != nil {
+			s.before(c, n, id)
+		}
 		if _, err := io.WriteString(c, answerTo(id)); err != nil {
 			return
 		}
-		after(c, n, id)
+		if s.after != nil {
+			s.after(c, n, id)
+		}
 		s.done <- struct{}{}
 	}
 }
@@ -98,9 +105,9 @@
 		conns int64
 		stray bool // bytes may come just as the next request is written, which then has no answer that can be trusted
 	}{
-		"sound":                     {idle: time.Minute, after: func(net.Conn, int64, string) {}, conns: 1},
-		"unused for too long":       {idle: time.Nanosecond, after: func(net.Conn, int64, string) {}, conns: 2},
-		"never kept":                {after: func(net.Conn, int64, string) {}, conns: 2},
+		"sound":                     {idle: time.Minute, conns: 1},
+		"unused for too long":       {idle: time.Nanosecond, conns: 2},
+		"never kept":                {conns: 2},
 		"closed by the server":      {idle: time.Minute, after: func(c net.Conn, _ int64, _ string) { c.Close() }, conns: 2},
 		"reset by the server":       {idle: time.Minute, after: func(c net.Conn, _ int64, _ string) { c.(*net.TCPConn).SetLinger(0); c.Close() }, conns: 2},
 		"second copy of the answer": {idle: time.Minute, after: func(c net.Conn, _ int64, id string) { _, _ = io.WriteString(c, answerTo(id)) }, conns: 2, stray: true},
@@ -109,7 +116,8 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			s := newKeptServer(t, tt.after)
+			s := &keptServer{after: tt.after}
+			s.start(t)
 			c := &Client{Settings: Settings{OnceIdle: tt.idle}}
 			defer c.Close()
 			for i := range 2 {
@@ -141,51 +149,28 @@
 // TestLateSecondAnswer guards against a second copy of an answer that comes when the connection is in use again: the next caller
 // must not get it, and the connection carries nothing more.
 func TestLateSecondAnswer(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	var conns atomic.Int64
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			first := conns.Add(1) == 1
-			go func() {
-				defer c.Close()
-				reader, last := bufio.NewReader(c), ""
-				for {
-					r, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					if _, err := io.Copy(io.Discard, r.Body); err != nil {
-						return
-					}
-					id := r.Header.Get(HeaderAttempt)
-					if first && last != "" { // the copy comes first, empty so that net/http would keep the connection
-						_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", HeaderAttempt, last)
-					}
-					last = id
-					_, _ = io.WriteString(c, answerTo(id))
-				}
-			}()
+	last := ""
+	s := &keptServer{before: func(c net.Conn, n int64, id string) {
+		if n != 1 {
+			return
 		}
-	}()
+		if last != "" { // the copy comes first, empty so that net/http would keep the connection
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", HeaderAttempt, last)
+		}
+		last = id
+	}}
+	s.start(t)
 	c := &Client{Settings: Settings{OnceIdle: time.Minute}}
 	defer c.Close()
-	if body, err := sendOnce(c, l.Addr().String(), "a0"); err != nil || body != "a0" {
+	if body, err := sendOnce(c, s.address, "a0"); err != nil || body != "a0" {
 		t.Fatalf("body %q, error %v", body, err)
 	}
-	_, err = sendOnce(c, l.Addr().String(), "a1")
+	_, err := sendOnce(c, s.address, "a1")
 	checkError(t, err, &ServerError{Reason: fleet.ReasonForeignAnswer, Sent: true, Status: http.StatusOK})
-	if body, err := sendOnce(c, l.Addr().String(), "a2"); err != nil || body != "a2" {
+	if body, err := sendOnce(c, s.address, "a2"); err != nil || body != "a2" {
 		t.Errorf("after the late copy: body %q, error %v", body, err)
 	}
-	if n := conns.Load(); n != 2 {
+	if n := s.conns.Load(); n != 2 {
 		t.Errorf("%d connections, want 2", n)
 	}
 }
