Take back the recovering bound and the listener's second listen (two tries that failed)

Suspected, not shown: the bound on waiting connections no longer binds after the second listen, so that requests that nobody has read fill a router's memory.

--- a/core/valve/valve.go
+++ b/core/valve/valve.go
@@ -51,9 +51,6 @@
 		v.bound = max(least, bound*math.Pow(0.5, min(1, since.Seconds()/halving.Seconds())))
 	case late < lateLeast && v.bound > 0 && float64(open) >= used*v.bound:
 		v.bound *= math.Pow(2, since.Seconds()/doubling.Seconds())
-	case late < lateLeast && v.bound > 0 && v.bound < float64(v.Start):
-		// What a flood of refusals left of the bound tells nothing of what the processor can serve once it is over.
-		v.bound = min(float64(v.Start), v.bound*math.Pow(2, since.Seconds()/doubling.Seconds()))
 	}
 }
 
--- a/router/door/door.go
+++ b/router/door/door.go
@@ -1,8 +1,8 @@
 package door
 
 import (
-	"context"
 	"net"
+	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -14,31 +14,36 @@
 
 // Listen opens an address (ip:port) at which no more than so many connections may wait to be accepted; 0 for the system's bound.
 // Each of them may hold a request that counts as the process's memory, and a process that is short of the processor accepts late.
-// Beyond the bound callers reach no connection, and try another router. Accepted connections are not probed: the bounds on
-// idle connections and on requests end those whose caller is lost, and setting the probes up is a third of the system calls of an accept.
+// Beyond the bound callers reach no connection, and try another router.
 func Listen(address string, waiting int) (*net.TCPListener, error) {
-	config := net.ListenConfig{KeepAlive: -1}
-	opened, err := config.Listen(context.Background(), "tcp", address)
+	at, err := netip.ParseAddrPort(address)
+	if err != nil || waiting == 0 || !at.Addr().Is4() { // net gives no way to bound them
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		return l.(*net.TCPListener), nil
+	}
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
-		return nil, err
+		return nil, errors.Wrap(err, "socket")
 	}
-	l := opened.(*net.TCPListener)
-	if waiting == 0 {
-		return l, nil
+	file := os.NewFile(uintptr(fd), address)
+	defer file.Close() // the listener has a descriptor of its own
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return nil, errors.Wrap(err, "set SO_REUSEADDR")
 	}
-	raw, err := l.SyscallConn()
-	if err == nil {
-		failure := error(nil)
-		err = raw.Control(func(fd uintptr) { failure = syscall.Listen(int(fd), waiting) }) // a second call changes the bound
-		if err == nil {
-			err = failure
-		}
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Port: int(at.Port()), Addr: at.Addr().As4()}); err != nil {
+		return nil, errors.Wrap(err, "bind")
+	}
+	if err := syscall.Listen(fd, waiting); err != nil {
+		return nil, errors.Wrap(err, "listen")
 	}
+	l, err := net.FileListener(file)
 	if err != nil {
-		_ = l.Close() // the first error tells more
-		return nil, errors.Wrap(err, "bound the connections that wait")
+		return nil, err
 	}
-	return l, nil
+	return l.(*net.TCPListener), nil
 }
 
 // Door is the callers' listener; once shut it still gives out the connections that wait to be accepted, and closes when
--- a/router/proc/callers.go
+++ b/router/proc/callers.go
@@ -44,9 +44,6 @@
 	movedMisses = 2
 	// askedPeriod is how often the balancer asks.
 	askedPeriod = time.Second
-	// crowdAway is how long after it turned a request away a router stays out of the balancer's choice: until then its bound is what
-	// the flood left of it, and the callers are better off at a router that they did not flood.
-	crowdAway = 5 * time.Second
 	// crowdPeriod is how often connections and requests are looked at.
 	crowdPeriod = time.Second
 )
@@ -134,11 +131,11 @@
 // long for it.
 func (p *Process) lookAtCrowd() {
 	_, room := p.settings.Load().room()
-	limit, within := crowdBegins, crowdPeriod
+	open, refused, lag := p.relay.Open(), p.limit.refusedWithin(crowdPeriod), time.Duration(p.lag.Load())
+	limit := crowdBegins
 	if p.crowd.Load() {
-		limit, within = crowdEnds, crowdAway
+		limit = crowdEnds
 	}
-	open, refused, lag := p.relay.Open(), p.limit.refusedWithin(within), time.Duration(p.lag.Load())
 	is := room > 0 && float64(open) > limit*float64(room) || refused || lag > lagMany
 	if p.crowd.Swap(is) == is {
 		return
