Play the model's loads at the same time

Traced: the dump shows it in the second play of TestHotTeamOnGrownFleet, in the middle of a run as usual. Change: plays that share nothing run at the same time.

--- a/model/world/fair_test.go
+++ b/model/world/fair_test.go
@@ -8,6 +8,7 @@
 // TestFairOverSixSeconds guards against teams that get far less than another for six seconds, as the users judge it, under
 // loads in which some team always waits.
 func TestFairOverSixSeconds(t *testing.T) {
+	t.Parallel()
 	half := map[int]time.Duration{0: 4 * time.Second, 1: 4 * time.Second, 2: 4 * time.Second, 3: 4 * time.Second, 4: 4 * time.Second}
 	for name, p := range map[string]Pattern{
 		"half as much again":                {Factor: steady(1.5)},
@@ -20,6 +21,7 @@
 		"no hot team and five of nine lost": {Factor: steady(1.5), Lose: half},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			if p.Teams == 0 {
 				p.Teams = 16
 			}
@@ -35,6 +37,7 @@
 
 // TestHotTeamAtOneOfManyRouters is the same in a grown fleet: one of 88 routers sends for the hot team, the others hear of it late.
 func TestHotTeamAtOneOfManyRouters(t *testing.T) {
+	t.Parallel()
 	p := Pattern{Factor: steady(grownHotLoad), Teams: 30, HotTeam: 0.6, HotRouter: true, Duration: grownHotTime, Period: grownPeriod}
 	r := Run(p, grownKinds(), grownEngine(), grownRouters, grownServers, 1)
 	t.Log(r)
--- a/model/world/grown_test.go
+++ b/model/world/grown_test.go
@@ -36,6 +36,7 @@
 
 // Many routers that hear of each other's load late don't all send to the servers that looked best.
 func TestGrownFleet(t *testing.T) {
+	t.Parallel()
 	r := playGrown(grownLoad, 0, 15*time.Second)
 	t.Log(r)
 	if r.Worth < grownWorth {
--- a/model/world/hot_test.go
+++ b/model/world/hot_test.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"sync"
 	"testing"
 	"time"
 )
@@ -16,7 +17,12 @@
 // One team asks many routers for far more than the fleet gives, from one moment to the next: each router holds it to its part
 // of the share, and the others are served as at TestHotTeamHarmsNobody.
 func TestHotTeamOnGrownFleet(t *testing.T) {
-	alone, beside := playGrown(grownHotLoad*(1-grownHotShare), 0, grownHotTime), playGrown(grownHotLoad, grownHotShare, grownHotTime)
+	t.Parallel()
+	var alone, beside Result
+	var both sync.WaitGroup
+	both.Go(func() { alone = playGrown(grownHotLoad*(1-grownHotShare), 0, grownHotTime) })
+	both.Go(func() { beside = playGrown(grownHotLoad, grownHotShare, grownHotTime) })
+	both.Wait()
 	t.Logf("in time: %.3f without, %.3f beside the hot team, %.3f of its own; in all %d without, %d beside it",
 		others(alone), others(beside), beside.TeamServed["hot"], alone.InTime, beside.InTime)
 	if others(beside) < fair*others(alone) {
--- a/model/world/pattern_test.go
+++ b/model/world/pattern_test.go
@@ -43,6 +43,7 @@
 
 // Each pattern of load with the least worth that it has to earn.
 func TestPatterns(t *testing.T) {
+	t.Parallel()
 	calm := play(Pattern{}, routers).Worth
 	lost := map[int]time.Duration{0: 5 * time.Second, 1: 5 * time.Second}
 	tests := map[string]struct {
@@ -61,6 +62,7 @@
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			n := c.routers
 			if n == 0 {
 				n = routers
@@ -103,6 +105,7 @@
 
 // A team that sends far more than its share takes nothing from those within theirs: they are served as well as without it.
 func TestHotTeamHarmsNobody(t *testing.T) {
+	t.Parallel()
 	without := play(Pattern{}, routers)
 	with := play(Pattern{Factor: steady(1.6), HotTeam: 0.375}, routers) // the others ask for as much as on a calm day
 	before, after := others(without), others(with)
@@ -113,6 +116,7 @@
 }
 
 func TestSameSeedSameRun(t *testing.T) {
+	t.Parallel()
 	if d := cmp.Diff(play(Pattern{}, routers), play(Pattern{}, routers)); d != "" {
 		t.Error(d)
 	}
--- a/model/world/plain_test.go
+++ b/model/world/plain_test.go
@@ -124,6 +124,7 @@
 // Many routers that hear late of each other's load and have two plain servers left, as after others were taken away: they
 // must not all send to the one that looked emptier, and then all to the other.
 func TestPlainServersUnderStaleNews(t *testing.T) {
+	t.Parallel()
 	w := newPlainWorld()
 	for now := time.Duration(0); now < plainDay; now += tick {
 		if now%grownPeriod == 0 {
