Tell how much of the fleet a router's sum of loads covers

The logs could not tell which part of the fleet a router knows of, so the hypotheses of the incident could not be told apart. A sum now says how many routers it adds up, and a router logs a line in each second in which that is not all that live: who relays for it, how many report to it, how old the sum is, and whether it still counts. No decision uses it.

--- a/core/digest/fleet.go
+++ b/core/digest/fleet.go
@@ -135,6 +135,7 @@
 // Tick gives the messages that are due, with this router's own use.
 func (f *Fleet) Tick(now time.Duration, own Sum) []Out {
 	f.init()
+	own.Routers = 1
 	out := f.due(now, own)
 	for i := range out {
 		out[i].Message.Revision = f.Revision
@@ -269,6 +270,22 @@
 	return f.heardAt > 0 && now-f.heardAt <= staleAfter*f.Period(now)
 }
 
+// View is how much of the fleet a router's sum covers.
+type View struct {
+	Relay   string        // the router that tells the sum; this router's own address if it relays for others
+	Parts   int           // routers that report to this one
+	Covered int64         // other routers that the newest sum covers
+	Live    int           // other routers that live
+	Age     time.Duration // of the newest sum, since it came here; of no meaning if there is none
+	Known   bool          // the sum is new enough to count
+}
+
+// View gives how much of the fleet the newest sum of the others covers.
+func (f *Fleet) View(now time.Duration) View {
+	_, known := f.Others(now)
+	return View{Relay: f.relay, Parts: len(f.parts), Covered: f.others.sum.Routers, Live: f.Size(now) - 1, Age: now - f.others.at, Known: known}
+}
+
 // Others gives what all other routers have in use, and false if that is not known now.
 func (f *Fleet) Others(now time.Duration) (Sum, bool) {
 	if f.others.at == 0 || now-f.others.at > staleAfter*f.Period(now) {
--- a/core/digest/fleet_test.go
+++ b/core/digest/fleet_test.go
@@ -37,7 +37,7 @@
 			id++
 			address := fmt.Sprintf("c%d-%d", c, i)
 			n.fleets[address] = &Fleet{Address: address, DataCentre: fmt.Sprintf("c%d", c), Seeds: seeds, Began: 1000, Random: rand.New(rand.NewPCG(seed, uint64(id)))}
-			n.own[address] = Sum{Servers: map[uint32]Use{1: {Requests: id}, uint32(id): {Prefill: 10 * id}}, Teams: map[uint32]Rates{7: {Asked: id, Served: 2 * id}}}
+			n.own[address] = Sum{Routers: 1, Servers: map[uint32]Use{1: {Requests: id}, uint32(id): {Prefill: 10 * id}}, Teams: map[uint32]Rates{7: {Asked: id, Served: 2 * id}}}
 		}
 	}
 	return n
--- a/core/digest/sum.go
+++ b/core/digest/sum.go
@@ -9,6 +9,7 @@
 
 // Sum adds up what routers have in use and what teams ask for; keys are hashes of names.
 type Sum struct {
+	Routers int64 // that are summed up
 	Servers map[uint32]Use
 	Teams   map[uint32]Rates
 }
@@ -25,6 +26,7 @@
 func (s *Sum) Subtract(o Sum) { s.combine(o, -1) }
 
 func (s *Sum) combine(o Sum, sign int64) {
+	s.Routers = max(0, s.Routers+sign*o.Routers)
 	if s.Servers == nil {
 		s.Servers = make(map[uint32]Use, len(o.Servers))
 	}
--- a/mangoctl/story/tell.go
+++ b/mangoctl/story/tell.go
@@ -28,7 +28,7 @@
 
 // context are the lines, beside the request's own, that may explain it: those of its router, and of its servers at any router.
 var context = map[string]bool{
-	"server": true, "crowd": true, "turned away": true, "shares": true, "platform lost": true, "platform back": true,
+	"server": true, "crowd": true, "turned away": true, "shares": true, "sums": true, "platform lost": true, "platform back": true,
 	"data centre out": true, "data centre back": true, "configuration in force": true, "starting": true, "stopping": true, "stopped": true,
 }
 
--- a/router/proc/callers.go
+++ b/router/proc/callers.go
@@ -123,6 +123,7 @@
 		p.entrance.Conns.CloseIdle(idle)
 		p.relay.TellAway()
 		p.relay.TellShares()
+		p.tellSums()
 		p.lookAtCrowd()
 	}
 }
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -60,6 +60,7 @@
 	metrics    net.Listener   // nil if there is none
 	peers      net.PacketConn // nil if there is none
 	share      *share.Share   // nil if there is none
+	relayed    string         // the router that told the sum of the others' loads when that was logged last
 	crowd      atomic.Bool    // requests take most of the room: the balancer is to send callers elsewhere
 	lag        atomic.Int64   // how long goroutines wait for the processor, a moving mean in nanoseconds
 	limit      limit          // of requests that are served at once
--- /dev/null
+++ b/router/proc/sums.go
@@ -0,0 +1,21 @@
+package proc
+
+import (
+	"time"
+
+	"mangolug.org/core/digest"
+)
+
+// tellSums logs how much of the fleet this router's sum of the others' loads covers, while that is not all, and when another router begins to tell it.
+func (p *Process) tellSums() {
+	if p.share == nil {
+		return
+	}
+	var v digest.View
+	p.share.With(func(now time.Duration, f *digest.Fleet) { v = f.View(now) })
+	if v.Known && v.Covered >= int64(v.Live) && v.Relay == p.relayed {
+		return
+	}
+	p.relayed = v.Relay
+	p.log.Info("sums", "relay", v.Relay, "parts", v.Parts, "covered", v.Covered, "live", v.Live, "age", v.Age, "known", v.Known)
+}
--- a/router/share/codec.go
+++ b/router/share/codec.go
@@ -58,7 +58,7 @@
 	if s == nil {
 		return nil
 	}
-	t := &Totals{}
+	t := &Totals{Routers: units(s.Routers, 1)}
 	for id, u := range s.Servers {
 		if u == (digest.Use{}) {
 			continue
@@ -91,7 +91,7 @@
 		return nil, fmt.Errorf("columns of unequal length: %d servers, %d requests, %d prefill, %d memory, %d teams, %d asked, %d served",
 			n, len(t.Requests), len(t.Prefill), len(t.Memory), len(t.Teams), len(t.Asked), len(t.Served))
 	}
-	s := &digest.Sum{Servers: make(map[uint32]digest.Use, n), Teams: make(map[uint32]digest.Rates, len(t.Teams))}
+	s := &digest.Sum{Routers: int64(t.Routers), Servers: make(map[uint32]digest.Use, n), Teams: make(map[uint32]digest.Rates, len(t.Teams))}
 	for i, id := range t.Servers {
 		s.Servers[id] = digest.Use{
 			Requests: int64(t.Requests[i]), Prefill: int64(t.Prefill[i]) * prefillUnit, Memory: int64(t.Memory[i]) * memoryUnit,
--- a/router/share/codec_test.go
+++ b/router/share/codec_test.go
@@ -11,7 +11,7 @@
 )
 
 func message(servers, teams int) *digest.Message {
-	s := &digest.Sum{Servers: map[uint32]digest.Use{}, Teams: map[uint32]digest.Rates{}}
+	s := &digest.Sum{Routers: 82, Servers: map[uint32]digest.Use{}, Teams: map[uint32]digest.Rates{}}
 	for i := range servers {
 		s.Servers[uint32(i)*2654435761] = digest.Use{Requests: int64(i%60) + 1, Prefill: 16 * int64(i%900), Memory: 64 * int64(i%3000)}
 	}
