--- a/core/digest/fleet_test.go
+++ b/core/digest/fleet_test.go
@@ -143,6 +143,58 @@
 	}
 }
 
+// restart lets routers that were down start anew.
+func (n *net) restart(now time.Duration, addresses []string) {
+	for i, address := range addresses {
+		old := n.fleets[address]
+		n.down[address], n.next[address] = false, now
+		n.fleets[address] = &Fleet{
+			Address: old.Address, DataCentre: old.DataCentre, Seeds: old.Seeds, Began: 900000, Random: rand.New(rand.NewPCG(uint64(i), 5)),
+		}
+	}
+}
+
+// Guards against sums that miss a part of the fleet for the rest of the day once relays were lost and came back (a team got a tenth of what another got).
+func TestRelaysThatComeBack(t *testing.T) {
+	const settle = 2 * time.Second
+	tests := map[string]struct {
+		near, centres int
+		lost          []string
+	}{
+		"a fifth of the fleet": {28, 3, []string{
+			"c0-5", "c0-12", "c0-14", "c0-18", "c0-25", "c1-0", "c1-11", "c1-19", "c1-23", "c1-24", "c2-0", "c2-15", "c2-17", "c2-19", "c2-24", "c2-26", "c2-2", "c2-7",
+		}},
+		"one relay":              {28, 3, []string{"c1-0"}},
+		"all relays":             {28, 3, []string{"c0-0", "c1-0", "c2-0"}},
+		"a relay and its heirs":  {28, 3, []string{"c1-0", "c1-1", "c1-10", "c1-11"}},
+		"relays of nine routers": {3, 3, []string{"c0-0", "c1-0"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := newNet(test.near, test.centres, 7)
+			for address := range n.fleets {
+				n.next[address] = time.Duration(n.random.IntN(100)) * time.Millisecond
+			}
+			holds := func(from, to time.Duration) {
+				t.Helper()
+				for at := from; at < to && !t.Failed(); at += 100 * time.Millisecond {
+					n.run(at, at+100*time.Millisecond)
+					n.check(t, at+100*time.Millisecond)
+				}
+			}
+			n.run(0, 10*time.Second)
+			for _, address := range test.lost {
+				n.down[address] = true
+			}
+			n.run(10*time.Second, 10*time.Second+settle)
+			holds(10*time.Second+settle, 13*time.Second)
+			n.restart(13*time.Second, test.lost)
+			n.run(13*time.Second, 13*time.Second+settle)
+			holds(13*time.Second+settle, 28*time.Second)
+		})
+	}
+}
+
 // A router that starts anew, with nothing but the seeds, knows the others within a second.
 func TestRestartJoinsWithinASecond(t *testing.T) {
 	n := newNet(3, 3, 3)
