Leave a relay only for one that answers, and let whoever is reported to pass sums on

Cause: a router that had once left a relay avoided it again whenever gossip had not mentioned it for 2.3 s, and reported to a router that told it nothing, as that one took another for the relay. Where two relayed in one data centre, the others told only the one that they had heard of last.

Change: a relay that answers is left only for a lower address that answers too. Each router sums up all that report to it and reports that to a lower address, so that any two views of who relays still add up to one sum. The head of a data centre tells all heads that told it. Who leaves says so, and is not counted twice. A router that started anew is tried at once. Sums of the version before count as whole.

--- a/core/digest/fleet.go
+++ b/core/digest/fleet.go
@@ -16,7 +16,9 @@
 	memberPeriod = 2 * time.Millisecond
 	// staleAfter is how many periods old a sum may be to count.
 	staleAfter = 5
-	// avoidTime is how long a relay that went silent is avoided.
+	// answerWithin is how many periods the first answer of a router may take: its own period, and half as much again for each way.
+	answerWithin = 3
+	// avoidTime is how long a router that gave no answer is not tried as a relay again, so that a slow one is not taken up and left all the time.
 	avoidTime = 3 * time.Second
 )
 
@@ -27,9 +29,10 @@
 	// changes up to it.
 	Revision int64
 	Members  []Member // gossip; nil if none
-	Part     *Sum     // a router's own use, to its relay
-	Centre   *Sum     // the use of all that report to a relay, to the other relays
+	Part     *Sum     // the use of a router and of those that report to it, to its relay; empty where a router only tries one
+	Centre   *Sum     // the use of all that report to a relay, to the relays of the other data centres
 	Others   *Sum     // the use of all other routers, from a relay
+	Leaves   bool     // the sender no longer reports to the receiver, or no longer relays for its data centre
 	News     *News    // of the platform's state; nil if the sender knows nothing of it
 }
 
@@ -50,13 +53,16 @@
 
 	beat     uint64
 	members  map[string]*member
-	avoided  map[string]time.Duration // relays that went silent, until when they are avoided at least
+	avoided  map[string]time.Duration // routers that gave no answer, until when they are avoided
 	partners map[string]partner       // by data centre: the router that is tried as its relay
-	parts    map[string]heard         // as a relay: the own use of routers that report here
-	centres  map[string]heard         // as a relay: what the other relays sum up
-	others   heard                    // what the own relay told last
-	relay    string
-	since    time.Duration // when the present relay was chosen
+	parts    map[string]heard         // what routers that report here sum up
+	centres  map[string]heard         // at the head of a data centre: what the heads of the others sum up
+	outside  heard                    // what the own relay told last: the use of all that don't report here
+	group    Sum                      // the use of this router and all that report here, at the last tick
+	own      Sum                      // the use of this router, at the last tick
+	relay    string                   // where this router reports; its own address at the head of a data centre
+	since    time.Duration            // when the present relay was chosen
+	trial    partner                  // a router that may be the better relay, once it answers
 	gossiped time.Duration
 	log      Log
 	contact  time.Duration    // when some router read the platform last, as far as is known; 0 for never
@@ -65,10 +71,11 @@
 	heardAt  time.Duration    // when the newest message of another router came; 0 for never
 }
 
-// partner is a router that is told this data centre's sum, and since when.
+// partner is a router from which an answer is awaited, and since when.
 type partner struct {
-	address string
-	since   time.Duration
+	address  string
+	since    time.Duration
+	answered bool
 }
 
 // heard is a sum with when it came.
@@ -95,13 +102,26 @@
 
 // Period gives the time between two calls of Tick.
 func (f *Fleet) Period(now time.Duration) time.Duration {
-	near := 0
+	return leastPeriod + time.Duration(f.near(now, f.DataCentre))*memberPeriod
+}
+
+// near gives how many other routers of a data centre live.
+func (f *Fleet) near(now time.Duration, dataCentre string) int {
+	n := 0
 	for _, m := range f.members {
-		if m.DataCentre == f.DataCentre && f.live(now, m) {
-			near++
+		if m.DataCentre == dataCentre && f.live(now, m) {
+			n++
 		}
 	}
-	return leastPeriod + time.Duration(near)*memberPeriod
+	return n
+}
+
+// dataCentreOf gives the data centre of another router; empty if that is not known.
+func (f *Fleet) dataCentreOf(address string) string {
+	if m := f.members[address]; m != nil {
+		return m.DataCentre
+	}
+	return ""
 }
 
 // Receive takes a message in and gives the answer to it, if any: who knows fewer members than this router is told the rest.
@@ -113,15 +133,7 @@
 	if m.News != nil {
 		f.hear(now, m.From, m.News)
 	}
-	if m.Part != nil {
-		f.parts[m.From] = heard{*m.Part, now}
-	}
-	if m.Centre != nil {
-		f.centres[m.From] = heard{*m.Centre, now}
-	}
-	if m.Others != nil && m.From == f.relay {
-		f.others = heard{*m.Others, now}
-	}
+	f.takeSums(now, m)
 	if len(m.Members) == 0 {
 		return nil
 	}
@@ -132,10 +144,42 @@
 	return []Out{{m.From, Message{From: f.Address, Members: list}}}
 }
 
+// takeSums takes in what other routers sum up.
+func (f *Fleet) takeSums(now time.Duration, m Message) {
+	if m.Leaves {
+		delete(f.parts, m.From)
+		delete(f.centres, m.From)
+	}
+	if m.Part != nil {
+		f.parts[m.From] = heard{counted(m.Part, 1), now}
+	}
+	if m.Centre != nil {
+		f.centres[m.From] = heard{counted(m.Centre, f.near(now, f.dataCentreOf(m.From))), now}
+	}
+	if m.Others == nil {
+		return
+	}
+	switch m.From {
+	case f.relay:
+		f.outside = heard{counted(m.Others, f.Size(now)-1), now}
+	case f.trial.address:
+		// What it told counts this router's group where that reports now: the next answer does not.
+		f.trial.answered = true
+	}
+}
+
+// counted gives a sum with the routers that it covers, where one of an older version, which does not tell, has to be taken for whole.
+func counted(s *Sum, whole int) Sum {
+	c := *s
+	if c.Routers == 0 && len(c.Servers)+len(c.Teams) > 0 {
+		c.Routers = int64(whole)
+	}
+	return c
+}
+
 // Tick gives the messages that are due, with this router's own use.
 func (f *Fleet) Tick(now time.Duration, own Sum) []Out {
 	f.init()
-	own.Routers = 1
 	out := f.due(now, own)
 	for i := range out {
 		out[i].Message.Revision = f.Revision
@@ -157,11 +201,9 @@
 		f.gossiped, f.grew = now, false
 		out = append(out, f.round(now)...)
 	}
-	f.choose(now)
-	if f.relay != f.Address {
-		return append(out, Out{f.relay, Message{From: f.Address, Part: &own}})
-	}
-	return append(out, f.relayTick(now, own)...)
+	out = append(out, f.choose(now)...)
+	f.sum(now, own)
+	return append(out, f.tell(now)...)
 }
 
 // gossipFanout is with how many random members a round gossips: with one alone, chance leaves some members without news.
@@ -188,81 +230,132 @@
 	return out
 }
 
-// choose keeps to the relay of the own data centre, and leaves one that went silent.
-func (f *Fleet) choose(now time.Duration) {
+// choose finds the router to report to. It leaves a relay that went silent at once, and one that answers only for another that
+// answers too: until then nobody loses sight of the fleet.
+func (f *Fleet) choose(now time.Duration) []Out {
+	answer := answerWithin * f.Period(now)
 	limit := staleAfter * f.Period(now)
-	if f.relay != "" && f.relay != f.Address && now-max(f.others.at, f.since) > limit {
+	if f.outside.at <= f.since {
+		limit = answer
+	}
+	silent := f.relay != "" && f.relay != f.Address && now-max(f.outside.at, f.since) > limit
+	if silent {
 		f.avoid(now, f.relay)
 	}
-	if best := f.relayOf(now, f.DataCentre); best != f.relay {
-		f.relay, f.since = best, now
+	best := f.relayOf(now, f.DataCentre)
+	switch {
+	case f.relay == "" || silent:
+		return f.follow(now, best)
+	case best >= f.relay: // addresses only order the routers: each reports to a lower one, so that nobody reports to itself by way of others
+		f.trial = partner{}
+		return nil
+	case f.trial.address != best:
+		f.trial = partner{address: best, since: now}
+	case f.trial.answered:
+		return f.follow(now, best)
+	case now-f.trial.since > answer:
+		f.avoid(now, best)
+		f.trial = partner{}
+		return nil
+	}
+	return []Out{{best, Message{From: f.Address, Part: &Sum{}}}}
+}
+
+// follow begins to report to a relay, and tells those that counted this router before.
+func (f *Fleet) follow(now time.Duration, relay string) []Out {
+	var out []Out
+	if f.relay == f.Address {
+		for _, to := range slices.Sorted(maps.Keys(f.centres)) {
+			out = append(out, Out{to, Message{From: f.Address, Leaves: true}})
+		}
+		clear(f.centres)
+	} else if f.relay != "" && f.relay != relay {
+		out = append(out, Out{f.relay, Message{From: f.Address, Leaves: true}})
 	}
+	f.relay, f.since, f.trial = relay, now, partner{}
+	return out
 }
 
-// relayTick sums up and tells the routers that report here and the other relays.
-func (f *Fleet) relayTick(now time.Duration, own Sum) []Out {
+// sum adds up the use of this router and of those that report here.
+func (f *Fleet) sum(now time.Duration, own Sum) {
 	limit := staleAfter * f.Period(now)
-	fresh := func(m map[string]heard) {
+	for _, m := range []map[string]heard{f.parts, f.centres} {
 		maps.DeleteFunc(m, func(_ string, h heard) bool { return now-h.at > limit })
 	}
-	fresh(f.parts)
-	fresh(f.centres)
-	var centre, abroad Sum
-	centre.Add(own)
+	f.own, f.group = own, Sum{}
+	f.group.Add(own)
 	for _, h := range f.parts {
-		centre.Add(h.sum)
+		f.group.Add(h.sum)
 	}
-	for _, h := range f.centres {
-		abroad.Add(h.sum)
+	if f.relay != f.Address {
+		return
 	}
-	without := func(own Sum) Sum {
-		var rest Sum
-		rest.Add(centre)
-		rest.Subtract(own)
-		rest.Add(abroad)
-		return rest
+	f.outside = heard{at: now}
+	for _, h := range f.centres {
+		f.outside.sum.Add(h.sum)
 	}
+}
+
+// tell gives the sums that are due: to the own relay, or from the head of a data centre to those of the others, and to the
+// routers that report here.
+func (f *Fleet) tell(now time.Duration) []Out {
 	var out []Out
-	for _, name := range f.dataCentres(now) {
-		if name == f.DataCentre {
-			continue
-		}
-		if to := f.partner(now, name); to != "" {
-			out = append(out, Out{to, Message{From: f.Address, Centre: &centre}})
+	if f.relay == f.Address {
+		for _, to := range f.heads(now) {
+			out = append(out, Out{to, Message{From: f.Address, Centre: &f.group}})
 		}
+	} else {
+		out = append(out, Out{f.relay, Message{From: f.Address, Part: &f.group}})
 	}
 	for _, to := range slices.Sorted(maps.Keys(f.parts)) {
-		rest := without(f.parts[to].sum)
+		rest := f.without(f.parts[to].sum)
 		out = append(out, Out{to, Message{From: f.Address, Others: &rest}})
 	}
-	f.others = heard{without(own), now}
 	return out
 }
 
-// partner gives the relay of another data centre: whoever told its sum last, since that data centre's routers notice first
-// when a relay goes. Without such news it is a router that is not known to be silent.
-func (f *Fleet) partner(now time.Duration, dataCentre string) string {
-	best, at := "", time.Duration(0)
-	for address, h := range f.centres {
-		if m := f.members[address]; m != nil && m.DataCentre == dataCentre && h.at > at {
-			best, at = address, h.at
-		}
+// without gives the use of all routers but some that report here.
+func (f *Fleet) without(some Sum) Sum {
+	var rest Sum
+	rest.Add(f.group)
+	rest.Subtract(some)
+	rest.Add(f.outside.sum)
+	return rest
+}
+
+// heads gives the routers that are told this data centre's sum: all that told theirs lately, and in a data centre from which nobody did one that may.
+func (f *Fleet) heads(now time.Duration) []string {
+	heads := slices.Sorted(maps.Keys(f.centres))
+	told := map[string]bool{f.DataCentre: true}
+	for _, address := range heads {
+		name := f.dataCentreOf(address)
+		told[name] = true
+		delete(f.partners, name)
 	}
-	if best != "" {
-		delete(f.partners, dataCentre)
-		return best
+	for _, name := range f.dataCentres(now) {
+		if told[name] {
+			continue
+		}
+		if to := f.partner(now, name); to != "" {
+			heads = append(heads, to)
+		}
 	}
+	return heads
+}
+
+// partner gives the router that is tried as the head of another data centre: the first that gave no cause to avoid it.
+func (f *Fleet) partner(now time.Duration, dataCentre string) string {
 	tried := f.partners[dataCentre]
-	if tried.address != "" && now-tried.since > staleAfter*f.Period(now) {
+	if tried.address != "" && now-tried.since > answerWithin*f.Period(now) {
 		f.avoid(now, tried.address)
 	}
 	if to := f.relayOf(now, dataCentre); to != tried.address {
-		f.partners[dataCentre] = partner{to, now}
+		f.partners[dataCentre] = partner{address: to, since: now}
 	}
 	return f.partners[dataCentre].address
 }
 
-// avoid notes that a router went silent.
+// avoid notes that a router gave no answer.
 func (f *Fleet) avoid(now time.Duration, address string) { f.avoided[address] = now + avoidTime }
 
 // Hears reports whether messages of other routers come, so that what some router learns is known here soon.
@@ -276,20 +369,20 @@
 	Parts   int           // routers that report to this one
 	Covered int64         // other routers that the newest sum covers
 	Live    int           // other routers that live
-	Age     time.Duration // of the newest sum, since it came here; of no meaning if there is none
+	Age     time.Duration // since the newest sum of those that don't report here came; of no meaning if none did
 	Known   bool          // the sum is new enough to count
 }
 
 // View gives how much of the fleet the newest sum of the others covers.
 func (f *Fleet) View(now time.Duration) View {
-	_, known := f.Others(now)
-	return View{Relay: f.relay, Parts: len(f.parts), Covered: f.others.sum.Routers, Live: f.Size(now) - 1, Age: now - f.others.at, Known: known}
+	sum, known := f.Others(now)
+	return View{Relay: f.relay, Parts: len(f.parts), Covered: sum.Routers, Live: f.Size(now) - 1, Age: now - f.outside.at, Known: known}
 }
 
 // Others gives what all other routers have in use, and false if that is not known now.
 func (f *Fleet) Others(now time.Duration) (Sum, bool) {
-	if f.others.at == 0 || now-f.others.at > staleAfter*f.Period(now) {
+	if f.outside.at == 0 || now-f.outside.at > staleAfter*f.Period(now) {
 		return Sum{}, false
 	}
-	return f.others.sum, true
+	return f.without(f.own), true
 }
--- a/core/digest/member.go
+++ b/core/digest/member.go
@@ -13,6 +13,8 @@
 	gossipMember = 8 * time.Millisecond
 	// lostRounds is how many rounds news may take beyond the doublings that reach all members.
 	lostRounds = 4
+	// restartBeats is by how much a counter grows only with a new start: the time of a start, in milliseconds, passes it within minutes of ticks.
+	restartBeats = 2000
 	// forgetFactor is for how many times that a lost member is remembered, so that old gossip does not bring it back.
 	forgetFactor = 4
 )
@@ -54,6 +56,9 @@
 			f.grew = true
 		}
 		if t.Beat > m.Beat {
+			if t.Beat-m.Beat > restartBeats {
+				delete(f.avoided, t.Address) // it started anew
+			}
 			m.Member, m.heard = t, now
 		}
 	}
@@ -123,15 +128,8 @@
 	return best
 }
 
-// newsRounds is within how many rounds of gossip a member that lives is heard of again.
-const newsRounds = 2
-
-// avoids reports a relay that went silent and may still be: it is given time, and news of it have to be fresh, as old ones
-// go round for a while.
-func (f *Fleet) avoids(now time.Duration, m *member) bool {
-	until, ok := f.avoided[m.Address]
-	return ok && (now < until || now-m.heard > newsRounds*f.gossipPeriod())
-}
+// avoids reports a router that gave no answer lately.
+func (f *Fleet) avoids(now time.Duration, m *member) bool { return now < f.avoided[m.Address] }
 
 // dataCentres gives the data centres of all live members.
 func (f *Fleet) dataCentres(now time.Duration) []string {
--- a/core/pool/summary.go
+++ b/core/pool/summary.go
@@ -10,7 +10,7 @@
 // Own gives what this router has in use and what is asked of it, for the other routers.
 func (p *Pool) Own(now time.Duration) digest.Sum {
 	p.init()
-	s := digest.Sum{Servers: make(map[uint32]digest.Use, len(p.servers)), Teams: make(map[uint32]digest.Rates, len(p.shares.teams))}
+	s := digest.Sum{Routers: 1, Servers: make(map[uint32]digest.Use, len(p.servers)), Teams: make(map[uint32]digest.Rates, len(p.shares.teams))}
 	for id, b := range p.servers {
 		if b.own != (Usage{}) {
 			s.Servers[key(id)] = digest.Use(b.own)
--- a/router/share/codec.go
+++ b/router/share/codec.go
@@ -18,7 +18,7 @@
 
 // Encode gives the datagram of a message.
 func Encode(m *digest.Message) ([]byte, error) {
-	d := &Datagram{From: m.From, Revision: m.Revision, Part: totals(m.Part), Centre: totals(m.Centre), Others: totals(m.Others), News: news(m.News)}
+	d := &Datagram{From: m.From, Revision: m.Revision, Part: totals(m.Part), Centre: totals(m.Centre), Others: totals(m.Others), News: news(m.News), Leaves: m.Leaves}
 	if len(m.Members) > 0 {
 		mates, err := mates(m.Members)
 		if err != nil {
@@ -35,7 +35,7 @@
 	if err := proto.Unmarshal(text, &d); err != nil {
 		return digest.Message{}, err
 	}
-	m := digest.Message{From: d.From, Revision: d.Revision, News: told(d.News)}
+	m := digest.Message{From: d.From, Revision: d.Revision, News: told(d.News), Leaves: d.Leaves}
 	members, err := members(d.Members)
 	if err != nil {
 		return m, err
--- a/router/share/codec_test.go
+++ b/router/share/codec_test.go
@@ -24,6 +24,7 @@
 func TestRoundTrip(t *testing.T) {
 	want := message(144, 30)
 	want.Part, want.Centre = want.Others, want.Others
+	want.Leaves = true
 	want.News = &digest.News{
 		Revision: 9, Age: 120 * time.Millisecond, From: 3, To: 8,
 		Changes: []digest.Change{{Key: "a", Value: []byte("x"), Revision: 4}, {Key: "b", Revision: 8, Deleted: true}},
