Hold a router that hears little of the others to its own part of the throughput

Cause: what is asked of a router that knows no sum of the others looked like all that the fleet is asked, beside the fleet's whole throughput. The rates of teams of the last sum went on counting for as long as no other came, while those of servers stop after 1.5 s.

Change: a sum that covers less than half of the routers that live divides just their part of the throughput; after 1.5 s without a sum nothing of the last one counts.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -25,7 +25,8 @@
 	shares    shares
 	said      map[start]*said // what servers told of themselves
 
-	sourceOut bool // the platform can't be read
+	sourceOut bool          // the platform can't be read
+	heardAt   time.Duration // when it was last known what the other routers have in use; 0 for never
 }
 
 // service is what is known of all servers of one service.
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -79,12 +79,17 @@
 	}
 }
 
-// throughput gives the tokens a second that all model servers give by the operator's word; 0 if not told.
+// throughput gives the tokens a second that the routers that are known of may share: what all model servers give by the operator's
+// word, or the part of these routers where they are few of all; 0 if not told.
 func (p *Pool) throughput() float64 {
 	if p.table == nil {
 		return 0
 	}
-	return p.table.Config.Limits.TokensPerSecond
+	all := p.table.Config.Limits.TokensPerSecond
+	if p.shares.view > 0 {
+		all *= p.shares.view
+	}
+	return all
 }
 
 // latest gives the time until which a request may wait and still be served within its objective.
--- a/core/pool/shares.go
+++ b/core/pool/shares.go
@@ -38,6 +38,7 @@
 	teams     map[string]*teamShare
 	elsewhere []digest.Rates // of teams that ask only other routers
 	routers   int            // that live, this one included
+	view      float64        // the part of the throughput that the routers that are known of may have; 0 for all
 	largest   float64        // tokens of the largest requests of late
 	level     float64        // tokens a second above which a team is beyond its share; 0 for none
 	hungry    int            // teams that want more than they get
@@ -163,6 +164,29 @@
 	}
 }
 
+// hear takes in what the other routers tell of teams, and how many routers live, this one included.
+func (s *shares) hear(o digest.Sum, routers int) {
+	s.routers, s.view = routers, 1
+	if covered := float64(o.Routers + 1); covered < quorum*float64(routers) {
+		s.view = covered / float64(routers)
+	}
+	mine := make(map[uint32]bool, len(s.teams))
+	for name, t := range s.teams {
+		mine[key(name)] = true
+		t.hear(o.Teams[key(name)])
+	}
+	s.elsewhere = s.elsewhere[:0]
+	for id, r := range o.Teams {
+		if !mine[id] {
+			s.elsewhere = append(s.elsewhere, r)
+		}
+	}
+}
+
+// quorum is the part of all routers below which those that are known of are not taken for the fleet: after that many were lost at
+// once, the rest may have what all had.
+const quorum = 0.5
+
 // idleRate is the tokens a second below which a team is forgotten until it asks again, so that many small teams cost nothing.
 const idleRate = 1
 
--- a/core/pool/summary.go
+++ b/core/pool/summary.go
@@ -24,28 +24,23 @@
 	return s
 }
 
-// Others takes in what all other routers have in use, unless it is not known, and which routers these are.
+// Others takes in what the other routers have in use, unless it is not known, and which routers live. What was heard last counts
+// for a moment longer.
 func (p *Pool) Others(now time.Duration, s digest.Sum, known bool, routers []string) {
 	p.init()
 	p.Routers, p.Joined = routers, len(routers) > 0 || now > joinTime
-	if !known {
+	switch {
+	case known:
+		p.heardAt = max(1, now)
+	case p.heardAt > 0 && now-p.heardAt <= othersAge:
 		return
+	default:
+		s = digest.Sum{}
 	}
 	for id, b := range p.servers {
 		b.others, b.othersAt = Usage(s.Servers[key(id)]), now
 	}
-	p.shares.routers = len(routers) + 1
-	mine := make(map[uint32]bool, len(p.shares.teams))
-	for name, t := range p.shares.teams {
-		mine[key(name)] = true
-		t.hear(s.Teams[key(name)])
-	}
-	p.shares.elsewhere = p.shares.elsewhere[:0]
-	for id, r := range s.Teams {
-		if !mine[id] {
-			p.shares.elsewhere = append(p.shares.elsewhere, r)
-		}
-	}
+	p.shares.hear(s, len(routers)+1)
 }
 
 // joinTime is how long after its start a router that hears no other takes itself to be alone.
