Take up a router that started anew with its clock set back

Cause: a router's counter begins at the time of its start. After a start with an earlier clock nobody took its news up until the counter passed that of the start before, and it was in no sum meanwhile: 100 s for each second of the step, or until it was forgotten.

Change: a router that hears of a higher counter of its own goes on from there, and whoever gets gossip with a counter below what it knows says so.

Evidence: TestRestartWithAClockSetBack failed where the router had been taken as lost, and passes.

--- a/core/digest/fleet.go
+++ b/core/digest/fleet.go
@@ -137,6 +137,9 @@
 	if len(m.Members) == 0 {
 		return nil
 	}
+	if known := f.members[m.From]; known != nil && known.Beat > m.Members[0].Beat && m.Members[0].Address == m.From {
+		return []Out{{m.From, Message{From: f.Address, Members: append(f.gossip(now), known.Member)}}}
+	}
 	list := f.gossip(now)
 	if len(m.Members) >= len(list) {
 		return nil
--- a/core/digest/fleet_test.go
+++ b/core/digest/fleet_test.go
@@ -224,6 +224,29 @@
 	}
 }
 
+// Guards against a router that nobody takes up after a restart, as its counter begins below that of the start before.
+func TestRestartWithAClockSetBack(t *testing.T) {
+	for name, down := range map[string]time.Duration{"at once": 0, "after it was taken as lost": 10 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			n := newNet(3, 3, 9)
+			n.run(0, 6*time.Second)
+			old := n.fleets["c2-1"]
+			n.down["c2-1"] = true
+			now := 6*time.Second + down
+			n.run(6*time.Second, now)
+			n.down["c2-1"] = false
+			n.fleets["c2-1"] = &Fleet{Address: old.Address, DataCentre: old.DataCentre, Seeds: old.Seeds, Began: 1}
+			n.run(now, now+2*time.Second)
+			n.check(t, now+2*time.Second)
+			for address, f := range n.fleets {
+				if live := f.Live(now + 2*time.Second); len(live) != 8 {
+					t.Errorf("%s knows %v", address, live)
+				}
+			}
+		})
+	}
+}
+
 // Sums of routers of the version before, which don't tell how many they cover, count as whole while a fleet is replaced.
 func TestSumsOfTheVersionBefore(t *testing.T) {
 	n := newNet(3, 3, 8)
--- a/core/digest/member.go
+++ b/core/digest/member.go
@@ -46,7 +46,11 @@
 // learn takes in what gossip tells of members.
 func (f *Fleet) learn(now time.Duration, told []Member) {
 	for _, t := range told {
-		if t.Address == f.Address || t.Address == "" {
+		if t.Address == f.Address {
+			f.beat = max(f.beat, t.Beat) // of a start before this one, whose clock was ahead
+			continue
+		}
+		if t.Address == "" {
 			continue
 		}
 		m := f.members[t.Address]
