Let a router that just started leave cold servers to those that know each other

Cause: a few routers, the same in each one's view, warm a cold server up. A router that has just started knows some of the others for a quarter of a second, so that of many that start at once nearly all took themselves for one of the few.

Change: a router that hears of others counts as joined a second after its start.

Evidence: TestNewcomerLeavesColdServers failed and passes.

--- a/core/pool/summary.go
+++ b/core/pool/summary.go
@@ -28,7 +28,7 @@
 // for a moment longer.
 func (p *Pool) Others(now time.Duration, s digest.Sum, known bool, routers []string) {
 	p.init()
-	p.Routers, p.Joined = routers, len(routers) > 0 || now > joinTime
+	p.Routers, p.Joined = routers, len(routers) > 0 && now > knownTime || now > joinTime
 	switch {
 	case known:
 		p.heardAt = max(1, now)
@@ -43,6 +43,9 @@
 	p.shares.hear(s, len(routers)+1)
 }
 
+// knownTime is how long after its start a router that hears of others may still know only some of them; from TestRestartJoinsWithinASecond.
+const knownTime = time.Second
+
 // joinTime is how long after its start a router that hears no other takes itself to be alone.
 const joinTime = 3 * time.Second
 
