--- a/core/pool/ahead_test.go
+++ b/core/pool/ahead_test.go
@@ -14,15 +14,22 @@
 // TestHeldTeamIsServedEvenly guards against many routers that all let a team through, and then all hold it back, as they hear of
 // what it gets late: a team that wants all it can get, beside one that gets little, is served at about the same rate in each second.
 func TestHeldTeamIsServedEvenly(t *testing.T) {
-	for name, jump := range map[string]time.Duration{"from the start": 0, "ten times as much from one moment to the next": 3 * time.Second} {
-		t.Run(name, func(t *testing.T) { holdTeam(t, jump) })
+	for name, test := range map[string]struct {
+		routers int
+		jump    time.Duration
+	}{
+		"from the start": {80, 0},
+		"ten times as much from one moment to the next":                {80, 3 * time.Second},
+		"from the start at 295 routers":                                {295, 0},
+		"ten times as much from one moment to the next at 295 routers": {295, 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) { holdTeam(t, test.routers, test.jump) })
 	}
 }
 
 // holdTeam lets a team ask for a tenth until the jump.
-func holdTeam(t *testing.T, jump time.Duration) {
+func holdTeam(t *testing.T, routers int, jump time.Duration) {
 	const (
-		routers = 80
 		period  = 120 * time.Millisecond
 		often   = 10 * time.Millisecond
 		many    = 20 // requests so often, at random routers
