Let two answers that come at the same moment be swapped by the fault proxy

Cause: each answer looked first whether another waits and then waited itself, so that two at the same moment both waited, with one place to wait. Change: looking and waiting are one choice.

Evidence: TestSwapAtTheSameMoment, which calls it 20,000 times, failed at the first try and passes; it is a fault of the test tool alone, which no program of the fleet uses.

--- a/faults/fault/proxy_test.go
+++ b/faults/fault/proxy_test.go
@@ -178,6 +178,29 @@
 	}
 }
 
+// Guards against two answers that come at the same moment and wait for each other for ever.
+func TestSwapAtTheSameMoment(t *testing.T) {
+	const rounds = 20000
+	rule := &active{held: make(chan exchange, 1)}
+	for range rounds {
+		got := make(chan bool, 2)
+		for range 2 {
+			u := &pump{conn: &conn{ended: make(chan struct{})}}
+			go func() {
+				_, ok := u.swap(rule, []byte("x"))
+				got <- ok
+			}()
+		}
+		for range 2 {
+			select {
+			case <-got:
+			case <-time.After(testLimit):
+				t.Fatal("both answers wait")
+			}
+		}
+	}
+}
+
 func TestControl(t *testing.T) {
 	proxy, address := echoLines(t)
 	server := httptest.NewServer(proxy.Handler())
--- a/faults/fault/pump.go
+++ b/faults/fault/pump.go
@@ -206,14 +206,11 @@
 
 // swap gives another connection's piece for this one's.
 func (u *pump) swap(rule *active, data []byte) ([]byte, bool) {
+	mine := exchange{data: data, back: make(chan []byte, 1)}
 	select {
 	case other := <-rule.held:
 		other.back <- data
 		return other.data, true
-	default:
-	}
-	mine := exchange{data: data, back: make(chan []byte, 1)}
-	select {
 	case rule.held <- mine:
 	case <-u.conn.ended:
 		return nil, false
