--- a/core/digest/fleet.go
+++ b/core/digest/fleet.go
@@ -137,6 +137,7 @@
 	if len(m.Members) == 0 {
 		return nil
 	}
+	// A sender that started anew with its clock set back goes on from the counter that it hears of.
 	if known := f.members[m.From]; known != nil && known.Beat > m.Members[0].Beat && m.Members[0].Address == m.From {
 		return []Out{{m.From, Message{From: f.Address, Members: append(f.gossip(now), known.Member)}}}
 	}
@@ -249,7 +250,7 @@
 	switch {
 	case f.relay == "" || silent:
 		return f.follow(now, best)
-	case best >= f.relay: // addresses only order the routers: each reports to a lower one, so that nobody reports to itself by way of others
+	case best >= f.relay: // each router reports to a lower address, so that nobody reports to itself by way of others
 		f.trial = partner{}
 		return nil
 	case f.trial.address != best:
--- a/core/digest/member.go
+++ b/core/digest/member.go
@@ -13,7 +13,8 @@
 	gossipMember = 8 * time.Millisecond
 	// lostRounds is how many rounds news may take beyond the doublings that reach all members.
 	lostRounds = 4
-	// restartBeats is by how much a counter grows only with a new start: the time of a start, in milliseconds, passes it within minutes of ticks.
+	// restartBeats is by how much a counter grows only with a new start, which begins at the time of day in milliseconds: ticks
+	// alone need minutes for it.
 	restartBeats = 2000
 	// forgetFactor is for how many times that a lost member is remembered, so that old gossip does not bring it back.
 	forgetFactor = 4
@@ -47,7 +48,7 @@
 func (f *Fleet) learn(now time.Duration, told []Member) {
 	for _, t := range told {
 		if t.Address == f.Address {
-			f.beat = max(f.beat, t.Beat) // of a start before this one, whose clock was ahead
+			f.beat = max(f.beat, t.Beat) // an earlier start of this router began with a later clock
 			continue
 		}
 		if t.Address == "" {
