--- a/mangoctl/fair/fair_test.go
+++ b/mangoctl/fair/fair_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"mangolug.org/mangoctl/shell"
+	"mangolug.org/mangoctl/story"
 	"mangolug.org/mangoctl/stream"
 )
 
@@ -88,3 +89,22 @@
 		})
 	}
 }
+
+// FuzzLogs holds that no log, whoever wrote it, ends the command.
+func FuzzLogs(f *testing.F) {
+	for _, text := range logs() {
+		f.Add(text)
+	}
+	f.Add(line("one", 1, `msg="turned away" most=a ofThat=9223372036854775807`) + line("one", 1, "msg=sent request=x team=a prompt=9223372036854775807 output=1 send=1"))
+	f.Fuzz(func(t *testing.T, text string) {
+		var tally tally
+		if _, err := story.Read(strings.NewReader(text), tally.take); err != nil {
+			return // a line without end
+		}
+		for _, s := range tally.spans(2) {
+			if s.Team == "" || s.Best == "" {
+				t.Errorf("a time without its teams: %+v", s)
+			}
+		}
+	})
+}
