--- a/core/pool/ahead_test.go
+++ b/core/pool/ahead_test.go
@@ -17,18 +17,20 @@
 	for name, test := range map[string]struct {
 		routers int
 		jump    time.Duration
+		before  int // requests of it so often before the jump, at most many
 	}{
-		"from the start": {80, 0},
-		"ten times as much from one moment to the next":                {80, 3 * time.Second},
-		"from the start at 295 routers":                                {295, 0},
-		"ten times as much from one moment to the next at 295 routers": {295, 3 * time.Second},
+		"from the start": {80, 0, 0},
+		"ten times as much from one moment to the next":                {80, 3 * time.Second, 2},
+		"from less than the other team gets":                           {80, 3 * time.Second, 0},
+		"from the start at 295 routers":                                {295, 0, 0},
+		"ten times as much from one moment to the next at 295 routers": {295, 3 * time.Second, 2},
 	} {
-		t.Run(name, func(t *testing.T) { holdTeam(t, test.routers, test.jump) })
+		t.Run(name, func(t *testing.T) { holdTeam(t, test.routers, test.before, test.jump) })
 	}
 }
 
 // holdTeam lets a team ask for a tenth until the jump.
-func holdTeam(t *testing.T, routers int, jump time.Duration) {
+func holdTeam(t *testing.T, routers, before int, jump time.Duration) {
 	const (
 		period  = 120 * time.Millisecond
 		often   = 10 * time.Millisecond
@@ -80,7 +82,7 @@
 			}
 		}
 		for i := range many {
-			if now%often != 0 || now < jump && i >= many/10 {
+			if now%often != 0 || now < jump && i >= before {
 				continue
 			}
 			id++
