--- a/mangoctl/fair/fair.go
+++ b/mangoctl/fair/fair.go
@@ -44,18 +44,10 @@
 	if o.Window < 1 {
 		return shell.Exitf(shell.ExitUsage, "--window %d: at least one second is needed", o.Window)
 	}
-	logs := o.Args.Logs
-	if len(logs) == 0 {
-		logs = []string{"-"}
-	}
 	var t tally
-	torn := 0
-	for _, name := range logs {
-		n, err := o.read(&t, name)
-		torn += n
-		if err != nil {
-			return err
-		}
+	torn, err := story.ReadLogs(o.Open, o.Args.Logs, t.take)
+	if err != nil {
+		return err
 	}
 	if torn > 0 {
 		_, _ = fmt.Fprintf(o.Streams.ErrOut, "%d lines could not be read\n", torn) // the figures stand without it
@@ -68,16 +60,6 @@
 	return o.write(spans)
 }
 
-func (o *Options) read(t *tally, name string) (torn int, err error) {
-	r, err := o.Open(name)
-	if err != nil {
-		return 0, errors.Wrapf(err, "log %s", name)
-	}
-	defer r.Close()
-	torn, err = story.Read(r, t.take)
-	return torn, errors.Wrapf(err, "log %s", name)
-}
-
 func (o *Options) write(spans []Span) error {
 	if len(spans) == 0 {
 		_, err := fmt.Fprintf(o.Streams.ErrOut, "no team was refused requests in each of %d seconds\n", o.Window)
--- a/mangoctl/story/line.go
+++ b/mangoctl/story/line.go
@@ -9,6 +9,8 @@
 
 	"github.com/go-logfmt/logfmt"
 	"github.com/pkg/errors"
+
+	"mangolug.org/mangoctl/shell"
 )
 
 // lineBytes bounds one log line; routers write shorter ones.
@@ -38,6 +40,31 @@
 	return ""
 }
 
+// ReadLogs calls take with each line of some logs, of standard input if none is named, and gives how many lines could not be understood; its error names
+// the log.
+func ReadLogs(open shell.OpenFunction, names []string, take func(Line)) (torn int, err error) {
+	if len(names) == 0 {
+		names = []string{"-"}
+	}
+	for _, name := range names {
+		n, err := readLog(open, name, take)
+		torn += n
+		if err != nil {
+			return torn, errors.Wrapf(err, "log %s", name)
+		}
+	}
+	return torn, nil
+}
+
+func readLog(open shell.OpenFunction, name string, take func(Line)) (torn int, err error) {
+	r, err := open(name)
+	if err != nil {
+		return 0, err
+	}
+	defer r.Close()
+	return Read(r, take)
+}
+
 // Read calls take with each line of a log that can be understood, and gives how many could not be.
 func Read(r io.Reader, take func(Line)) (torn int, err error) {
 	scanner := bufio.NewScanner(r)
--- a/mangoctl/story/story.go
+++ b/mangoctl/story/story.go
@@ -41,19 +41,15 @@
 }
 
 func storyRun(o *Options) error {
-	logs := o.Args.Logs
-	if len(logs) == 0 {
-		logs = []string{"-"}
-	}
 	c := collector{request: o.Args.Request}
-	for _, name := range logs {
-		if err := o.collect(&c, name); err != nil {
-			return err
-		}
+	torn, err := ReadLogs(o.Open, o.Args.Logs, c.take)
+	if err != nil {
+		return err
 	}
+	c.torn = torn
 	s := c.story(o.Around)
 	if len(s.Steps) == 0 {
-		return shell.Exitf(shell.ExitNotFound, "no line of %d logs names request %s (%d lines could not be read)", len(logs), o.Args.Request, c.torn)
+		return shell.Exitf(shell.ExitNotFound, "no line of %d logs names request %s (%d lines could not be read)", max(1, len(o.Args.Logs)), o.Args.Request, c.torn)
 	}
 	if o.JSON {
 		return o.Streams.WriteJSON(s)
@@ -61,17 +57,6 @@
 	return o.write(s)
 }
 
-func (o *Options) collect(c *collector, name string) error {
-	r, err := o.Open(name)
-	if err != nil {
-		return errors.Wrapf(err, "log %s", name)
-	}
-	defer r.Close()
-	torn, err := Read(r, c.take)
-	c.torn += torn
-	return errors.Wrapf(err, "log %s", name)
-}
-
 func (o *Options) write(s Story) error {
 	t := &table.Table{Kind: "step", Title: "request " + s.Request, Header: []string{"AFTER", "ROUTER", "WHAT", "DETAIL"}}
 	for _, step := range s.Steps {
