Add sums of loads up once, and only where routers report

Each router worked out the use of all others as its group without itself and with the rest, three passes over all servers in each period and again for a log line each second, though to most routers nobody reports. The use of those that report here is kept instead; the group and the others are that and what is added. The hash of a team's name is taken once. Sums, messages and log lines are as before; tests of core/digest, core/pool, router/share and router/proc are unchanged and pass.

--- a/core/digest/fleet.go
+++ b/core/digest/fleet.go
@@ -58,8 +58,7 @@
 	parts    map[string]heard         // what routers that report here sum up
 	centres  map[string]heard         // at the head of a data centre: what the heads of the others sum up
 	outside  heard                    // what the own relay told last: the use of all that don't report here
-	group    Sum                      // the use of this router and all that report here, at the last tick
-	own      Sum                      // the use of this router, at the last tick
+	below    Sum                      // the use of all that report here, at the last tick
 	relay    string                   // where this router reports; its own address at the head of a data centre
 	since    time.Duration            // when the present relay was chosen
 	trial    partner                  // a router that may be the better relay, once it answers
@@ -206,8 +205,8 @@
 		out = append(out, f.round(now)...)
 	}
 	out = append(out, f.choose(now)...)
-	f.sum(now, own)
-	return append(out, f.tell(now)...)
+	f.sum(now)
+	return append(out, f.tell(now, own)...)
 }
 
 // gossipFanout is with how many random members a round gossips: with one alone, chance leaves some members without news.
@@ -280,16 +279,15 @@
 	return out
 }
 
-// sum adds up the use of this router and of those that report here.
-func (f *Fleet) sum(now time.Duration, own Sum) {
+// sum adds up the use of those that report here, and at the head of a data centre that of the others.
+func (f *Fleet) sum(now time.Duration) {
 	limit := staleAfter * f.Period(now)
 	for _, m := range []map[string]heard{f.parts, f.centres} {
 		maps.DeleteFunc(m, func(_ string, h heard) bool { return now-h.at > limit })
 	}
-	f.own, f.group = own, Sum{}
-	f.group.Add(own)
+	f.below = Sum{}
 	for _, h := range f.parts {
-		f.group.Add(h.sum)
+		f.below.Add(h.sum)
 	}
 	if f.relay != f.Address {
 		return
@@ -302,31 +300,31 @@
 
 // tell gives the sums that are due: to the own relay, or from the head of a data centre to those of the others, and to the
 // routers that report here.
-func (f *Fleet) tell(now time.Duration) []Out {
+func (f *Fleet) tell(now time.Duration, own Sum) []Out {
+	group := own
+	if len(f.parts) > 0 {
+		group = Sum{}
+		group.Add(own)
+		group.Add(f.below)
+	}
 	var out []Out
 	if f.relay == f.Address {
 		for _, to := range f.heads(now) {
-			out = append(out, Out{to, Message{From: f.Address, Centre: &f.group}})
+			out = append(out, Out{to, Message{From: f.Address, Centre: &group}})
 		}
 	} else {
-		out = append(out, Out{f.relay, Message{From: f.Address, Part: &f.group}})
+		out = append(out, Out{f.relay, Message{From: f.Address, Part: &group}})
 	}
 	for _, to := range slices.Sorted(maps.Keys(f.parts)) {
-		rest := f.without(f.parts[to].sum)
+		var rest Sum
+		rest.Add(group)
+		rest.Subtract(f.parts[to].sum)
+		rest.Add(f.outside.sum)
 		out = append(out, Out{to, Message{From: f.Address, Others: &rest}})
 	}
 	return out
 }
 
-// without gives the use of all routers but some that report here.
-func (f *Fleet) without(some Sum) Sum {
-	var rest Sum
-	rest.Add(f.group)
-	rest.Subtract(some)
-	rest.Add(f.outside.sum)
-	return rest
-}
-
 // heads gives the routers that are told this data centre's sum: all that told theirs lately, and in a data centre from which nobody did one that may.
 func (f *Fleet) heads(now time.Duration) []string {
 	heads := slices.Sorted(maps.Keys(f.centres))
@@ -371,7 +369,7 @@
 type View struct {
 	Relay   string        // the router that tells the sum; this router's own address if it relays for others
 	Parts   int           // routers that report to this one
-	Covered int64         // other routers that the newest sum covers
+	Covered int64         // other routers that the newest sum covers; 0 if it is too old to count
 	Live    int           // other routers that live
 	Age     time.Duration // since the newest sum of those that don't report here came; of no meaning if none did
 	Known   bool          // the sum is new enough to count
@@ -379,14 +377,25 @@
 
 // View gives how much of the fleet the newest sum of the others covers.
 func (f *Fleet) View(now time.Duration) View {
-	sum, known := f.Others(now)
-	return View{Relay: f.relay, Parts: len(f.parts), Covered: sum.Routers, Live: f.Size(now) - 1, Age: now - f.outside.at, Known: known}
+	v := View{Relay: f.relay, Parts: len(f.parts), Live: f.Size(now) - 1, Age: now - f.outside.at, Known: f.known(now)}
+	if v.Known {
+		v.Covered = f.below.Routers + f.outside.sum.Routers
+	}
+	return v
+}
+
+// known reports whether the newest sum of those that don't report here is new enough to count.
+func (f *Fleet) known(now time.Duration) bool {
+	return f.outside.at > 0 && now-f.outside.at <= staleAfter*f.Period(now)
 }
 
 // Others gives what all other routers have in use, and false if that is not known now.
 func (f *Fleet) Others(now time.Duration) (Sum, bool) {
-	if f.outside.at == 0 || now-f.outside.at > staleAfter*f.Period(now) {
+	if !f.known(now) {
 		return Sum{}, false
 	}
-	return f.without(f.own), true
+	var others Sum
+	others.Add(f.below)
+	others.Add(f.outside.sum)
+	return others, true
 }
--- a/core/pool/shares.go
+++ b/core/pool/shares.go
@@ -172,8 +172,9 @@
 	}
 	mine := make(map[uint32]bool, len(s.teams))
 	for name, t := range s.teams {
-		mine[key(name)] = true
-		t.hear(o.Teams[key(name)])
+		id := key(name)
+		mine[id] = true
+		t.hear(o.Teams[id])
 	}
 	s.elsewhere = s.elsewhere[:0]
 	for id, r := range o.Teams {
