--- /dev/null
+++ b/mangoctl/fair/fair_test.go
@@ -0,0 +1,90 @@
+package fair
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"strings"
+	"testing"
+
+	"mangolug.org/mangoctl/shell"
+	"mangolug.org/mangoctl/stream"
+)
+
+// line is one line of a router's log at a second of 10:00.
+func line(router string, second int, text string) string {
+	return fmt.Sprintf("time=2026-12-04T10:00:%02d.5Z level=info router=%s %s\n", second, router, text)
+}
+
+// serve gives the lines of a request of 1,000 tokens that is sent at once and begins, or does not.
+func serve(router string, second int, team, id string, begins bool) string {
+	text := line(router, second, "msg=sent request="+id+" team="+team+" server=s prompt=900 output=50 send=1")
+	if begins {
+		text += line(router, second, "msg=began request="+id+" server=s")
+	}
+	return text
+}
+
+// logs of two routers: big gets four requests a second, small one of the five that it asks for, and idle one of one.
+func logs() map[string]string {
+	var one, two strings.Builder
+	for s := range 8 {
+		for i := range 4 {
+			one.WriteString(serve("one", s, "big", fmt.Sprint("b", s, i), true))
+		}
+		one.WriteString(line("one", s, "msg=refused request=x"+fmt.Sprint(s)+" reason=teamShare team=big"))
+		two.WriteString(serve("two", s, "small", fmt.Sprint("s", s), true))
+		two.WriteString(serve("two", s, "idle", fmt.Sprint("i", s), true))
+		two.WriteString(line("two", s, `msg="turned away" requests=5 teams=2 most=small ofThat=4`))
+	}
+	two.WriteString(serve("two", 3, "small", "never", false))
+	two.WriteString("time=2026-12-04T10:00:03Z level=info msg=se\n")
+	return map[string]string{"one": one.String(), "two": two.String()}
+}
+
+func TestFair(t *testing.T) {
+	texts := logs()
+	open := func(name string) (io.ReadCloser, error) {
+		text, ok := texts[name]
+		if !ok {
+			return nil, fs.ErrNotExist
+		}
+		return io.NopCloser(strings.NewReader(text)), nil
+	}
+	tests := map[string]struct {
+		options Options
+		logs    []string
+		out     string
+		talk    string
+		code    shell.ExitCode
+	}{
+		// From 1 to 7 small asks for 31,000 tokens, 6,000 of which begin, and big gets 24,000.
+		"a team that gets a quarter": {
+			Options{Window: 6, Most: 1}, []string{"one", "two"}, "span\t10:00:00\tsmall\t31000\t6000\tbig\t24000\t0.25\n", "1 lines could not be read\n", 0,
+		},
+		"JSON":                  {Options{Window: 6, Most: 1, JSON: true}, []string{"one", "two"}, `"part": 0.25`, "", 0},
+		"nobody wants more":     {Options{Window: 9, Most: 1}, []string{"one", "two"}, "", "no team was refused requests in each of 9 seconds", 0},
+		"one router's log":      {Options{Window: 6, Most: 1}, []string{"one"}, "", "no team", 0},
+		"a log that is missing": {Options{Window: 6}, []string{"three"}, "", "", shell.ExitFailure},
+		"no second":             {Options{}, []string{"one"}, "", "", shell.ExitUsage},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var out, talk bytes.Buffer
+			o := test.options
+			o.Streams, o.Open, o.Args.Logs = &stream.Streams{Out: &out, ErrOut: &talk}, open, test.logs
+			err := o.Execute(nil)
+			if code := shell.CodeOf(err); code != test.code {
+				t.Fatalf("exit code %d (%v), want %d", code, err, test.code)
+			}
+			if name == "a log that is missing" && !errors.Is(err, fs.ErrNotExist) {
+				t.Errorf("error %v does not name the cause", err)
+			}
+			if !strings.Contains(out.String(), test.out) || !strings.Contains(talk.String(), test.talk) {
+				t.Errorf("wrote %q and said %q, want %q and %q", out.String(), talk.String(), test.out, test.talk)
+			}
+		})
+	}
+}
--- a/mangoctl/root/root.go
+++ b/mangoctl/root/root.go
@@ -10,6 +10,7 @@
 	"mangolug.org/mangoctl/compl"
 	"mangolug.org/mangoctl/diff"
 	"mangolug.org/mangoctl/expl"
+	"mangolug.org/mangoctl/fair"
 	"mangolug.org/mangoctl/help"
 	"mangolug.org/mangoctl/record"
 	"mangolug.org/mangoctl/replay"
@@ -29,6 +30,7 @@
 		status.NewCommand(f),
 		expl.NewCommand(f),
 		story.NewCommand(f),
+		fair.NewCommand(f),
 		record.NewCommand(f),
 		replay.NewCommand(f),
 		compl.NewCommand(f),
--- a/mangoctl/root/root_test.go
+++ b/mangoctl/root/root_test.go
@@ -76,6 +76,9 @@
 		out  string
 		talk string
 	}{
+		"fair":              {args: []string{"fair", write("log", "time=2026-12-04T10:00:00Z level=info msg=starting router=one\n")}, talk: "no team was refused"},
+		"fair no window":    {args: []string{"fair", "--window", "0", good}, code: shell.ExitUsage, talk: "at least one second"},
+		"fair no log":       {args: []string{"fair", filepath.Join(folder, "none")}, code: shell.ExitFailure, talk: "none"},
 		"check good":        {args: []string{"check", good}, out: "accepted, 1 data centres"},
 		"check bad":         {args: []string{"check", bad}, code: shell.ExitRefused, out: "error\t4\t", talk: "refused whole"},
 		"check JSON":        {args: []string{"check", "--json", bad}, code: shell.ExitRefused, out: `"line": 4`, talk: "refused whole"},
--- a/mangoctl/story/line.go
+++ b/mangoctl/story/line.go
@@ -38,8 +38,8 @@
 	return ""
 }
 
-// read calls take with each line of a log that can be understood, and gives how many could not be.
-func read(r io.Reader, take func(Line)) (torn int, err error) {
+// Read calls take with each line of a log that can be understood, and gives how many could not be.
+func Read(r io.Reader, take func(Line)) (torn int, err error) {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, lineBytes)
 	for scanner.Scan() {
--- a/mangoctl/story/story.go
+++ b/mangoctl/story/story.go
@@ -67,7 +67,7 @@
 		return errors.Wrapf(err, "log %s", name)
 	}
 	defer r.Close()
-	torn, err := read(r, c.take)
+	torn, err := Read(r, c.take)
 	c.torn += torn
 	return errors.Wrapf(err, "log %s", name)
 }
