Log the framing, the event ids and the end of each attempt's answer

Cause: no line told how a server's answer shows its end, which event ids an attempt had, which id it resumed from or what ended it, so that the hypotheses of docs/incidents/streamOrder.md could not be told apart request by request.

Change: began, failed and answered have framing, firstEvent, resumedAfter; failed and answered also end, insideEvent and outOfOrder; sent has resumedAfter where it resumes. New counters unframedAnswers and eventIds.KIND. No line is added, so that the volume stays bounded. mangoctl why lists doubts: an answer whose end only the connection shows, and ids that do not rise. No change of logic: Send asks back.FramingOf in place of closeDelimited, with the same cases.

--- a/mangoctl/story/story.go
+++ b/mangoctl/story/story.go
@@ -75,11 +75,18 @@
 	if err := t.Write(o.Streams); err != nil {
 		return err
 	}
-	lines := &table.Table{Kind: "gap", Title: "missing", Header: []string{"WHAT"}}
+	gaps := &table.Table{Kind: "gap", Title: "missing", Header: []string{"WHAT"}}
 	for _, g := range s.Gaps {
-		lines.Add(g)
+		gaps.Add(g)
 	}
-	if len(lines.Rows) > 0 {
+	doubts := &table.Table{Kind: "doubt", Title: "doubtful", Header: []string{"WHAT"}}
+	for _, d := range s.Doubts {
+		doubts.Add(d)
+	}
+	for _, lines := range []*table.Table{gaps, doubts} {
+		if len(lines.Rows) == 0 {
+			continue
+		}
 		if err := lines.Write(o.Streams); err != nil {
 			return err
 		}
--- a/mangoctl/story/story_test.go
+++ b/mangoctl/story/story_test.go
@@ -27,6 +27,8 @@
 time=2026-12-04T07:00:21Z level=info msg=refused router=two request=c reason=tooManyOpen status=503 detail="too many requests open at this router"
 time=2026-12-04T07:00:22Z level=info msg=sent router=two request=d server=i-3 send=2
 time=2026-12-04T07:00:23Z level=info msg=usage router=two droppedLines=7
+time=2026-12-04T07:00:23Z level=info msg=sent router=two request=e server=i-3 send=1
+time=2026-12-04T07:00:23Z level=info msg=answered router=two request=e server=i-3 status=200 framing=connection end=connection outOfOrder=2
 time=2026-12-04T07:00:24Z level=info msg=retime=2026-12-04T07:00:24Z level=info msg=refused router=two request=c reason=teamShare
 `,
 }
@@ -68,6 +70,10 @@
 			request: "d", logs: []string{"two"},
 			want: []string{"gap\tthe lines of 1 attempts before this one to server i-3"},
 		},
+		"an end that may be a cut": {
+			request: "e", logs: []string{"two"},
+			want: []string{"framing=connection", "doubt\tonly the end of the connection shows that the answer of server i-3 is whole", "doubt\t2 events of server i-3 have ids that do not rise"},
+		},
 		"unknown request":    {request: "x", logs: []string{"one", "two"}, code: shell.ExitNotFound},
 		"a log that is gone": {request: "a", logs: []string{"three"}, code: shell.ExitFailure},
 	} {
--- a/mangoctl/story/timeline.go
+++ b/mangoctl/story/timeline.go
@@ -15,8 +15,9 @@
 type Timeline struct {
 	Request string   `json:"request"`
 	Steps   []Step   `json:"steps"`
-	Gaps    []string `json:"gaps"` // what the logs lack
-	End     string   `json:"end"`  // how the request ended, as a sentence
+	Gaps    []string `json:"gaps"`   // what the logs lack
+	Doubts  []string `json:"doubts"` // why the answer may not be whole or in order
+	End     string   `json:"end"`    // how the request ended, as a sentence
 }
 
 // Step is one log line of a Timeline.
@@ -89,6 +90,7 @@
 		s.Steps = append(s.Steps, Step{l.Time.Sub(first), l.Get("request") == c.request, l})
 	}
 	s.Gaps = c.missing(routers)
+	s.Doubts = c.doubts()
 	s.End = describeEnd(c.requestLines[len(c.requestLines)-1], first)
 	return s
 }
@@ -124,6 +126,21 @@
 	return gaps
 }
 
+// doubts lists what speaks against the answer being whole and in order.
+func (c *collector) doubts() []string {
+	var doubts []string
+	for _, l := range c.requestLines {
+		server := l.Get("server")
+		if l.Message == "answered" && l.Get("end") == "connection" {
+			doubts = append(doubts, "only the end of the connection shows that the answer of server "+server+" is whole")
+		}
+		if n := l.Get("outOfOrder"); n != "" {
+			doubts = append(doubts, n+" events of server "+server+" have ids that do not rise")
+		}
+	}
+	return doubts
+}
+
 // hasOutcome reports whether the lines that follow a sent attempt contain its outcome.
 func (c *collector) hasOutcome(lines []Line) bool {
 	for _, l := range lines {
--- a/router/back/client.go
+++ b/router/back/client.go
@@ -288,7 +288,7 @@
 	if overloaded && response.Header.Get(HeaderNotRun) == "true" {
 		return nil, reject(fleet.ReasonServerOverloaded, true)
 	}
-	if closeDelimited(a, response) {
+	if FramingOf(a.Method, response) == FramingConnection { // truncation can't be detected
 		return nil, reject(fleet.ReasonStreamBroken, false)
 	}
 	return &Answer{
@@ -296,10 +296,3 @@
 		Length: response.ContentLength, Body: response.Body,
 	}, nil
 }
-
-// closeDelimited reports whether the end of the connection ends the response, so that truncation can't be detected.
-func closeDelimited(a *Attempt, response *http.Response) bool {
-	chunked := len(response.TransferEncoding) > 0 && response.TransferEncoding[0] == "chunked"
-	empty := a.Method == http.MethodHead || response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified
-	return response.ContentLength < 0 && !chunked && !empty
-}
--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -17,6 +18,7 @@
 	response *http.Response
 	status   int
 	info     ResponseInfo
+	progress *progress
 	body     []byte // set once it is complete
 }
 
@@ -60,7 +62,9 @@
 
 // forwardWhole buffers an answer until it is complete and then sends it to the caller.
 func (c *call) forwardWhole(ctx context.Context, run *pool.Run, a *answer, result *pool.Result) error {
-	body, err := io.ReadAll(io.LimitReader(a.response.Body, answerLimit+1))
+	end := &bodyEnd{reader: a.response.Body}
+	body, err := io.ReadAll(io.LimitReader(end, answerLimit+1))
+	a.progress.recordEnd(end.err)
 	if err != nil || len(body) > answerLimit {
 		result.Failed, result.CallerGone = true, ctx.Err() != nil
 		return &attemptError{server: run.Server.ID, reason: fleet.ReasonStreamBroken, cause: err}
@@ -73,25 +77,29 @@
 		return &attemptError{server: run.Server.ID, reason: fleet.ReasonServerFailed}
 	}
 	a.write(c)
-	c.recordAnswered(a.status, run.Server.ID)
+	c.recordAnswered(a, run.Server.ID)
 	return nil
 }
 
 // forwardEvents sends complete events to the caller as they arrive.
 func (c *call) forwardEvents(ctx context.Context, run *pool.Run, a *answer, result *pool.Result) error {
-	events := back.NewEvents(a.response.Body)
+	end := &bodyEnd{reader: a.response.Body}
+	events := back.NewEvents(end)
 	controller := http.NewResponseController(c.writer)
 	first := true
 	for {
 		event, err := events.Next()
 		if err != nil {
+			a.progress.recordEnd(end.err)
 			if back.IsCleanEnd(err) {
 				if !c.headerWritten {
 					a.writeHeader(c, -1)
 				}
-				c.recordAnswered(a.status, run.Server.ID)
+				c.recordAnswered(a, run.Server.ID)
 				return nil
 			}
+			var broken *back.EventError
+			a.progress.insideEvent = errors.As(err, &broken) && broken.Inside
 			result.Failed, result.CallerGone = true, ctx.Err() != nil
 			return &attemptError{server: run.Server.ID, reason: fleet.ReasonStreamBroken, cause: err}
 		}
@@ -103,9 +111,14 @@
 		if first {
 			first = false
 			c.relay.Gate.Began(run)
-			c.log("began", "server", run.Server.ID, "after", c.relay.Clock()-c.arrived)
+			a.progress.firstEvent = event.ID
+			c.logBegan(run, a)
 			c.relay.observe("firstEventMillis", c.relay.Clock()-c.arrived)
 		}
+		if step := stepOf(c.lastEvent, event); step != IDRises {
+			a.progress.outOfOrder++
+			c.relay.count(eventIDCounter(step))
+		}
 		if !c.headerWritten {
 			a.writeHeader(c, -1)
 		}
@@ -123,11 +136,22 @@
 }
 
 // recordAnswered updates counters, durations and the log for an answered request.
-func (c *call) recordAnswered(status int, server string) {
+func (c *call) recordAnswered(a *answer, server string) {
 	c.relay.count("answered")
 	c.relay.observe("wholeMillis", c.relay.Clock()-c.arrived)
 	c.relay.durations.observe(c.route.Name, c.relay.Clock()-c.arrived)
-	c.log("answered", "server", server, "status", status, "lastEvent", c.lastEvent, "longestPause", c.longestPause, "after", c.relay.Clock()-c.arrived)
+	c.log("answered", append([]interface{}{
+		"server", server, "status", a.status, "lastEvent", c.lastEvent, "longestPause", c.longestPause, "after", c.relay.Clock() - c.arrived,
+	}, a.progress.fields()...)...)
+}
+
+// logBegan logs the first event of an attempt's answer.
+func (c *call) logBegan(run *pool.Run, a *answer) {
+	fields := []interface{}{"server", run.Server.ID, "after", c.relay.Clock() - c.arrived, "framing", a.progress.framing, "firstEvent", a.progress.firstEvent}
+	if a.progress.resumedAfter != "" {
+		fields = append(fields, "resumedAfter", a.progress.resumedAfter)
+	}
+	c.log("began", fields...)
 }
 
 // log logs a decision about this request.
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -36,6 +36,7 @@
 
 	runs          int           // number of servers that may have run it
 	sends         int           // number of times that it was sent to a server
+	progress      *progress     // of the newest attempt
 	tried         []string      // servers that are excluded from retries
 	headerWritten bool          // the answer's header was sent to the caller
 	lastEvent     string        // id of the newest event sent to the caller
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -127,3 +127,6 @@
 
 // refusalCounter returns the name of the counter for a refusal reason.
 func refusalCounter(r fleet.Reason) string { return "refused." + r.String() }
+
+// eventIDCounter returns the name of the counter for events whose ids are not in order.
+func eventIDCounter(s IDStep) string { return "eventIds." + s.String() }
--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -34,8 +34,8 @@
 			continue
 		}
 		c.sends++
-		c.log("sent", "team", c.team, "server", v.Run.Server.ID, "dataCentre", v.Run.Server.DataCentre, "waited", v.Waited, "backlog", v.Backlog,
-			"unread", v.Run.PrefillTokens, "again", v.Run.SharedPrefillTokens, "home", v.Run.Home, "pace", v.PrefillRate, "prompt", c.info.Prompt, "output", c.info.Output, "hint", c.info.LengthHint, "cold", v.Run.Cold, "send", c.sends)
+		c.progress = &progress{resumedAfter: c.lastEvent}
+		c.logSent(v)
 		err := c.attempt(ctx, v.Run)
 		if err == nil {
 			return nil
@@ -46,6 +46,19 @@
 	}
 }
 
+// logSent logs that the request goes to the server that the pool chose.
+func (c *call) logSent(v pool.Decision) {
+	fields := []interface{}{
+		"team", c.team, "server", v.Run.Server.ID, "dataCentre", v.Run.Server.DataCentre, "waited", v.Waited, "backlog", v.Backlog,
+		"unread", v.Run.PrefillTokens, "again", v.Run.SharedPrefillTokens, "home", v.Run.Home, "pace", v.PrefillRate, "prompt", c.info.Prompt,
+		"output", c.info.Output, "hint", c.info.LengthHint, "cold", v.Run.Cold, "send", c.sends,
+	}
+	if c.progress.resumedAfter != "" {
+		fields = append(fields, "resumedAfter", c.progress.resumedAfter)
+	}
+	c.log("sent", fields...)
+}
+
 // poolRefusal returns the refusal for a request that the pool did not admit.
 func (c *call) poolRefusal(ctx context.Context, v pool.Decision) *refusal {
 	if ctx.Err() != nil {
@@ -110,7 +123,9 @@
 	if ctx.Err() != nil {
 		return c.interrupted(ctx, err.Error())
 	}
-	c.log("failed", "server", failed.server, "reason", failed.reason, "notRun", failed.notRun, "detail", err.Error(), "lastEvent", c.lastEvent)
+	c.log("failed", append([]interface{}{
+		"server", failed.server, "reason", failed.reason, "notRun", failed.notRun, "detail", err.Error(), "lastEvent", c.lastEvent,
+	}, c.progress.fields()...)...)
 	if failed.reason == fleet.ReasonGrantExpired {
 		c.sends-- // nothing was sent
 		return nil
@@ -139,7 +154,7 @@
 func (c *call) finalRefusal(failed *attemptError) *refusal {
 	if c.serverFailure != nil && !c.headerWritten {
 		c.serverFailure.write(c)
-		c.recordAnswered(c.serverFailure.status, failed.server)
+		c.recordAnswered(c.serverFailure, failed.server)
 		c.serverFailure = nil
 		return &refusal{reason: fleet.ReasonNone}
 	}
@@ -189,7 +204,11 @@
 		return &attemptError{server: run.Server.ID, reason: failed.Reason, notRun: failed.NotRun, cause: failed.Err}
 	}
 	defer response.Body.Close()
-	a := &answer{response: response, status: response.StatusCode, info: c.relay.HeaderCodec.ParseResponse(response.Header)}
+	a := &answer{response: response, status: response.StatusCode, info: c.relay.HeaderCodec.ParseResponse(response.Header), progress: c.progress}
+	c.progress.framing = back.FramingOf(c.request.Method, response)
+	if c.progress.framing == back.FramingConnection {
+		c.relay.count("unframedAnswers")
+	}
 	c.observeServer(run, a)
 	if err := c.verify(run, a, &result); err != nil {
 		if a.info.ID != c.info.ID {
