--- a/router/relay/world_test.go
+++ b/router/relay/world_test.go
@@ -75,6 +75,7 @@
 	received [3]atomic.Int64
 
 	addresses [3]string
+	listeners [3]net.Listener // of the servers
 	table     atomic.Pointer[route.Table]
 }
 
@@ -100,7 +101,7 @@
 			serve(w, i, rw, r)
 		}))
 		t.Cleanup(s.Close)
-		w.addresses[i] = strings.TrimPrefix(s.URL, "http://")
+		w.addresses[i], w.listeners[i] = strings.TrimPrefix(s.URL, "http://"), s.Listener
 		p.SetServer(0, pool.Server{ID: fmt.Sprint("s", i), Service: "desk", Address: strings.TrimPrefix(s.URL, "http://"), DataCentre: "east", Slots: 8})
 	}
 	w.relay = &Relay{
@@ -220,10 +221,20 @@
 	}
 }
 
+// die ends a server as the kernel does for a killed process: connections to it are refused, and the one of the request closes in order
+// after the given bytes.
+func (w *fixture) die(server int, rw http.ResponseWriter, text string) {
+	_ = w.listeners[server].Close() // fails only if the server is dead already
+	writeRaw(rw, text)
+}
+
 // wholeStream returns the complete text of a stream of n events.
-func wholeStream(n int) string {
+func wholeStream(n int) string { return eventsText(1, n) }
+
+// eventsText returns the text of the events first to last of a stream.
+func eventsText(first, last int) string {
 	text := ""
-	for i := 1; i <= n; i++ {
+	for i := first; i <= last; i++ {
 		text += fmt.Sprintf("id: %d\ndata: event %d\n\n", i, i)
 	}
 	return text
