Believe no promise in the answer to another request

Callers saw: an unsafe request ran twice. Cause: the relay looked at status 421 and the not-run header before it looked at the request id, so an answer to another request on a kept connection promised that this one did not run, and it was sent again while its server ran it.

Change: an answer with the id of another request is foreign, whatever it says. Rejections without an id, as servers send them, count as before.

TestForeignPromises failed in 10 of 10 runs before (a second server got the request) and passes now.

--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -278,6 +278,9 @@
 		return &attemptError{server: run.Server.ID, reason: reason, notRun: notRun, cause: errors.New("status " + strconv.Itoa(a.status))}
 	}
 	switch {
+	case a.info.ID != "" && a.info.ID != c.info.ID: // what it says of running its request is not about this one
+		result.Failed = true
+		return fail(fleet.ReasonForeignAnswer, false)
 	case a.status == http.StatusMisdirectedRequest:
 		result.AddressReused = true
 		return fail(fleet.ReasonServerLeaving, true)
