Write nothing but events behind the events of a stream

Callers saw: a stream that ends as complete before its last event, with the text of another answer behind it. Cause: where a stream broke off and the resumed run answered with a 4xx, a 204, a 200 that is no stream or a content type that only begins like that of a stream, the answer was written behind the events and ended the caller's answer in order.

Change: once a stream's header is out, an answer of another kind is a failed attempt: the stream goes on elsewhere or is cut. The content type is parsed.

--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -4,9 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
-	"strings"
 
 	"mangolug.org/core/fleet"
 	"mangolug.org/core/pool"
@@ -23,7 +23,8 @@
 }
 
 func (a *answer) isEventStream() bool {
-	return a.status == http.StatusOK && strings.HasPrefix(a.response.Header.Get("Content-Type"), "text/event-stream")
+	media, _, err := mime.ParseMediaType(a.response.Header.Get("Content-Type"))
+	return a.status == http.StatusOK && (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter)) && media == "text/event-stream"
 }
 
 // writeHeader sends the answer's header to the caller. A negative length sets no Content-Length.
--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"mangolug.org/core/fleet"
 	"mangolug.org/core/pool"
 	"mangolug.org/router/back"
@@ -221,6 +222,11 @@
 	if a.isEventStream() {
 		return c.forwardEvents(ctx, run, a, &result)
 	}
+	if c.headerWritten {
+		result.Failed = a.status >= http.StatusInternalServerError
+		cause := errors.Errorf("status %d, content type %q in answer to the rest of a stream", a.status, a.response.Header.Get("Content-Type"))
+		return &attemptError{server: run.Server.ID, reason: fleet.ReasonServerFailed, cause: cause}
+	}
 	return c.forwardWhole(ctx, run, a, &result)
 }
 
