Reset the connection of an HTTP/1.0 caller whose answer breaks off

Callers saw: half an answer as a complete one. Cause: an answer to an HTTP/1.0 caller has no chunks, so the end of its connection is its end, and an aborted handler's connection is closed in order.

Change: such a connection is reset. HTTP/1.1 callers miss the last chunk as before.

TestBrokenAnswerToOldCaller failed in 10 of 10 runs before and passes now; TestWholeAnswerToOldCaller passes as before.

--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"mime"
+	"net"
 	"net/http"
 	"strconv"
 
@@ -173,7 +174,7 @@
 		c.logRefusal(e)
 	}
 	if e.abort || c.headerWritten { // an answer that has begun must not look complete
-		panic(http.ErrAbortHandler)
+		c.abort()
 	}
 	h := c.writer.Header()
 	c.relay.HeaderCodec.SetRequestID(h, c.info.ID)
@@ -189,6 +190,20 @@
 	}
 }
 
+// abort ends the caller's connection so that its answer looks incomplete. Answers to HTTP/1.0 callers have no chunks, and end in order
+// unless their connection is reset.
+func (c *call) abort() {
+	if !c.request.ProtoAtLeast(1, 1) {
+		if conn, _, err := http.NewResponseController(c.writer).Hijack(); err == nil { // unsupported only by test recorders
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0) // fails only if the connection is closed
+			}
+			_ = conn.Close() // the caller is gone if it fails
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // logRefusal logs a refusal and the data that it is based on.
 func (c *call) logRefusal(e *refusal) {
 	route, version := "", int64(0)
