Pass on only events that follow those that the caller has

Callers saw: events that come twice, ids that go back, events of two runs joined. Cause: the relay compared ids with nothing: a resumed run that begins anew, repeats the last event or goes back was passed on, an answer from event 1 to a caller that resumes after a later one as well, and so were the head and the events of a second answer inside an answer without a length. A run that broke off after events without ids was begun anew behind them.

Change: eventOrder holds what the caller has over all runs of a request. An event that doesn't rise above it, or a resumed run that leaves events out where ids have counted by ones, ends the attempt: the stream goes on elsewhere or is cut. A stream whose ids can't be compared is passed on but not resumed.

--- a/router/back/events.go
+++ b/router/back/events.go
@@ -47,6 +47,8 @@
 	Data []byte // data lines, joined by line feeds
 	ID   string // value of the id line; empty if there is none
 	End  bool   // whether the event is the end marker
+
+	Comment bool // whether it has only comments and fields that carry no content
 }
 
 var errEventTooLong = errors.New("event too long")
@@ -68,7 +70,7 @@
 	if limit == 0 {
 		limit = DefaultEventBytes
 	}
-	var event Event
+	event := Event{Comment: true}
 	var lines [][]byte
 	for {
 		line, err := e.line(limit - len(event.Text))
@@ -80,6 +82,7 @@
 		if len(text) == 0 {
 			break
 		}
+		event.Comment = event.Comment && isComment(text)
 		if data, ok := bytes.CutPrefix(text, []byte("data:")); ok {
 			lines = append(lines, bytes.Clone(bytes.TrimPrefix(data, []byte(" "))))
 		}
@@ -93,6 +96,11 @@
 	return event, nil
 }
 
+// isComment reports whether a line is a comment or a field that carries no content without a data line.
+func isComment(line []byte) bool {
+	return line[0] == ':' || bytes.HasPrefix(line, []byte("retry:")) || bytes.HasPrefix(line, []byte("event:"))
+}
+
 // Ready reports whether a complete further event is buffered, so that Next will not block.
 func (e *Events) Ready() bool {
 	buffered, err := e.reader.Peek(e.reader.Buffered())
--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"mime"
 	"net"
 	"net/http"
 	"strconv"
 
+	"github.com/pkg/errors"
+
 	"mangolug.org/core/fleet"
 	"mangolug.org/core/pool"
 	"mangolug.org/router/back"
@@ -88,7 +89,7 @@
 	end := &bodyEnd{reader: a.response.Body}
 	events := back.NewEvents(end)
 	controller := http.NewResponseController(c.writer)
-	first := true
+	first, resumes := true, c.order.last != "" && c.headerWritten
 	for {
 		event, err := events.Next()
 		if err != nil {
@@ -105,6 +106,13 @@
 			result.Failed, result.CallerGone = true, ctx.Err() != nil
 			return &attemptError{server: run.Server.ID, reason: fleet.ReasonStreamBroken, cause: err}
 		}
+		if err := c.order.accept(event, resumes); err != nil {
+			if c.headerWritten {
+				_ = controller.Flush() // of the events before it; the next write reports that the caller has gone
+			}
+			return c.outOfOrder(run, a, result, err)
+		}
+		resumes = resumes && event.Comment
 		now := c.relay.Clock()
 		if c.lastEventAt > 0 {
 			c.longestPause = max(c.longestPause, now-c.lastEventAt)
@@ -117,10 +125,6 @@
 			c.logBegan(run, a)
 			c.relay.observe("firstEventMillis", c.relay.Clock()-c.arrived)
 		}
-		if step := stepOf(c.lastEvent, event); step != IDRises {
-			a.progress.outOfOrder++
-			c.relay.count(eventIDCounter(step))
-		}
 		if !c.headerWritten {
 			a.writeHeader(c, -1)
 		}
@@ -131,19 +135,29 @@
 			result.CallerGone = true
 			return err
 		}
-		if event.ID != "" {
-			c.lastEvent = event.ID
-		}
 	}
 }
 
+// outOfOrder handles an event that does not follow those that the caller has: nothing more of its answer is passed on.
+func (c *call) outOfOrder(run *pool.Run, a *answer, result *pool.Result, err error) error {
+	var order *OrderError
+	if errors.As(err, &order) {
+		a.progress.outOfOrder++
+		c.relay.count(eventIDCounter(order.Step))
+	}
+	a.progress.recordEnd(nil)
+	back.CloseConnection(a.response)
+	result.Failed = true
+	return &attemptError{server: run.Server.ID, reason: fleet.ReasonForeignAnswer, cause: err}
+}
+
 // recordAnswered updates counters, durations and the log for an answered request.
 func (c *call) recordAnswered(a *answer, server string) {
 	c.relay.count("answered")
 	c.relay.observe("wholeMillis", c.relay.Clock()-c.arrived)
 	c.relay.durations.observe(c.route.Name, c.relay.Clock()-c.arrived)
 	c.log("answered", append([]interface{}{
-		"server", server, "status", a.status, "lastEvent", c.lastEvent, "longestPause", c.longestPause, "after", c.relay.Clock() - c.arrived,
+		"server", server, "status", a.status, "lastEvent", c.order.last, "longestPause", c.longestPause, "after", c.relay.Clock() - c.arrived,
 	}, a.progress.fields()...)...)
 }
 
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -39,7 +39,7 @@
 	progress      *progress     // of the newest attempt
 	tried         []string      // servers that are excluded from retries
 	headerWritten bool          // the answer's header was sent to the caller
-	lastEvent     string        // id of the newest event sent to the caller
+	order         eventOrder    // of the events sent to the caller
 	lastEventAt   time.Duration // time of the newest event
 	longestPause  time.Duration // longest time between two events
 	serverFailure *answer       // a server's failure answer, passed on if no retry succeeds
@@ -60,7 +60,6 @@
 func (c *call) prepare() *refusal {
 	info, err := c.relay.HeaderCodec.ParseRequest(c.request.Header)
 	c.info = info
-	c.lastEvent = info.LastEvent
 	if err != nil {
 		return &refusal{reason: fleet.ReasonBadRequest, status: http.StatusBadRequest, detail: err.Error()}
 	}
@@ -71,6 +70,9 @@
 	if e := c.resolve(c.table); e != nil {
 		return e
 	}
+	if _, err := strconv.ParseUint(info.LastEvent, 10, 64); err == nil && c.route.Resumable {
+		c.order.last = info.LastEvent
+	}
 	if load := c.countOpen(); c.relay.Overloaded != nil && c.relay.Overloaded(load) {
 		return c.shed()
 	}
--- a/router/relay/enums_string.go
+++ b/router/relay/enums_string.go
@@ -39,11 +39,12 @@
 	_ = x[IDLower-2]
 	_ = x[IDMissing-3]
 	_ = x[IDNotNumber-4]
+	_ = x[IDSkips-5]
 }
 
-const _IDStep_name = "risesrepeatedlowermissingnotNumber"
+const _IDStep_name = "risesrepeatedlowermissingnotNumberskips"
 
-var _IDStep_index = [...]uint8{0, 5, 13, 18, 25, 34}
+var _IDStep_index = [...]uint8{0, 5, 13, 18, 25, 34, 39}
 
 func (i IDStep) String() string {
 	idx := int(i) - 0
--- a/router/relay/progress.go
+++ b/router/relay/progress.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"strconv"
-	"strings"
 	"syscall"
 
 	"mangolug.org/router/back"
@@ -39,6 +38,7 @@
 	IDLower                   // lower
 	IDMissing                 // missing
 	IDNotNumber               // notNumber
+	IDSkips                   // skips
 )
 
 // progress records how far an attempt's answer came.
@@ -104,7 +104,7 @@
 // stepOf returns the order of an event's id after the event with the id last, which is empty if there was none.
 func stepOf(last string, event back.Event) IDStep {
 	if event.ID == "" {
-		if last == "" || isComment(event) {
+		if last == "" || event.Comment {
 			return IDRises
 		}
 		return IDMissing
@@ -127,13 +127,3 @@
 	}
 	return IDRises
 }
-
-// isComment reports whether an event consists of comment lines only, which servers send to keep a connection alive.
-func isComment(event back.Event) bool {
-	for line := range strings.Lines(string(event.Text)) {
-		if text := strings.TrimRight(line, "\r\n"); text != "" && !strings.HasPrefix(text, ":") {
-			return false
-		}
-	}
-	return true
-}
--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -35,7 +35,7 @@
 			continue
 		}
 		c.sends++
-		c.progress = &progress{resumedAfter: c.lastEvent}
+		c.progress = &progress{resumedAfter: c.order.last}
 		c.logSent(v)
 		err := c.attempt(ctx, v.Run)
 		if err == nil {
@@ -125,13 +125,15 @@
 		return c.interrupted(ctx, err.Error())
 	}
 	c.log("failed", append([]interface{}{
-		"server", failed.server, "reason", failed.reason, "notRun", failed.notRun, "detail", err.Error(), "lastEvent", c.lastEvent,
+		"server", failed.server, "reason", failed.reason, "notRun", failed.notRun, "detail", err.Error(), "lastEvent", c.order.last,
 	}, c.progress.fields()...)...)
 	if failed.reason == fleet.ReasonGrantExpired {
 		c.sends-- // nothing was sent
 		return nil
 	}
 	switch {
+	case c.headerWritten && c.order.blind:
+		return c.finalRefusal(failed)
 	case c.runs > 0 && !c.route.Idempotent(), c.runs >= max(1, c.route.Attempts):
 		return c.finalRefusal(failed)
 	case c.sends >= maxSends:
@@ -173,7 +175,7 @@
 	h.Del("Expect")
 	h.Del("Content-Length")
 	c.relay.HeaderCodec.WriteRequest(h, Outgoing{
-		Server: run.Server.ID, Team: c.team, Timeout: c.deadline - c.relay.Clock(), LastEvent: c.lastEvent,
+		Server: run.Server.ID, Team: c.team, Timeout: c.deadline - c.relay.Clock(), LastEvent: c.order.last,
 	})
 	if h.Get("User-Agent") == "" {
 		h["User-Agent"] = nil // otherwise net/http sets its own
