Let a local process have variables of its own

Cause: the stand-in of a backend server is to be the test binary itself, which is told by a variable of its environment to be one. Change: Process.Env is added to the inherited environment. Result: TestProcessEnvironment fails with the field unused (not within 5s: DRILL_OWN=set is not in the environment) and passes now.

--- a/stage/local/local_test.go
+++ b/stage/local/local_test.go
@@ -1,13 +1,16 @@
 package local
 
 import (
+	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
 )
 
 func TestRules(t *testing.T) {
@@ -56,3 +59,31 @@
 		t.Errorf("stop: %v, running %v", err, p.Running())
 	}
 }
+
+// TestProcessEnvironment guards against a process that lacks its variables, or has them in place of the inherited ones.
+func TestProcessEnvironment(t *testing.T) {
+	env, err := exec.LookPath("env")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("DRILL_INHERITED", "kept")
+	p := &Process{Name: "env", Path: env, Env: []string{"DRILL_OWN=set"}, Log: filepath.Join(t.TempDir(), "log")}
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	err = Until(5*time.Second, func() error {
+		text, err := os.ReadFile(p.Log)
+		if err != nil {
+			return err
+		}
+		for _, want := range []string{"DRILL_INHERITED=kept", "DRILL_OWN=set"} {
+			if !slices.Contains(strings.Split(string(text), "\n"), want) {
+				return errors.Errorf("%s is not in the environment", want)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Error(err)
+	}
+}
--- a/stage/local/process.go
+++ b/stage/local/process.go
@@ -16,7 +16,8 @@
 	Name string
 	Path string
 	Args []string
-	Log  string // file that its output is added to
+	Env  []string // NAME=value, added to this process's own environment
+	Log  string   // file that its output is added to
 
 	mutex   sync.Mutex
 	command *exec.Cmd
@@ -50,6 +51,7 @@
 	}
 	defer func() { _ = output.Close() }()
 	command := exec.Command(p.Path, p.Args...)
+	command.Env = append(os.Environ(), p.Env...)
 	command.Stdout, command.Stderr = output, output
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	started := make(chan error)
