Ask whether a server lives before the end of its connection counts as the end of its answer

Cause: an answer may have neither a length nor chunks and end with its connection. The kernel closes the connections of a killed process in order where nothing is unread, which looks the same, and the relay ended the caller's answer with its last chunk or a length.

Weighed: rejecting all such answers loses whole ones of servers that always answer so; passing them on as they came (no chunks either) makes a killed router look like a whole answer as well; resuming each of them to ask whether more follows runs each prompt twice.

Change: the server's health check is asked after the end of the connection. A killed process runs no code any more, so only a living one answers; a different server at the address is told by its id. Without an answer the stream goes on elsewhere, a safe request is sent again, and others get 502 or a cut stream.

--- a/core/route/config.go
+++ b/core/route/config.go
@@ -51,6 +51,7 @@
 // Service is a set of interchangeable backend servers.
 type Service struct {
 	Name           string
+	HealthPath     string        // path of its servers' health checks; empty if there are none
 	Model          bool          // its servers run a language model
 	MaxConnections int           // maximum number of connections that each server accepts
 	ColdRate       float64       // requests per second that a cold server tolerates
--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -72,6 +72,9 @@
 		result.Failed, result.CallerGone = true, ctx.Err() != nil
 		return &attemptError{server: run.Server.ID, reason: fleet.ReasonStreamBroken, cause: err}
 	}
+	if err := c.confirmEnd(ctx, run, a, result); err != nil {
+		return err
+	}
 	a.body = body
 	c.relay.Gate.Began(run)
 	if a.status >= http.StatusInternalServerError {
@@ -95,6 +98,9 @@
 		if err != nil {
 			a.progress.recordEnd(end.err)
 			if back.IsCleanEnd(err) {
+				if err := c.confirmEnd(ctx, run, a, result); err != nil {
+					return err
+				}
 				if !c.headerWritten {
 					a.writeHeader(c, -1)
 				}
--- a/router/relay/world_test.go
+++ b/router/relay/world_test.go
@@ -34,8 +34,12 @@
 	testNotRun    = "X-Not-Run"
 	testLeaving   = "X-Leaving"
 	testPause     = "X-Rest" // whole seconds
+	testInstance  = "X-Instance"
 )
 
+// testHealthPath is the path of the servers' health checks.
+const testHealthPath = "/health"
+
 func testDialect() HeaderCodec {
 	return HeaderCodec{
 		ParseRequest: func(h http.Header) (RequestInfo, error) {
@@ -55,7 +59,7 @@
 			}
 		},
 		ParseResponse: func(h http.Header) ResponseInfo {
-			t := ResponseInfo{ID: h.Get(testID), Signed: h.Get(testSigned) != "", NotRun: h.Get(testNotRun) != "", Leaving: h.Get(testLeaving) != ""}
+			t := ResponseInfo{ID: h.Get(testID), Server: h.Get(testInstance), Signed: h.Get(testSigned) != "", NotRun: h.Get(testNotRun) != "", Leaving: h.Get(testLeaving) != ""}
 			if seconds, err := strconv.Atoi(h.Get(testPause)); err == nil {
 				t.RetryAfter = time.Duration(seconds) * time.Second
 			} else {
@@ -91,6 +95,10 @@
 	w.table.Store(table)
 	for i := range w.received {
 		s := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == testHealthPath {
+				rw.Header().Set(testInstance, fmt.Sprint("s", i))
+				return
+			}
 			w.received[i].Add(1)
 			rw.Header().Set(testID, r.Header.Get(testID))
 			body, err := io.ReadAll(r.Body) // net/http detects that a caller leaves only after the body is read
@@ -127,7 +135,7 @@
 			{Name: "briefFixed", Host: "h", Prefix: "/briefFixed/", Kind: route.KindStream, Timeout: 200 * time.Millisecond, Objective: second, Attempts: 2, Public: true, Split: split},
 			{Name: "keyed", Host: "h", Prefix: "/keyed/", Kind: route.KindSafe, Timeout: 2 * second, Objective: second, Attempts: 2, Split: split},
 		},
-		Services: []route.Service{{Name: "desk"}},
+		Services: []route.Service{{Name: "desk", HealthPath: testHealthPath}},
 		Teams:    []route.Team{{Name: "farm", Keys: []string{"k1"}}},
 		Limits:   route.Limits{HeaderBytes: 4096, BodyBytes: 1000},
 	}
