--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"mangolug.org/core/fleet"
 	"mangolug.org/core/pool"
 	"mangolug.org/router/back"
@@ -34,7 +35,7 @@
 			continue
 		}
 		c.sends++
-		c.progress = &progress{resumedAfter: c.lastEvent}
+		c.progress = &progress{resumedAfter: c.order.last}
 		c.logSent(v)
 		err := c.attempt(ctx, v.Run)
 		if err == nil {
@@ -124,13 +125,15 @@
 		return c.interrupted(ctx, err.Error())
 	}
 	c.log("failed", append([]interface{}{
-		"server", failed.server, "reason", failed.reason, "notRun", failed.notRun, "detail", err.Error(), "lastEvent", c.lastEvent,
+		"server", failed.server, "reason", failed.reason, "notRun", failed.notRun, "detail", err.Error(), "lastEvent", c.order.last,
 	}, c.progress.fields()...)...)
 	if failed.reason == fleet.ReasonGrantExpired {
 		c.sends-- // nothing was sent
 		return nil
 	}
 	switch {
+	case c.headerWritten && c.order.blind:
+		return c.finalRefusal(failed)
 	case c.runs > 0 && !c.route.Idempotent(), c.runs >= max(1, c.route.Attempts):
 		return c.finalRefusal(failed)
 	case c.sends >= maxSends:
@@ -172,7 +175,7 @@
 	h.Del("Expect")
 	h.Del("Content-Length")
 	c.relay.HeaderCodec.WriteRequest(h, Outgoing{
-		Server: run.Server.ID, Team: c.team, Timeout: c.deadline - c.relay.Clock(), LastEvent: c.lastEvent,
+		Server: run.Server.ID, Team: c.team, Timeout: c.deadline - c.relay.Clock(), LastEvent: c.order.last,
 	})
 	if h.Get("User-Agent") == "" {
 		h["User-Agent"] = nil // otherwise net/http sets its own
@@ -211,7 +214,8 @@
 	}
 	c.observeServer(run, a)
 	if err := c.verify(run, a, &result); err != nil {
-		if a.info.ID != c.info.ID {
+		if a.info.ID != c.info.ID || a.status == http.StatusMisdirectedRequest {
+			// A second copy of this answer would be read as that of the next request, which may be this one again.
 			back.CloseConnection(response)
 		}
 		return err
@@ -220,6 +224,11 @@
 	if a.isEventStream() {
 		return c.forwardEvents(ctx, run, a, &result)
 	}
+	if c.headerWritten {
+		result.Failed = a.status >= http.StatusInternalServerError
+		cause := errors.Errorf("status %d, content type %q in answer to the rest of a stream", a.status, a.response.Header.Get("Content-Type"))
+		return &attemptError{server: run.Server.ID, reason: fleet.ReasonServerFailed, cause: cause}
+	}
 	return c.forwardWhole(ctx, run, a, &result)
 }
 
@@ -278,6 +287,9 @@
 		return &attemptError{server: run.Server.ID, reason: reason, notRun: notRun, cause: errors.New("status " + strconv.Itoa(a.status))}
 	}
 	switch {
+	case a.info.ID != "" && a.info.ID != c.info.ID: // what it says of running its request is not about this one
+		result.Failed = true
+		return fail(fleet.ReasonForeignAnswer, false)
 	case a.status == http.StatusMisdirectedRequest:
 		result.AddressReused = true
 		return fail(fleet.ReasonServerLeaving, true)
