--- a/router/front/front_test.go
+++ b/router/front/front_test.go
@@ -355,8 +355,18 @@
 			answers: []string{stream(false, a1, a2), stream(true, b1, event("b", "oak"), doneEvent)},
 			passed:  a1 + a2, reason: "streamBroken", ends: []string{"1 failed", "2 cancelled"}, diverge: 1,
 		},
-		"ends early":       {answers: []string{stream(false, a1, a2), stream(true, b1, doneEvent)}, passed: a1 + a2, reason: "streamBroken", ends: []string{"1 failed", "2 cancelled"}, diverge: 1},
-		"no stream":        {answers: []string{begun, plainBody}, passed: a1, reason: "streamBroken", ends: []string{"1 failed", "2 cancelled"}, diverge: 1},
+		"ends early":     {answers: []string{stream(false, a1, a2), stream(true, b1, doneEvent)}, passed: a1 + a2, reason: "streamBroken", ends: []string{"1 failed", "2 cancelled"}, diverge: 1},
+		"no stream":      {answers: []string{begun, plainBody}, passed: a1, reason: "streamBroken", ends: []string{"1 failed", "2 cancelled"}, diverge: 1},
+		"no stream, 404": {answers: []string{begun, "HTTP/1.1 404 None\r\nX-Attempt-Id: ID\r\nContent-Length: 3\r\n\r\nbad"}, passed: a1, reason: "streamBroken", ends: []string{"1 failed", "2 cancelled"}, diverge: 1},
+		"no stream, 204": {answers: []string{begun, "HTTP/1.1 204 None\r\nX-Attempt-Id: ID\r\n\r\n"}, passed: a1, reason: "streamBroken", ends: []string{"1 failed", "2 cancelled"}, diverge: 1},
+		"stream of a 404": {
+			answers: []string{begun, strings.Replace(stream(true, b1, b2, doneEvent), "200 OK", "404 None", 1)},
+			passed:  a1, reason: "streamBroken", ends: []string{"1 failed", "2 cancelled"}, diverge: 1,
+		},
+		"overloaded, perhaps run": {
+			answers: []string{begun, "HTTP/1.1 429 Slow\r\nX-Attempt-Id: ID\r\nContent-Length: 0\r\n\r\n"},
+			passed:  a1, reason: "streamBroken", ends: []string{"1 failed", "2 cancelled"}, diverge: 1,
+		},
 		"an id is missing": {answers: []string{begun, stream(true, event("", "wal"), event("", "nut"), doneEvent)}, passed: a1, reason: "streamBroken", ends: []string{"1 failed", "2 cancelled"}, diverge: 1},
 		"foreign event":    {answers: []string{begun, stream(true, b1, a2, doneEvent)}, passed: a1, reason: "foreignAnswer", ends: []string{"1 failed", "2 failed"}},
 		"always cut":       {answers: []string{begun}, passed: a1, reason: "streamBroken", ends: []string{"1 failed", "2 failed", "3 failed"}},
@@ -414,6 +424,7 @@
 		"another's event":        {[]string{mine, other, doneEvent}, mine, "foreignAnswer"},
 		"another's end":          {[]string{mine, mine, other + doneEvent}, mine + mine, "foreignAnswer"},
 		"an event without an id": {[]string{mine, textEvent, doneEvent}, mine, "foreignAnswer"},
+		"an id only later":       {[]string{textEvent, mine, doneEvent}, textEvent, "streamBroken"},
 		"an event of two pieces": {[]string{mine, bad, doneEvent}, mine, "streamBroken"},
 	}
 	for name, tt := range tests {
