Reject a response that was read before its request was written

Cause: net/http keeps the bytes that it read behind a response and puts the connection back before it looks at them. A second copy of a response that came in the same read is then the response to the next request on the connection. The check of a kept connection looks only at the kernel's buffer, which is empty by then. Send rejects the copy by its attempt id; Do, which the platform's relay uses, passed it on, and under an id that a caller uses again nothing told.

Change: a connection notes whether bytes were read since the first write of the current attempt. If none were when the response's first byte is parsed, the response is foreign, and the connection is closed. If nothing was written yet, nothing is written any more, and the error says that the request did not run.

A copy that arrives after the write can't be told apart here; ids have to.

--- a/router/back/client.go
+++ b/router/back/client.go
@@ -199,6 +199,11 @@
 		return nil, g.failure(server, err)
 	}
 	response.Body = &responseBody{response.Body, g.writtenConn()}
+	if early, begun := g.sealIfEarly(); early {
+		CloseConnection(response)
+		response.Body.Close()
+		return nil, &ServerError{Server: server, Reason: fleet.ReasonForeignAnswer, Sent: begun, NotRun: !begun, Status: response.StatusCode, Err: errEarly}
+	}
 	return response, nil
 }
 
@@ -210,6 +215,7 @@
 				own.attach(g, info.Reused, g.once && info.IdleTime > c.Settings.NonIdempotentIdle)
 			}
 		},
+		GotFirstResponseByte: g.recordResponse,
 	})
 	return transport.RoundTrip(request.WithContext(ctx))
 }
--- a/router/back/conn.go
+++ b/router/back/conn.go
@@ -12,6 +12,7 @@
 	errSealed  = errors.New("back: the attempt has ended")
 	errExpired = errors.New("back: the grant lapsed before the write")
 	errStale   = errors.New("back: the kept connection is closed, has bytes that nobody asked for, or was unused for too long")
+	errEarly   = errors.New("back: the response was read before the request was written")
 )
 
 // gate controls the writes of one attempt on all its connections, and records whether a byte may have been sent.
@@ -26,6 +27,7 @@
 	delivered bool // a write succeeded
 	rejected  bool // a write was rejected because the grant had expired
 	reused    bool // the attempt got a connection that carried an earlier attempt
+	early     bool // the response was read before the attempt was written
 }
 
 // allowWrite returns nil if a write on the connection is permitted, and otherwise the reason.
@@ -45,10 +47,30 @@
 		g.rejected = true
 		return errExpired
 	}
+	if g.conn != c {
+		c.expectAnswer()
+	}
 	g.started, g.conn = true, c
 	return nil
 }
 
+// recordResponse records, when the first byte of the response is parsed, whether it was read before the attempt was written.
+// Then it belongs to an earlier attempt: the transport buffers what follows a response.
+func (g *gate) recordResponse() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.early = g.conn == nil || !g.conn.hasRead()
+}
+
+// sealIfEarly reports whether the response was read before the attempt was written, and whether a write was started. If the
+// response was early, it rejects all further writes.
+func (g *gate) sealIfEarly() (early, begun bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.sealed = g.sealed || g.early
+	return g.early, g.started
+}
+
 // recordWrite records how many bytes of a write the operating system accepted. If it accepted none of the first
 // write, the attempt counts as unsent.
 func (g *gate) recordWrite(c *conn, n int) {
@@ -107,6 +129,7 @@
 	gate        *gate
 	reused      bool // it carried an earlier attempt
 	idleTooLong bool // it was idle for too long to carry the current attempt
+	read        bool // bytes were read since the first write of the current attempt
 }
 
 // attach assigns the connection to the attempt of a gate.
@@ -130,6 +153,31 @@
 	return closed || unread
 }
 
+// expectAnswer is called before the first write of an attempt.
+func (c *conn) expectAnswer() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.read = false
+}
+
+// hasRead reports whether bytes were read since the first write of the current attempt.
+func (c *conn) hasRead() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.read
+}
+
+// Read reads from the connection.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.mutex.Lock()
+		c.read = true
+		c.mutex.Unlock()
+	}
+	return n, err
+}
+
 // Write writes to the connection if the current attempt's gate permits it.
 func (c *conn) Write(b []byte) (int, error) {
 	c.mutex.Lock()
