Add a failing test for second copies of load reports

Cause: Client.Load uses the transport without the check of Do, so that the second copy of an earlier report that was read with it counts as the next one.

--- a/router/back/second_test.go
+++ b/router/back/second_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -116,3 +117,72 @@
 		}
 	}
 }
+
+// TestAnswerBeforeTheRequest guards against claiming that a request did not run although some of it was written when the
+// response of another, which its server sent by itself on a new connection, was rejected.
+func TestAnswerBeforeTheRequest(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	received := make(chan int64, 1)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, responseTo("a0")) // the client may have closed the connection
+			n, _ := io.Copy(io.Discard, c)
+			c.Close()
+			received <- n
+		}
+	}()
+	c := &Client{}
+	defer c.Close()
+	for range 100 {
+		body, err := sendOnce(c, l.Addr().String(), "a1")
+		if err == nil {
+			t.Fatalf("body %q of a response that was sent before the request", body)
+		}
+		var failed *ServerError
+		if !errors.As(err, &failed) {
+			t.Fatalf("error %v", err)
+		}
+		c.Close() // closes the connection where it was not written to
+		if n := <-received; failed.NotRun && n > 0 {
+			t.Fatalf("%v claims that the request did not run, but %d bytes of it arrived", err, n)
+		}
+	}
+}
+
+// TestSecondLoadReport guards against taking the second copy of an earlier load report for the present one.
+func TestSecondLoadReport(t *testing.T) {
+	report := func(_, body string) string {
+		text := `{"server":"desk-1","running":1}`
+		if body == "copy" {
+			text = `{"server":"desk-1","running":9}`
+		}
+		return "HTTP/1.1 200 OK\r\nContent-Length: 31\r\n\r\n" + text
+	}
+	s := &twiceServer{answer: report}
+	s.start(t)
+	c := &Client{}
+	defer c.Close()
+	var wg sync.WaitGroup
+	var taken atomic.Int64
+	for range 8 {
+		wg.Go(func() {
+			for range 300 {
+				if l, err := c.Load(t.Context(), "desk-1", s.address); err == nil && l.Running == 9 {
+					taken.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if n := taken.Load(); n > 0 {
+		t.Errorf("%d of 2400 reports are copies of earlier ones", n)
+	}
+}
