Fetch load reports through Client.Do

Cause: Load used the transport directly, without the gate that tells a response read before its request was written.

Change: Load calls Do. Its errors have the reason of Do; the loop only looks at whether there is one.

--- a/router/back/load.go
+++ b/router/back/load.go
@@ -35,9 +35,9 @@
 	if err != nil {
 		return fail(fleet.ReasonBadRequest, 0, err)
 	}
-	response, err := c.pooled.RoundTrip(request)
+	response, err := c.Do(request, server, false, nil)
 	if err != nil {
-		return fail(fleet.ReasonConnectFailed, 0, err)
+		return fleet.Load{}, err
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
