Reject a switch of protocols that no request asked for

Cause: net/http gives the rest of the connection as the body of a 101, which ends only where the connection ends. The front read it, took it for a complete answer, and recorded it for the idempotency key. The platform's relay reads it the same way.

Change: Client.Do rejects a 101 as streamBroken and closes its connection. The checks of Do on a response are in one function.

--- a/router/back/client.go
+++ b/router/back/client.go
@@ -199,10 +199,10 @@
 		return nil, g.failure(server, err)
 	}
 	response.Body = &responseBody{response.Body, g.writtenConn()}
-	if early, begun := g.sealIfEarly(); early {
+	if err := g.check(server, response); err != nil {
 		CloseConnection(response)
 		response.Body.Close()
-		return nil, &ServerError{Server: server, Reason: fleet.ReasonForeignAnswer, Sent: begun, NotRun: !begun, Status: response.StatusCode, Err: errEarly}
+		return nil, err
 	}
 	return response, nil
 }
@@ -250,6 +250,19 @@
 	return e
 }
 
+// check returns an error if a response belongs to an earlier attempt, or if the server switched protocols, which no request
+// asks for and after which only the end of the connection ends the response.
+func (g *gate) check(server string, response *http.Response) error {
+	early, sent := g.sealIfEarly()
+	switch {
+	case early:
+		return &ServerError{Server: server, Reason: fleet.ReasonForeignAnswer, Sent: sent, NotRun: !sent, Status: response.StatusCode, Err: errEarly}
+	case response.StatusCode == http.StatusSwitchingProtocols:
+		return &ServerError{Server: server, Reason: fleet.ReasonStreamBroken, Sent: true, Status: response.StatusCode}
+	}
+	return nil
+}
+
 // request builds the HTTP request. net/http reads its body a second time only if nothing was written.
 func (a *Attempt) request(ctx context.Context) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, a.Method, "http://"+a.Address+a.Target, nil)
--- a/router/back/client_test.go
+++ b/router/back/client_test.go
@@ -90,6 +90,10 @@
 		"overloaded, perhaps run": {
 			answer: "HTTP/1.1 503 Slow\r\nX-Attempt-Id: ID\r\nContent-Length: 0\r\n\r\n",
 		},
+		"protocol switch": {
+			answer: "HTTP/1.1 101 Switching Protocols\r\nX-Attempt-Id: ID\r\nConnection: Upgrade\r\nUpgrade: oak\r\n\r\nsent",
+			want:   &ServerError{Reason: fleet.ReasonStreamBroken, Sent: true, Status: 101},
+		},
 		"ends where its connection ends": {
 			answer: "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\n\r\nsent",
 			want:   &ServerError{Reason: fleet.ReasonStreamBroken, Sent: true, Status: 200},
