Show callers of the front that their answer was cut

Cause: an answer that the router cut ended in order in two ways. To a caller of HTTP/1.0 an answer without a length ends with its connection, which http.ErrAbortHandler closes in order. And a caller that closed only its direction of the connection counts as gone but still reads: its stream got the last chunk, without an end marker and without an error event.

Change: an answer that has begun and gets no error event is always aborted. For HTTP/1.0 the connection is reset (sock.Reset), so that the caller gets an error. A stream whose error event can't be written is aborted as well. The field abort of Refusal is gone, as this follows from whether the header is written.

What remains: a router that is killed itself closes its connections in order, so that an HTTP/1.0 caller can't tell a plain answer without a length from a whole.

--- a/router/front/call.go
+++ b/router/front/call.go
@@ -10,6 +10,7 @@
 	"mangolug.org/core/report"
 	"mangolug.org/core/rule"
 	"mangolug.org/router/back"
+	"mangolug.org/router/sock"
 )
 
 // Range of Retry-After when the queue suggests no delay.
@@ -81,7 +82,8 @@
 	return minRetryAfter + rand.N(maxRetryJitter)
 }
 
-// refuse writes a refusal. If part of a stream has been delivered, it ends the stream with an error event instead.
+// refuse writes a refusal. If part of a stream has been delivered, it ends the stream with an error event instead. An answer
+// that has begun and gets no error event is aborted.
 func (c *call) refuse(e *Refusal) {
 	f := c.front
 	f.count("refused." + e.Reason.String())
@@ -95,8 +97,9 @@
 		f.Log.Info("refused", "request", c.id, "team", team, "product", product, "reason", e.Reason, "notRun", e.NotRun, "detail", detail)
 	}
 	if c.headerWritten {
-		if c.delivered.started && e.Reason != fleet.ReasonCallerGone && e.Reason != fleet.ReasonSlowCaller {
-			c.writeErrorEvent(e)
+		callerLost := e.Reason == fleet.ReasonCallerGone || e.Reason == fleet.ReasonSlowCaller
+		if !c.delivered.started || callerLost || c.writeErrorEvent(e) != nil {
+			c.abort()
 		}
 		return
 	}
@@ -106,6 +109,18 @@
 	}
 }
 
+// abort ends the answer so that the caller sees that it is truncated. A caller of HTTP/1.0 takes the end of its connection for
+// the end of an answer that has no length, so its connection is reset. A caller that closed only its direction of the connection
+// counts as gone, but still reads.
+func (c *call) abort() {
+	if !c.request.ProtoAtLeast(1, 1) {
+		if conn, _, err := c.control.Hijack(); err == nil {
+			_ = sock.Reset(conn) // a connection that can't be reset is already broken
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // extendWriteDeadline gives the caller another WriteTimeout to read the next part of its answer.
 func (c *call) extendWriteDeadline() {
 	_ = c.control.SetWriteDeadline(time.Now().Add(c.front.Settings.WriteTimeout)) // only test recorders do not support it
--- a/router/front/forward.go
+++ b/router/front/forward.go
@@ -214,9 +214,7 @@
 		}
 		if err != nil {
 			c.mayHaveRun = true
-			e := c.attemptRefusal(fleet.ReasonStreamBroken, t.brokenError(err))
-			e.abort = true
-			return e
+			return c.attemptRefusal(fleet.ReasonStreamBroken, t.brokenError(err))
 		}
 	}
 }
--- a/router/front/front.go
+++ b/router/front/front.go
@@ -97,9 +97,6 @@
 	var refusal *Refusal
 	if errors.As(err, &refusal) {
 		c.refuse(refusal)
-		if refusal.abort {
-			panic(http.ErrAbortHandler)
-		}
 	}
 }
 
--- a/router/front/refusal.go
+++ b/router/front/refusal.go
@@ -21,7 +21,6 @@
 	Shared     bool // the limit reached is the router's, not the team's
 
 	detail string // for operators only; callers must not see the internals of the fleet
-	abort  bool   // the answer has begun, so closing the connection is the only way to show that it is truncated
 }
 
 // Error returns the reason and the message.
--- a/router/front/resume.go
+++ b/router/front/resume.go
@@ -134,13 +134,14 @@
 }
 
 // writeErrorEvent ends a partly delivered stream with an error event.
-func (c *call) writeErrorEvent(e *Refusal) {
+func (c *call) writeErrorEvent(e *Refusal) error {
 	text, err := json.Marshal(e.body(c.id))
 	if err != nil {
-		return
+		return err
 	}
 	c.extendWriteDeadline()
-	if _, err := c.writer.Write([]byte("event: error\ndata: " + string(text) + "\n\n")); err == nil {
-		_ = c.control.Flush() // the handler returns next, which also flushes
+	if _, err := c.writer.Write([]byte("event: error\ndata: " + string(text) + "\n\n")); err != nil {
+		return err
 	}
+	return c.control.Flush()
 }
--- a/router/sock/doc.go
+++ b/router/sock/doc.go
@@ -1,2 +1,2 @@
-// Package sock reads socket state from the system that package net does not expose.
+// Package sock reads socket state that package net does not expose, and resets connections.
 package sock
