Pass on a model's stream without a length up to its end marker

Cause: Send rejected every answer that ends with its connection, also streams whose end marker shows that they are whole. Each cost a second run from the retry budget, and where all servers answer so, every stream was lost.

Change: an attempt says that an end marker ends its response (EndMarker, set for models); then a stream of events needs no length. The marker ends it as any other, so a connection that ends in order before the marker is a break, followed by a retry that must give the same events. An event with a line that is no field of an event shows a second answer behind a part of the first, and is a break too. All other answers without a length stay rejected: half of a body is no different from a whole one, and a caller that keeps a half is worse off than one that is told to ask again.

Tests: the row "stream without a length or chunks" of TestAnswers wanted the whole stream to be rejected and run twice; it now wants one run, and a new row wants the retry for a cut one. TestSend is unchanged.

--- a/router/back/client.go
+++ b/router/back/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -72,6 +73,7 @@
 	Header        http.Header
 	Body          []byte
 	NonIdempotent bool        // the call may not be repeated
+	EndMarker     bool        // an end marker ends the response if it is a stream of events, so it needs no length
 	GrantExpired  func() bool // reports whether the grant has expired; called immediately before the first write; nil for never
 }
 
@@ -81,6 +83,15 @@
 	Header http.Header
 	Length int64 // length of the body in bytes; -1 if it is not known
 	Body   io.ReadCloser
+
+	CloseDelimited bool // only the end of the connection ends the body, so that the end of the body proves nothing
+}
+
+// IsEventStream reports whether the body is a stream of server-sent events.
+func (a *Answer) IsEventStream() bool { return isEventStream(a.Header) }
+
+func isEventStream(h http.Header) bool {
+	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
 }
 
 // ServerError is the reason why an attempt got no usable response.
@@ -307,12 +318,13 @@
 	if overloaded && response.Header.Get(HeaderNotRun) == "true" {
 		return nil, reject(fleet.ReasonServerOverloaded, true)
 	}
-	if closeDelimited(a, response) {
+	unframed := closeDelimited(a, response)
+	if unframed && !(a.EndMarker && isEventStream(response.Header)) {
 		return nil, reject(fleet.ReasonStreamBroken, false)
 	}
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header,
-		Length: response.ContentLength, Body: response.Body,
+		Length: response.ContentLength, Body: response.Body, CloseDelimited: unframed,
 	}, nil
 }
 
--- a/router/back/client_test.go
+++ b/router/back/client_test.go
@@ -360,3 +360,38 @@
 		})
 	}
 }
+
+// TestEndMarkerReplacesLength guards against accepting a response without a length that no end marker ends.
+func TestEndMarkerReplacesLength(t *testing.T) {
+	const stream = "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nContent-Type: text/event-stream; charset=utf-8\r\n\r\ndata: [DONE]\n\n"
+	tests := map[string]struct {
+		answer    string
+		endMarker bool
+		accepted  bool
+	}{
+		"a stream with an end marker":    {stream, true, true},
+		"a stream without an end marker": {stream, false, false},
+		"no stream":                      {strings.Replace(stream, "event-stream", "plain", 1), true, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			address, _ := newRawServer(t, tt.answer)
+			c := &Client{}
+			defer c.Close()
+			a := attempt(address)
+			a.EndMarker = tt.endMarker
+			answer, err := c.Send(context.Background(), a)
+			if (err == nil) != tt.accepted {
+				t.Fatalf("error %v, want accepted %t", err, tt.accepted)
+			}
+			if err != nil {
+				checkError(t, err, &ServerError{Reason: fleet.ReasonStreamBroken, Sent: true, Status: http.StatusOK})
+				return
+			}
+			defer answer.Body.Close()
+			if !answer.CloseDelimited {
+				t.Error("the response does not say that the end of its connection ends it")
+			}
+		})
+	}
+}
--- a/router/front/ends_test.go
+++ b/router/front/ends_test.go
@@ -89,6 +89,8 @@
 		"no length, cut inside the marker":                {[]string{events + textEvent + usageEvent + doneEvent[:9], sse + chunks(true, whole)}, []string{"1 failed", "2 completed"}},
 		"HTTP 1.0":                                        {[]string{strings.Replace(events, "HTTP/1.1", "HTTP/1.0", 1) + whole}, []string{"1 completed"}},
 		"another attempt's, no length":                    {[]string{strings.Replace(events, "ID", "a0", 1) + whole, sse + chunks(true, whole)}, []string{"1 failed", "2 completed"}},
+		"no length, a second answer inside an event":      {[]string{events + textEvent + usageEvent[:len(usageEvent)-1] + events + whole, sse + chunks(true, whole)}, []string{"1 failed", "2 completed"}},
+		"no length, a second answer inside a comment":     {[]string{events + textEvent + ": a" + events + whole, sse + chunks(true, whole)}, []string{"1 failed", "2 completed"}},
 		"no length, a second answer behind a part of one": {[]string{events + textEvent + events + textEvent + doneEvent, sse + chunks(true, whole)}, []string{"1 failed", "2 completed"}},
 	}
 	for name, tt := range tests {
--- a/router/front/forward.go
+++ b/router/front/forward.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"mangolug.org/core/fleet"
@@ -28,7 +27,7 @@
 	if model && a.Status >= http.StatusInternalServerError {
 		return &back.ServerError{Server: t.verdict.Grant.Server, Reason: fleet.ReasonServerFailed, Sent: true, Status: a.Status}
 	}
-	events := strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream")
+	events := a.IsEventStream()
 	if !t.canContinue(a, events) {
 		return t.interrupted(errDiverged)
 	}
@@ -50,6 +49,9 @@
 			return t.interrupted(err)
 		}
 		stall.Reset(c.front.Settings.StallTimeout)
+		if a.CloseDelimited && !isEventText(event.Text) {
+			return t.interrupted(errSecondAnswer)
+		}
 		if err := t.recordEvent(event); err != nil {
 			return t.interrupted(err)
 		}
@@ -62,7 +64,9 @@
 			return t.callerLost(err)
 		}
 		if event.End {
-			_, _ = a.Body.Read(make([]byte, 1)) // the transport reuses the connection only after reading EOF
+			if !a.CloseDelimited {
+				_, _ = a.Body.Read(make([]byte, 1)) // the transport reuses the connection only after reading EOF
+			}
 			return nil
 		}
 		t.reportProgress()
@@ -113,6 +117,22 @@
 	return c.attemptRefusal(reason, &back.ServerError{Server: t.verdict.Grant.Server, Reason: reason, Sent: true, Err: err})
 }
 
+// errSecondAnswer is returned when a stream without a length breaks off and another answer follows on its connection.
+var errSecondAnswer = errors.New("stream contains the header of another answer")
+
+// isEventText reports whether the text of an event has comments and the fields of server-sent events only.
+func isEventText(text []byte) bool {
+	for line := range bytes.Lines(text) {
+		field, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		switch string(field) {
+		case "", "data", "event", "id", "retry":
+		default:
+			return false
+		}
+	}
+	return true
+}
+
 // errForeignEvent is returned when a stream contains an event of another answer.
 var errForeignEvent = errors.New("stream contains an event of another answer")
 
--- a/router/front/front_test.go
+++ b/router/front/front_test.go
@@ -229,6 +229,10 @@
 		},
 		"stream without a length or chunks": {
 			answers: []string{events + textEvent + doneEvent, sse + chunks(true, textEvent, doneEvent)}, call: chat, status: 200, want: textEvent + doneEvent,
+			ends: []string{"1 completed"}, sends: 1,
+		},
+		"stream without a length or chunks, cut": {
+			answers: []string{events + textEvent, sse + chunks(true, textEvent, doneEvent)}, call: chat, status: 200, want: textEvent + doneEvent,
 			ends: []string{"1 failed", "2 completed"}, sends: 2,
 		},
 		"no such model":   {answers: []string{plainBody}, call: "POST /v1/completions", status: 404, want: "unknownProduct notRun"},
--- a/router/front/run.go
+++ b/router/front/run.go
@@ -206,6 +206,7 @@
 		ID: newID(), Request: c.id, Team: c.team.Name, Server: v.Grant.Server, Address: v.Grant.Address,
 		Fencing: v.Grant.Fencing, Term: v.Term, Method: c.request.Method, Target: c.target,
 		Header: c.forwardedHeader(), Body: c.body, NonIdempotent: c.nonIdempotent,
+		EndMarker: c.product.Kind == rule.KindModel,
 		GrantExpired: func() bool {
 			now := f.Clock()
 			stale := c.keyed() && now >= c.openedAt+fleet.KeyRunLifetime
