Require that a stream with an error event does not end in order

Cause: a stream that the front can't complete ends with an error event and then with the last chunk, as a whole one does. Callers' libraries that don't know the event, and that take the end of the answer for the end of the stream, keep the part as a whole answer: only the missing [DONE] would tell them.

Change: tests only. TestStreamCutAtEachByte, TestStreamRunsAgain and TestStopInStream now want the error event and an answer that doesn't end in order; the last one wanted an end in order before, which was wrong for this reason. TestCutAnswerNeverEndsInOrder has two rows for it.

--- a/router/front/ends_test.go
+++ b/router/front/ends_test.go
@@ -125,6 +125,8 @@
 		"HTTP 1.0, chunks, cut":    {head + "Transfer-Encoding: chunked\r\n\r\n" + chunks(false, long), "GET /swatch-desk/colours", "HTTP/1.0", false},
 		"HTTP 1.0, length, cut":    {head + "Content-Length: 200\r\n\r\n" + long, "GET /swatch-desk/colours", "HTTP/1.0", false},
 		"HTTP 1.1, chunks, cut":    {head + "Transfer-Encoding: chunked\r\n\r\n" + chunks(false, long), "GET /swatch-desk/colours", "HTTP/1.1", false},
+		"HTTP 1.0, error event":    {sse + chunks(false, textEvent), "POST /v1/chat/completions", "HTTP/1.0", false},
+		"HTTP 1.1, error event":    {sse + chunks(false, textEvent), "POST /v1/chat/completions", "HTTP/1.1", false},
 		"HTTP 1.0, half-closed":    {sse + chunks(false, textEvent) + hang, "POST /v1/chat/completions", "HTTP/1.0", true},
 		"HTTP 1.1, half-closed":    {sse + chunks(false, textEvent) + hang, "POST /v1/chat/completions", "HTTP/1.1", true},
 		"HTTP 1.1, long, caller":   {head + "Transfer-Encoding: chunked\r\n\r\n" + chunks(false, long) + hang, "GET /swatch-desk/colours", "HTTP/1.1", true},
--- a/router/front/front_test.go
+++ b/router/front/front_test.go
@@ -299,6 +299,9 @@
 		if cut == strings.Contains(passed, "[DONE]") || cut != (n < len(whole)) {
 			t.Errorf("cut at %d: caller got %q", n, text)
 		}
+		if strings.HasSuffix(text, "BROKEN") != cut {
+			t.Errorf("cut at %d: the answer %q ends in order: %t", n, text, cut)
+		}
 		if cut && !strings.Contains(refusal, `"reason":"streamBroken","outcome":"unknown"`) {
 			t.Errorf("cut at %d: error event %q", n, refusal)
 		}
@@ -388,6 +391,10 @@
 			b.start(t)
 			_, text := b.do(t, "POST", "/v1/chat/completions", modelBody, tt.header)
 			passed, refusal, _ := strings.Cut(text, "event: error\ndata: ")
+			refusal, broken := strings.CutSuffix(refusal, "BROKEN")
+			if broken != (tt.reason != "") {
+				t.Errorf("the answer %q ends in order: %t", text, !broken)
+			}
 			var body refusalBody
 			_ = json.Unmarshal([]byte(refusal), &body)
 			if passed != tt.passed || body.Reason != tt.reason || body.NotRun || strings.Count(text, "event: error") > 1 {
--- a/router/front/stop_test.go
+++ b/router/front/stop_test.go
@@ -66,8 +66,8 @@
 	}
 	b.front.Stop()
 	rest, err := io.ReadAll(answer.Body)
-	if err != nil || !strings.HasPrefix(string(rest), "event: error\ndata: {\"reason\":\"stopped\"") {
-		t.Errorf("stream ended with %q, error %v; want an error event", rest, err)
+	if err == nil || !strings.HasPrefix(string(rest), "event: error\ndata: {\"reason\":\"stopped\"") {
+		t.Errorf("stream ended with %q, error %v; want an error event and no end in order", rest, err)
 	}
 	if strings.Contains(string(rest), "[DONE]") {
 		t.Error("the interrupted stream has an end marker")
