Cut the connection behind the error event of a broken stream

Cause: a stream with an error event ended with the last chunk, as a whole one.

Change: an answer that has begun and can't be completed is always aborted; in a stream the error event goes first. Callers that read events learn the reason as before, and all others get a transport error in place of an end. The cost is the connection of a call that broke anyway. Callers that read the whole answer before they look at it may lose the event, but not the error.

--- a/router/front/call.go
+++ b/router/front/call.go
@@ -82,8 +82,8 @@
 	return minRetryAfter + rand.N(maxRetryJitter)
 }
 
-// refuse writes a refusal. If part of a stream has been delivered, it ends the stream with an error event instead. An answer
-// that has begun and gets no error event is aborted.
+// refuse writes a refusal. An answer that has begun is aborted instead, after an error event if it is a stream: callers that do
+// not know the event must not take the part that they have for a whole answer.
 func (c *call) refuse(e *Refusal) {
 	f := c.front
 	f.count("refused." + e.Reason.String())
@@ -98,9 +98,10 @@
 	}
 	if c.headerWritten {
 		callerLost := e.Reason == fleet.ReasonCallerGone || e.Reason == fleet.ReasonSlowCaller
-		if !c.delivered.started || callerLost || c.writeErrorEvent(e) != nil {
-			c.abort()
+		if c.delivered.started && !callerLost {
+			c.writeErrorEvent(e)
 		}
+		c.abort()
 		return
 	}
 	c.extendWriteDeadline()
--- a/router/front/ends_test.go
+++ b/router/front/ends_test.go
@@ -153,6 +153,9 @@
 				}
 			}
 			rest, err := io.ReadAll(c)
+			if strings.HasSuffix(name, "error event") && !strings.Contains(string(rest), "\"reason\":\"streamBroken\"") {
+				t.Errorf("got %q without the error event", rest)
+			}
 			header, text, _ := strings.Cut(string(first)+string(rest), "\r\n\r\n")
 			switch {
 			case !strings.HasPrefix(header, "HTTP/1.") || !strings.Contains(header, "200 OK"):
--- a/router/front/resume.go
+++ b/router/front/resume.go
@@ -133,15 +133,14 @@
 	return append(text, object[copied:]...), nil
 }
 
-// writeErrorEvent ends a partly delivered stream with an error event.
-func (c *call) writeErrorEvent(e *Refusal) error {
+// writeErrorEvent writes a refusal as the last event of a partly delivered stream.
+func (c *call) writeErrorEvent(e *Refusal) {
 	text, err := json.Marshal(e.body(c.id))
 	if err != nil {
-		return err
+		return
 	}
 	c.extendWriteDeadline()
-	if _, err := c.writer.Write([]byte("event: error\ndata: " + string(text) + "\n\n")); err != nil {
-		return err
+	if _, err := c.writer.Write([]byte("event: error\ndata: " + string(text) + "\n\n")); err == nil {
+		_ = c.control.Flush() // the answer is aborted next, which also shows that it is truncated
 	}
-	return c.control.Flush()
 }
