Add failing tests for a stream left open and for encoded records

Cause: after the end marker the front waits for the end of the server's answer, so that the connection can be used again, up to the stall timeout of 20 s; the write deadline of the caller passes in the meantime. And what is recorded for an idempotency key has no Content-Encoding, while the caller's Accept-Encoding reaches the server.

The row "chunks, left open" of TestStreamEndsAtItsMarker got a whole answer that broke off after 20 s; two rows of TestEncodedAnswerIsNotReplayedAsPlain fail. Rows of HEAD and 204 without a length, which are whole, pass.

--- a/router/front/ends_test.go
+++ b/router/front/ends_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"mangolug.org/core/fleet"
 )
 
 const (
@@ -32,6 +34,8 @@
 		want   string
 		closes []string
 	}{
+		"plain, no length, HEAD":          {answer: head + "\r\n", call: "HEAD /swatch-desk/colours"},
+		"plain, no length, 204":           {answer: "HTTP/1.1 204 None\r\nX-Attempt-Id: ID\r\n\r\n", call: get},
 		"plain, no length":                {answer: head + "\r\nwal", call: get, want: "streamBroken unknown"},
 		"plain, no length, no body":       {answer: head + "\r\n", call: get, want: "streamBroken unknown"},
 		"plain, HTTP 1.0":                 {answer: "HTTP/1.0 200 OK\r\nX-Attempt-Id: ID\r\n\r\nwal", call: get, want: "streamBroken unknown"},
@@ -80,6 +84,7 @@
 		"chunks, events behind the marker":                {[]string{sse + chunks(true, whole, textEvent+doneEvent)}, []string{"1 completed"}},
 		"chunks, events behind the marker in one piece":   {[]string{sse + chunks(true, whole+textEvent+doneEvent)}, []string{"1 completed"}},
 		"chunks, none behind the marker":                  {[]string{sse + chunks(false, whole)}, []string{"1 completed"}},
+		"chunks, left open":                               {[]string{sse + chunks(false, whole) + hang}, []string{"1 completed"}},
 		"no length":                                       {[]string{events + whole}, []string{"1 completed"}},
 		"no length, left open":                            {[]string{events + whole + hang}, []string{"1 completed"}},
 		"no length, a second answer":                      {[]string{events + whole + events + textEvent + doneEvent}, []string{"1 completed"}},
@@ -174,3 +179,41 @@
 		})
 	}
 }
+
+// TestEncodedAnswerIsNotReplayedAsPlain guards against recording an encoded answer for an idempotency key: the record has no
+// Content-Encoding, so that the caller of a replay would take the encoded bytes for the text.
+func TestEncodedAnswerIsNotReplayedAsPlain(t *testing.T) {
+	tests := map[string]struct {
+		key    string
+		answer string
+		sent   string         // Accept-Encoding as the server gets it
+		want   []fleet.Answer // records
+	}{
+		"keyed, encoded against the request": {idempotencyKey, head + "Content-Encoding: gzip\r\nContent-Length: 6\r\n\r\nwalnut", "", []fleet.Answer{{Status: 200, Truncated: true}}},
+		"keyed, not encoded":                 {idempotencyKey, plainBody, "", []fleet.Answer{{Status: 200, ContentType: "text/plain", Body: []byte("walnut")}}},
+		"without a key":                      {"", plainBody, "gzip", nil},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, tt.answer)
+			var got []fleet.Answer
+			b.front.CloseKey = func(c fleet.KeyClose) { got = append(got, c.Answer) }
+			b.start(t)
+			header := http.Header{"Accept-Encoding": {"gzip"}}
+			if tt.key != "" {
+				header["Idempotency-Key"] = []string{tt.key}
+			}
+			answer, text := b.do(t, "POST", "/swatch-desk/dispatches", "x", header)
+			if answer.StatusCode != http.StatusOK || text != "walnut" {
+				t.Errorf("status %d, got %q", answer.StatusCode, text)
+			}
+			b.server.Close()
+			if sent := b.backend.headers[0].Get("Accept-Encoding"); sent != tt.sent {
+				t.Errorf("Accept-Encoding %q reached the server, want %q", sent, tt.sent)
+			}
+			if d := cmp.Diff(tt.want, got); d != "" {
+				t.Errorf("recorded: %s", d)
+			}
+		})
+	}
+}
