Record no encoded answer for an idempotency key

Cause: a key's record has no Content-Encoding, but the caller's Accept-Encoding reached the server, so that a replay gave the encoded bytes as plain text.

Change: keyed calls are sent without Accept-Encoding, as calls of models are, and an answer that is encoded all the same is recorded without its body: a replay says that the request ran. Carrying the encoding in the record would change the messages between routers, and the caller of a replay may accept other encodings.

--- a/router/front/forward.go
+++ b/router/front/forward.go
@@ -264,10 +264,11 @@
 	c.writer.WriteHeader(a.Status)
 }
 
-// recordAnswer keeps an answer for the key's home. The body is left out if it is over the limit.
+// recordAnswer keeps an answer for the key's home. The body is left out if it is over the limit, or encoded, as the record has no
+// Content-Encoding.
 func (c *call) recordAnswer(a *back.Answer, body []byte) {
 	c.record = fleet.Answer{Status: a.Status, ContentType: a.Header.Get("Content-Type"), Body: body}
-	if len(body) > c.front.Settings.RecordedAnswerBytes {
+	if len(body) > c.front.Settings.RecordedAnswerBytes || a.Header.Get("Content-Encoding") != "" {
 		c.record.Body, c.record.Truncated = nil, true
 	}
 }
--- a/router/front/keyed.go
+++ b/router/front/keyed.go
@@ -139,7 +139,7 @@
 	if a.Truncated {
 		return &Refusal{
 			Reason: fleet.ReasonBodyTooLarge, Outcome: outcomeCompleted,
-			Message: fmt.Sprintf("the request ran and was answered with status %d; the answer was too long to keep", a.Status),
+			Message: fmt.Sprintf("the request ran and was answered with status %d; the answer was too long to keep or encoded", a.Status),
 		}
 	}
 	h := c.writer.Header()
--- a/router/front/run.go
+++ b/router/front/run.go
@@ -222,8 +222,9 @@
 	for _, name := range []string{"Authorization", headerTimeout, "Expect"} {
 		h.Del(name)
 	}
-	if c.product.Kind == rule.KindModel {
-		h.Del("Accept-Encoding") // the router must be able to read the usage in the answer
+	if c.product.Kind == rule.KindModel || c.keyed() {
+		// The router must be able to read the usage in a model's answer, and the record of a keyed call has no Content-Encoding.
+		h.Del("Accept-Encoding")
 	}
 	return h
 }
