--- a/router/back/client.go
+++ b/router/back/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -72,6 +73,7 @@
 	Header        http.Header
 	Body          []byte
 	NonIdempotent bool        // the call may not be repeated
+	EndMarker     bool        // an end marker ends the response if it is a stream of events, so it needs no length
 	GrantExpired  func() bool // reports whether the grant has expired; called immediately before the first write; nil for never
 }
 
@@ -81,6 +83,15 @@
 	Header http.Header
 	Length int64 // length of the body in bytes; -1 if it is not known
 	Body   io.ReadCloser
+
+	CloseDelimited bool // only the end of the connection ends the body, so that the end of the body proves nothing
+}
+
+// IsEventStream reports whether the body is a stream of server-sent events.
+func (a *Answer) IsEventStream() bool { return isEventStream(a.Header) }
+
+func isEventStream(h http.Header) bool {
+	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
 }
 
 // ServerError is the reason why an attempt got no usable response.
@@ -199,6 +210,11 @@
 		return nil, g.failure(server, err)
 	}
 	response.Body = &responseBody{response.Body, g.writtenConn()}
+	if err := g.check(server, response); err != nil {
+		CloseConnection(response)
+		response.Body.Close()
+		return nil, err
+	}
 	return response, nil
 }
 
@@ -210,6 +226,7 @@
 				own.attach(g, info.Reused, g.once && info.IdleTime > c.Settings.NonIdempotentIdle)
 			}
 		},
+		GotFirstResponseByte: g.recordResponse,
 	})
 	return transport.RoundTrip(request.WithContext(ctx))
 }
@@ -244,6 +261,19 @@
 	return e
 }
 
+// check returns an error if a response belongs to an earlier attempt, or if the server switched protocols, which no request
+// asks for and after which only the end of the connection ends the response.
+func (g *gate) check(server string, response *http.Response) error {
+	early, sent := g.sealIfEarly()
+	switch {
+	case early:
+		return &ServerError{Server: server, Reason: fleet.ReasonForeignAnswer, Sent: sent, NotRun: !sent, Status: response.StatusCode, Err: errEarly}
+	case response.StatusCode == http.StatusSwitchingProtocols:
+		return &ServerError{Server: server, Reason: fleet.ReasonStreamBroken, Sent: true, Status: response.StatusCode}
+	}
+	return nil
+}
+
 // request builds the HTTP request. net/http reads its body a second time only if nothing was written.
 func (a *Attempt) request(ctx context.Context) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, a.Method, "http://"+a.Address+a.Target, nil)
@@ -288,11 +318,12 @@
 	if overloaded && response.Header.Get(HeaderNotRun) == "true" {
 		return nil, reject(fleet.ReasonServerOverloaded, true)
 	}
-	if FramingOf(a.Method, response) == FramingConnection { // truncation can't be detected
+	unframed := FramingOf(a.Method, response) == FramingConnection
+	if unframed && !(a.EndMarker && isEventStream(response.Header)) { // truncation can't be detected
 		return nil, reject(fleet.ReasonStreamBroken, false)
 	}
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header,
-		Length: response.ContentLength, Body: response.Body,
+		Length: response.ContentLength, Body: response.Body, CloseDelimited: unframed,
 	}, nil
 }
--- a/router/front/run.go
+++ b/router/front/run.go
@@ -206,6 +206,7 @@
 		ID: newID(), Request: c.id, Team: c.team.Name, Server: v.Grant.Server, Address: v.Grant.Address,
 		Fencing: v.Grant.Fencing, Term: v.Term, Method: c.request.Method, Target: c.target,
 		Header: c.forwardedHeader(), Body: c.body, NonIdempotent: c.nonIdempotent,
+		EndMarker: c.product.Kind == rule.KindModel,
 		GrantExpired: func() bool {
 			now := f.Clock()
 			stale := c.keyed() && now >= c.openedAt+fleet.KeyRunLifetime
@@ -221,8 +222,9 @@
 	for _, name := range []string{"Authorization", headerTimeout, "Expect"} {
 		h.Del(name)
 	}
-	if c.product.Kind == rule.KindModel {
-		h.Del("Accept-Encoding") // the router must be able to read the usage in the answer
+	if c.product.Kind == rule.KindModel || c.keyed() {
+		// The router must be able to read the usage in a model's answer, and the record of a keyed call has no Content-Encoding.
+		h.Del("Accept-Encoding")
 	}
 	return h
 }
