Forward a reset through the fault proxy as a reset

A piece now tells whether its direction ended with a reset. A reset of one side, and a write that fails since the receiver is gone, reset the other side; such resets don't count as resets of a rule.

--- a/faults/fault/conn.go
+++ b/faults/fault/conn.go
@@ -22,8 +22,9 @@
 
 // piece is some bytes on their way; nil data is the end of the direction.
 type piece struct {
-	data []byte
-	due  time.Time
+	data  []byte
+	reset bool // the direction ended with a reset, and not in order
+	due   time.Time
 }
 
 func (p *Proxy) accept(listener net.Listener, link Link) {
@@ -70,13 +71,28 @@
 	if !p.conns[c] {
 		return
 	}
-	delete(p.conns, c)
 	p.count(c.pair).Resets++
+	p.abort(c)
+}
+
+// abort resets both sides of a connection; the caller holds the mutex.
+func (p *Proxy) abort(c *conn) {
+	if !p.conns[c] {
+		return
+	}
+	delete(p.conns, c)
 	close(c.ended)
 	abort(c.source)
 	abort(c.target)
 }
 
+// forwardReset resets both sides of a connection after a reset by one of them.
+func (p *Proxy) forwardReset(c *conn) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.abort(c)
+}
+
 // abort closes a side so that its peer gets a reset.
 func abort(side *net.TCPConn) {
 	_ = side.SetLinger(0)
--- a/faults/fault/pump.go
+++ b/faults/fault/pump.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"errors"
+	"io"
 	"net"
 	"time"
 )
@@ -35,7 +37,7 @@
 	}
 }
 
-// read queues what arrives, and nil at the end.
+// read queues what arrives, and a piece without data at the end.
 func (u *pump) read(queue chan<- piece) {
 	for {
 		buffer := make([]byte, pieceBytes)
@@ -46,7 +48,7 @@
 			return
 		}
 		if err != nil {
-			u.put(queue, piece{due: due})
+			u.put(queue, piece{reset: !errors.Is(err, io.EOF), due: due})
 			return
 		}
 	}
@@ -74,7 +76,7 @@
 		u.rule, u.passed, u.found, u.left = rule, 0, 0, 0
 	}
 	if item.data == nil {
-		return u.close(rule)
+		return u.close(rule, item.reset)
 	}
 	data := item.data
 	if u.answers && rule.Swap {
@@ -115,8 +117,8 @@
 	}
 }
 
-// close ends the direction, and the connection when it was the answers' one.
-func (u *pump) close(rule *active) bool {
+// close ends the direction as it ended at its source, and the connection when it was reset or was the answers' one.
+func (u *pump) close(rule *active, reset bool) bool {
 	if len(u.tail) > 0 {
 		data := u.tail
 		u.tail = nil
@@ -124,11 +126,14 @@
 			return false
 		}
 	}
-	if u.answers {
+	switch {
+	case reset:
+		u.proxy.forwardReset(u.conn)
+	case u.answers:
 		u.proxy.finish(u.conn)
-		return false
+	default:
+		_ = u.to.CloseWrite()
 	}
-	_ = u.to.CloseWrite()
 	return false
 }
 
@@ -232,7 +237,7 @@
 	for len(data) > 0 {
 		n := min(step, len(data))
 		if _, err := u.to.Write(data[:n]); err != nil {
-			u.proxy.finish(u.conn)
+			u.proxy.forwardReset(u.conn) // a write fails once the receiver has closed or reset the connection
 			return false
 		}
 		u.note(n)
