--- a/loader/drive/run_test.go
+++ b/loader/drive/run_test.go
@@ -90,6 +90,27 @@
 	}
 }
 
+// TestSecondAnswerIsNotWhole guards against a whole stream with another one behind it that counts as answered.
+func TestSecondAnswerIsNotWhole(t *testing.T) {
+	e := &batch.Engine{Name: "stain-1", Settings: batch.Settings{Limit: 4, Queue: 100, CacheBlocks: 10}}
+	served := e.Handler()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", "1")
+		served.ServeHTTP(w, r)
+		_, _ = w.Write([]byte("data: [DONE]\n\n"))
+	}))
+	defer s.Close()
+	p := planFor(strings.TrimPrefix(s.URL, "http://"))
+	p.Servers, p.Loads = nil, p.Loads[:1]
+	result, err := Run(context.Background(), p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if result.Answered != 0 || result.NotWhole != result.Requests || result.Requests == 0 {
+		t.Errorf("%d of %d answered, %d not whole", result.Answered, result.Requests, result.NotWhole)
+	}
+}
+
 func TestShortAnswerIsNotWhole(t *testing.T) {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("X-Request-Id", "1")
--- a/loader/events/reader.go
+++ b/loader/events/reader.go
@@ -15,6 +15,9 @@
 // ErrNoEnd says that a stream ended without its end marker.
 var ErrNoEnd = errors.New("stream ended without [DONE]")
 
+// ErrAfterEnd says that a stream went on after its end marker.
+var ErrAfterEnd = errors.New("stream went on after [DONE]")
+
 // Chunk is the part of an event that the loader reads.
 type Chunk struct {
 	Choices []Choice `json:"choices"`
--- a/loader/events/reader_test.go
+++ b/loader/events/reader_test.go
@@ -8,6 +8,29 @@
 	"github.com/pkg/errors"
 )
 
+// TestAfterEnd guards against a second answer behind the end marker that no run of the loader would show.
+func TestAfterEnd(t *testing.T) {
+	const whole = "data: {\"choices\":[{\"text\":\"wal\"}]}\n\ndata: [DONE]\n\n"
+	for name, tt := range map[string]struct {
+		stream string
+		want   error
+	}{
+		"nothing":             {whole, nil},
+		"a comment":           {whole + ": wait\n\n", nil},
+		"an event":            {whole + "data: {\"choices\":[{\"text\":\"oak\"}]}\n\n", ErrAfterEnd},
+		"a second end marker": {whole + "data: [DONE]\n\n", ErrAfterEnd},
+		"another header":      {whole + "HTTP/1.1 200 OK\r\n\r\n", ErrAfterEnd},
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := ""
+			err := Read(strings.NewReader(tt.stream), func(v *Chunk) { text += v.Content() })
+			if !errors.Is(err, tt.want) || text != "wal" {
+				t.Errorf("text %q, error %v, want %v", text, err, tt.want)
+			}
+		})
+	}
+}
+
 func TestRead(t *testing.T) {
 	tests := map[string]struct {
 		stream string
