Read streams, traces and logs to an end that is proven

The loader reads on behind the end marker: anything but comments counts the answer as not whole, with the reason afterEnd. mangoctl record keeps the error that ended the body of a trace, and reports one without a length and without chunks, after writing the whole lines that came. The readers of logs count a last line without its newline as malformed.

--- a/loader/drive/caller.go
+++ b/loader/drive/caller.go
@@ -127,6 +127,8 @@
 		return tally.End{Outcome: tally.OutcomeFailed, Reason: reason}
 	case err != nil && ctx.Err() != nil:
 		return failure(ctx, "stream")
+	case errors.Is(err, events.ErrAfterEnd):
+		return tally.End{Outcome: tally.OutcomeNotWhole, Reason: "afterEnd"}
 	case errors.Is(err, events.ErrNoEnd):
 		return tally.End{Outcome: tally.OutcomeFailed, Reason: "streamBroken"}
 	case err != nil:
--- a/loader/events/reader.go
+++ b/loader/events/reader.go
@@ -52,7 +52,7 @@
 	return text
 }
 
-// Read calls each for every chunk until the end marker, and gives ErrNoEnd if that is missing.
+// Read calls each for every chunk until the end marker, and gives ErrNoEnd if that is missing and ErrAfterEnd if more follows it.
 func Read(r io.Reader, each func(c *Chunk)) error {
 	s := bufio.NewScanner(r)
 	s.Buffer(make([]byte, 0, 4096), maxLine)
@@ -63,7 +63,7 @@
 		}
 		data = bytes.TrimSpace(data)
 		if string(data) == "[DONE]" {
-			return nil
+			return afterEnd(s)
 		}
 		c := &Chunk{}
 		if err := json.Unmarshal(data, c); err != nil {
@@ -76,3 +76,14 @@
 	}
 	return ErrNoEnd
 }
+
+// afterEnd gives ErrAfterEnd unless only comments and empty lines follow. Callers stop at the end marker, so that a connection that
+// breaks after it does them no harm.
+func afterEnd(s *bufio.Scanner) error {
+	for s.Scan() {
+		if line := s.Bytes(); len(line) > 0 && line[0] != ':' {
+			return ErrAfterEnd
+		}
+	}
+	return nil
+}
--- a/mangoctl/record/record.go
+++ b/mangoctl/record/record.go
@@ -51,7 +51,32 @@
 	default:
 		return errors.Errorf("router %s answered with status %d", o.Router, answer.StatusCode)
 	}
-	return copyLines(o.Streams.Out, answer.Body)
+	body := &bodyReader{reader: answer.Body}
+	if err := copyLines(o.Streams.Out, body); err != nil {
+		return err
+	}
+	if body.err != nil {
+		return errors.Wrapf(body.err, "the trace of router %s is cut short", o.Router)
+	}
+	if answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 {
+		return errors.Errorf("the trace of router %s may be cut short: its answer has neither a length nor chunks", o.Router)
+	}
+	return nil
+}
+
+// bodyReader keeps the error that ended a response body, as the trace of a running router has no end of its own.
+type bodyReader struct {
+	reader io.Reader
+	err    error // nil at the end of the body
+}
+
+// Read reads from the body.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	n, err := b.reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.err = err
+	}
+	return n, err
 }
 
 // copyLines decompresses a trace that may still be being written, and drops an incomplete last line.
--- a/mangoctl/story/line.go
+++ b/mangoctl/story/line.go
@@ -69,14 +69,15 @@
 func Read(r io.Reader, visit func(Line)) (malformed int, err error) {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, maxLineBytes)
+	scanner.Split(scanLines)
 	for scanner.Scan() {
-		text := scanner.Bytes()
+		text, terminated := bytes.CutSuffix(scanner.Bytes(), []byte("\n"))
 		at := bytes.Index(text, []byte("time=")) // log collectors add their own prefix to each line
 		if at < 0 {
 			continue
 		}
 		line, ok := parse(text[at:])
-		if !ok {
+		if !ok || !terminated { // the last value of a line without its end may have been cut
 			malformed++
 			continue
 		}
@@ -85,6 +86,17 @@
 	return malformed, errors.Wrap(scanner.Err(), "read log")
 }
 
+// scanLines is a bufio.SplitFunc for lines with their newline, which only the last may lack.
+func scanLines(data []byte, atEOF bool) (advance int, token []byte, err error) {
+	if i := bytes.IndexByte(data, '\n'); i >= 0 {
+		return i + 1, data[:i+1], nil
+	}
+	if atEOF && len(data) > 0 {
+		return len(data), data, nil
+	}
+	return 0, nil, nil
+}
+
 // parse parses one line. It returns false if the line is truncated or merged with another.
 func parse(text []byte) (Line, bool) {
 	var l Line
