Count a router whose explanation was cut as one that did not answer

mangoctl explain now keeps the error of an explanation with its router, so that the exit code and the count of routers tell it from one that does not know the name. A status 404 still means that.

--- a/mangoctl/expl/expl.go
+++ b/mangoctl/expl/expl.go
@@ -70,29 +70,27 @@
 		return err
 	}
 	routers := o.Client.Fleet(o.Routers)
-	unreachable := 0
-	for _, r := range routers {
-		if r.Err != nil {
-			unreachable++
-			_, _ = fmt.Fprintln(o.Streams.ErrOut, r.Err)
-		}
-	}
-	if unreachable == len(routers) {
+	reachable := o.dropFailed(routers)
+	if len(reachable) == 0 {
 		return shell.Exitf(shell.ExitUnreachable, "none of %d routers answered", len(routers))
 	}
-	found, err := o.explain(routers)
+	found, err := o.explain(reachable)
 	if err != nil {
 		return err
 	}
-	if !found {
+	unreachable := len(routers) - len(o.dropFailed(reachable))
+	switch {
+	case unreachable == len(routers):
+		return shell.Exitf(shell.ExitUnreachable, "none of %d routers answered", len(routers))
+	case !found:
 		return shell.Exitf(shell.ExitNotFound, "no router that answered knows the %s %s (%d of %d routers did not answer)", o.Args.What, o.Args.Name, unreachable, len(routers))
-	}
-	if unreachable > 0 {
+	case unreachable > 0:
 		return shell.Exitf(shell.ExitPartial, "%d of %d routers did not answer", unreachable, len(routers))
 	}
 	return nil
 }
 
+// explain writes what the routers know, and reports whether any knows the request or team. It sets Err of routers that fail to answer.
 func (o *Options) explain(routers []admin.Status) (bool, error) {
 	switch o.Args.What {
 	case "request":
@@ -107,12 +105,11 @@
 func (o *Options) explainRequest(routers []admin.Status) (bool, error) {
 	known := make([]*RequestAnswer, len(routers))
 	admin.Each(admin.Addresses(routers), func(i int, address string) {
-		if routers[i].Err != nil {
-			return
-		}
 		e, err := o.Client.Request(address, o.Args.Name)
 		if err != nil {
-			o.warn(err)
+			if !admin.IsNotFound(err) {
+				routers[i].Err = err
+			}
 			return
 		}
 		known[i] = &RequestAnswer{Router: routers[i].Status.Router, Explanation: e}
@@ -137,12 +134,11 @@
 func (o *Options) explainTeam(routers []admin.Status) (bool, error) {
 	known := make([]*TeamAnswer, len(routers))
 	admin.Each(admin.Addresses(routers), func(i int, address string) {
-		if routers[i].Err != nil {
-			return
-		}
 		e, err := o.Client.Team(address, o.Args.Name)
 		if err != nil {
-			o.warn(err)
+			if !admin.IsNotFound(err) {
+				routers[i].Err = err
+			}
 			return
 		}
 		known[i] = &TeamAnswer{Router: routers[i].Status.Router, Explanation: e}
@@ -159,9 +155,15 @@
 	return len(answers) > 0, writeTeam(o.Streams, answers)
 }
 
-// warn prints the error of a router. A router that does not know the name is no failure.
-func (o *Options) warn(err error) {
-	if !admin.IsNotFound(err) {
-		_, _ = fmt.Fprintln(o.Streams.ErrOut, err)
+// dropFailed prints the errors of routers that did not answer, and returns the others.
+func (o *Options) dropFailed(routers []admin.Status) []admin.Status {
+	answered := make([]admin.Status, 0, len(routers))
+	for _, r := range routers {
+		if r.Err != nil {
+			_, _ = fmt.Fprintln(o.Streams.ErrOut, r.Err)
+			continue
+		}
+		answered = append(answered, r)
 	}
+	return answered
 }
