--- a/router/relay/world_test.go
+++ b/router/relay/world_test.go
@@ -34,8 +34,12 @@
 	testNotRun    = "X-Not-Run"
 	testLeaving   = "X-Leaving"
 	testPause     = "X-Rest" // whole seconds
+	testInstance  = "X-Instance"
 )
 
+// testHealthPath is the path of the servers' health checks.
+const testHealthPath = "/health"
+
 func testDialect() HeaderCodec {
 	return HeaderCodec{
 		ParseRequest: func(h http.Header) (RequestInfo, error) {
@@ -55,7 +59,7 @@
 			}
 		},
 		ParseResponse: func(h http.Header) ResponseInfo {
-			t := ResponseInfo{ID: h.Get(testID), Signed: h.Get(testSigned) != "", NotRun: h.Get(testNotRun) != "", Leaving: h.Get(testLeaving) != ""}
+			t := ResponseInfo{ID: h.Get(testID), Server: h.Get(testInstance), Signed: h.Get(testSigned) != "", NotRun: h.Get(testNotRun) != "", Leaving: h.Get(testLeaving) != ""}
 			if seconds, err := strconv.Atoi(h.Get(testPause)); err == nil {
 				t.RetryAfter = time.Duration(seconds) * time.Second
 			} else {
@@ -75,6 +79,7 @@
 	received [3]atomic.Int64
 
 	addresses [3]string
+	listeners [3]net.Listener // of the servers
 	table     atomic.Pointer[route.Table]
 }
 
@@ -90,6 +95,10 @@
 	w.table.Store(table)
 	for i := range w.received {
 		s := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == testHealthPath {
+				rw.Header().Set(testInstance, fmt.Sprint("s", i))
+				return
+			}
 			w.received[i].Add(1)
 			rw.Header().Set(testID, r.Header.Get(testID))
 			body, err := io.ReadAll(r.Body) // net/http detects that a caller leaves only after the body is read
@@ -100,7 +109,7 @@
 			serve(w, i, rw, r)
 		}))
 		t.Cleanup(s.Close)
-		w.addresses[i] = strings.TrimPrefix(s.URL, "http://")
+		w.addresses[i], w.listeners[i] = strings.TrimPrefix(s.URL, "http://"), s.Listener
 		p.SetServer(0, pool.Server{ID: fmt.Sprint("s", i), Service: "desk", Address: strings.TrimPrefix(s.URL, "http://"), DataCentre: "east", Slots: 8})
 	}
 	w.relay = &Relay{
@@ -126,7 +135,7 @@
 			{Name: "briefFixed", Host: "h", Prefix: "/briefFixed/", Kind: route.KindStream, Timeout: 200 * time.Millisecond, Objective: second, Attempts: 2, Public: true, Split: split},
 			{Name: "keyed", Host: "h", Prefix: "/keyed/", Kind: route.KindSafe, Timeout: 2 * second, Objective: second, Attempts: 2, Split: split},
 		},
-		Services: []route.Service{{Name: "desk"}},
+		Services: []route.Service{{Name: "desk", HealthPath: testHealthPath}},
 		Teams:    []route.Team{{Name: "farm", Keys: []string{"k1"}}},
 		Limits:   route.Limits{HeaderBytes: 4096, BodyBytes: 1000},
 	}
@@ -220,10 +229,20 @@
 	}
 }
 
+// die ends a server as the kernel does for a killed process: connections to it are refused, and the one of the request closes in order
+// after the given bytes.
+func (w *fixture) die(server int, rw http.ResponseWriter, text string) {
+	_ = w.listeners[server].Close() // fails only if the server is dead already
+	writeRaw(rw, text)
+}
+
 // wholeStream returns the complete text of a stream of n events.
-func wholeStream(n int) string {
+func wholeStream(n int) string { return eventsText(1, n) }
+
+// eventsText returns the text of the events first to last of a stream.
+func eventsText(first, last int) string {
 	text := ""
-	for i := 1; i <= n; i++ {
+	for i := first; i <= last; i++ {
 		text += fmt.Sprintf("id: %d\ndata: event %d\n\n", i, i)
 	}
 	return text
