Ask router/back how the answer with the rule file was framed

FramingOf came with the relay's part and replaces the copy of the check in router/plat.

go test -race -count=3 ./router/plat ./router/boot: pass.

--- a/router/plat/client.go
+++ b/router/plat/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 	"mangolug.org/core/fleet"
+	"mangolug.org/router/back"
 )
 
 // Limits on the size of the platform's responses.
@@ -86,8 +87,8 @@
 	if err != nil || version == 0 {
 		return 0, nil, false, &ContentError{Path: path, What: "no " + versionHeader + " above 0"}
 	}
-	if closeDelimited(response) {
-		return 0, nil, false, &ContentError{Path: path, What: "neither Content-Length nor chunked encoding, so that a truncated rule file can't be told from a whole one"}
+	if !response.Uncompressed && back.FramingOf(http.MethodGet, response) == back.FramingConnection { // gzip has a checksum at its end
+		return 0, nil, false, &ContentError{Path: path, What: "neither Content-Length nor chunked encoding, one of which is needed to tell a truncated rule file from a whole one"}
 	}
 	text, err = readAll(path, response.Body, MaxValue)
 	if err != nil {
@@ -169,13 +170,6 @@
 	return response, nil
 }
 
-// closeDelimited reports whether the body ends with its connection, which the kernel also closes in order for a process that was
-// killed. A decompressed body is checked against the checksum at its end.
-func closeDelimited(response *http.Response) bool {
-	chunked := len(response.TransferEncoding) > 0 && response.TransferEncoding[0] == "chunked"
-	return response.ContentLength < 0 && !chunked && !response.Uncompressed
-}
-
 // statusError returns a *StatusError for an unexpected response, with the delay of its Retry-After header.
 func statusError(path string, response *http.Response) error {
 	seconds, _ := strconv.Atoi(response.Header.Get("Retry-After"))
