--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"io"
+	"mime"
+	"net"
 	"net/http"
 	"strconv"
-	"strings"
+
+	"github.com/pkg/errors"
 
 	"mangolug.org/core/fleet"
 	"mangolug.org/core/pool"
@@ -23,7 +25,8 @@
 }
 
 func (a *answer) isEventStream() bool {
-	return a.status == http.StatusOK && strings.HasPrefix(a.response.Header.Get("Content-Type"), "text/event-stream")
+	media, _, err := mime.ParseMediaType(a.response.Header.Get("Content-Type"))
+	return a.status == http.StatusOK && (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter)) && media == "text/event-stream"
 }
 
 // writeHeader sends the answer's header to the caller. A negative length sets no Content-Length.
@@ -69,6 +72,9 @@
 		result.Failed, result.CallerGone = true, ctx.Err() != nil
 		return &attemptError{server: run.Server.ID, reason: fleet.ReasonStreamBroken, cause: err}
 	}
+	if err := c.confirmEnd(ctx, run, a, result); err != nil {
+		return err
+	}
 	a.body = body
 	c.relay.Gate.Began(run)
 	if a.status >= http.StatusInternalServerError {
@@ -86,12 +92,15 @@
 	end := &bodyEnd{reader: a.response.Body}
 	events := back.NewEvents(end)
 	controller := http.NewResponseController(c.writer)
-	first := true
+	first, resumes := true, c.order.last != "" && c.headerWritten
 	for {
 		event, err := events.Next()
 		if err != nil {
 			a.progress.recordEnd(end.err)
 			if back.IsCleanEnd(err) {
+				if err := c.confirmEnd(ctx, run, a, result); err != nil {
+					return err
+				}
 				if !c.headerWritten {
 					a.writeHeader(c, -1)
 				}
@@ -103,6 +112,13 @@
 			result.Failed, result.CallerGone = true, ctx.Err() != nil
 			return &attemptError{server: run.Server.ID, reason: fleet.ReasonStreamBroken, cause: err}
 		}
+		if err := c.order.accept(event, resumes); err != nil {
+			if c.headerWritten {
+				_ = controller.Flush() // of the events before it; the next write reports that the caller has gone
+			}
+			return c.outOfOrder(run, a, result, err)
+		}
+		resumes = resumes && event.Comment
 		now := c.relay.Clock()
 		if c.lastEventAt > 0 {
 			c.longestPause = max(c.longestPause, now-c.lastEventAt)
@@ -115,10 +131,6 @@
 			c.logBegan(run, a)
 			c.relay.observe("firstEventMillis", c.relay.Clock()-c.arrived)
 		}
-		if step := stepOf(c.lastEvent, event); step != IDRises {
-			a.progress.outOfOrder++
-			c.relay.count(eventIDCounter(step))
-		}
 		if !c.headerWritten {
 			a.writeHeader(c, -1)
 		}
@@ -129,19 +141,29 @@
 			result.CallerGone = true
 			return err
 		}
-		if event.ID != "" {
-			c.lastEvent = event.ID
-		}
 	}
 }
 
+// outOfOrder handles an event that does not follow those that the caller has: nothing more of its answer is passed on.
+func (c *call) outOfOrder(run *pool.Run, a *answer, result *pool.Result, err error) error {
+	var order *OrderError
+	if errors.As(err, &order) {
+		a.progress.outOfOrder++
+		c.relay.count(eventIDCounter(order.Step))
+	}
+	a.progress.recordEnd(nil)
+	back.CloseConnection(a.response)
+	result.Failed = true
+	return &attemptError{server: run.Server.ID, reason: fleet.ReasonForeignAnswer, cause: err}
+}
+
 // recordAnswered updates counters, durations and the log for an answered request.
 func (c *call) recordAnswered(a *answer, server string) {
 	c.relay.count("answered")
 	c.relay.observe("wholeMillis", c.relay.Clock()-c.arrived)
 	c.relay.durations.observe(c.route.Name, c.relay.Clock()-c.arrived)
 	c.log("answered", append([]interface{}{
-		"server", server, "status", a.status, "lastEvent", c.lastEvent, "longestPause", c.longestPause, "after", c.relay.Clock() - c.arrived,
+		"server", server, "status", a.status, "lastEvent", c.order.last, "longestPause", c.longestPause, "after", c.relay.Clock() - c.arrived,
 	}, a.progress.fields()...)...)
 }
 
@@ -172,7 +194,7 @@
 		c.logRefusal(e)
 	}
 	if e.abort || c.headerWritten { // an answer that has begun must not look complete
-		panic(http.ErrAbortHandler)
+		c.abort()
 	}
 	h := c.writer.Header()
 	c.relay.HeaderCodec.SetRequestID(h, c.info.ID)
@@ -188,6 +210,20 @@
 	}
 }
 
+// abort ends the caller's connection so that its answer looks incomplete. Answers to HTTP/1.0 callers have no chunks, and end in order
+// unless their connection is reset.
+func (c *call) abort() {
+	if !c.request.ProtoAtLeast(1, 1) {
+		if conn, _, err := http.NewResponseController(c.writer).Hijack(); err == nil { // unsupported only by test recorders
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0) // fails only if the connection is closed
+			}
+			_ = conn.Close() // the caller is gone if it fails
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // logRefusal logs a refusal and the data that it is based on.
 func (c *call) logRefusal(e *refusal) {
 	route, version := "", int64(0)
