Share the check for an event stream and the reset of a connection

The relay and the own interface each had both. Behaviour of the relay as before; router/front parses the content type too now, so that a type that only begins like that of a stream is no stream.

--- a/router/back/client.go
+++ b/router/back/client.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -87,13 +86,6 @@
 	CloseDelimited bool // only the end of the connection ends the body, so that the end of the body proves nothing
 }
 
-// IsEventStream reports whether the body is a stream of server-sent events.
-func (a *Answer) IsEventStream() bool { return isEventStream(a.Header) }
-
-func isEventStream(h http.Header) bool {
-	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
-}
-
 // ServerError is the reason why an attempt got no usable response.
 type ServerError struct {
 	Server string
@@ -319,7 +311,7 @@
 		return nil, reject(fleet.ReasonServerOverloaded, true)
 	}
 	unframed := FramingOf(a.Method, response) == FramingConnection
-	if unframed && !(a.EndMarker && isEventStream(response.Header)) { // truncation can't be detected
+	if unframed && !(a.EndMarker && IsEventStream(response.Header)) { // truncation can't be detected
 		return nil, reject(fleet.ReasonStreamBroken, false)
 	}
 	return &Answer{
--- a/router/back/events.go
+++ b/router/back/events.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"mime"
+	"net/http"
 )
 
 // endMarker is the data of the event that ends a model's response stream.
@@ -17,6 +19,12 @@
 // eventBufferSize is the size of the read buffer in bytes. Longer lines are assembled from several reads.
 const eventBufferSize = 1 << 10
 
+// IsEventStream reports whether a response with the given header is a stream of server-sent events.
+func IsEventStream(h http.Header) bool {
+	media, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter)) && media == "text/event-stream"
+}
+
 // EventError reports that a stream of server-sent events is incomplete.
 type EventError struct {
 	Events int  // complete events read before
--- a/router/front/forward.go
+++ b/router/front/forward.go
@@ -27,7 +27,7 @@
 	if model && a.Status >= http.StatusInternalServerError {
 		return &back.ServerError{Server: t.verdict.Grant.Server, Reason: fleet.ReasonServerFailed, Sent: true, Status: a.Status}
 	}
-	events := a.IsEventStream()
+	events := back.IsEventStream(a.Header)
 	if !t.canContinue(a, events) {
 		return t.interrupted(errDiverged)
 	}
--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"io"
-	"mime"
-	"net"
 	"net/http"
 	"strconv"
 
@@ -13,6 +11,7 @@
 	"mangolug.org/core/fleet"
 	"mangolug.org/core/pool"
 	"mangolug.org/router/back"
+	"mangolug.org/router/sock"
 )
 
 // answer is a server's answer to one attempt.
@@ -25,8 +24,7 @@
 }
 
 func (a *answer) isEventStream() bool {
-	media, _, err := mime.ParseMediaType(a.response.Header.Get("Content-Type"))
-	return a.status == http.StatusOK && (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter)) && media == "text/event-stream"
+	return a.status == http.StatusOK && back.IsEventStream(a.response.Header)
 }
 
 // writeHeader sends the answer's header to the caller. A negative length sets no Content-Length.
@@ -215,10 +213,7 @@
 func (c *call) abort() {
 	if !c.request.ProtoAtLeast(1, 1) {
 		if conn, _, err := http.NewResponseController(c.writer).Hijack(); err == nil { // unsupported only by test recorders
-			if tcp, ok := conn.(*net.TCPConn); ok {
-				_ = tcp.SetLinger(0) // fails only if the connection is closed
-			}
-			_ = conn.Close() // the caller is gone if it fails
+			_ = sock.Reset(conn) // a connection that can't be reset is already broken
 		}
 	}
 	panic(http.ErrAbortHandler)
