Drop an event in which the header of another answer stands

Callers saw: an event that ends in the header of another answer, and events of that answer behind it. Cause: where an answer without a length breaks off inside an event and a second one follows on its connection, both are read as one event, with a valid id. The own interface has a check for it.

Change: back.Events tells an event with a line that is no part of one; in an answer that only the end of its connection ends, the relay drops the rest. The own interface uses the same.

--- a/router/back/events.go
+++ b/router/back/events.go
@@ -57,6 +57,7 @@
 	End  bool   // whether the event is the end marker
 
 	Comment bool // whether it has only comments and fields that carry no content
+	Foreign bool // whether it has a line that is no part of an event, such as one of another response's header
 }
 
 var errEventTooLong = errors.New("event too long")
@@ -91,6 +92,7 @@
 			break
 		}
 		event.Comment = event.Comment && isComment(text)
+		event.Foreign = event.Foreign || !isEventLine(text)
 		if data, ok := bytes.CutPrefix(text, []byte("data:")); ok {
 			lines = append(lines, bytes.Clone(bytes.TrimPrefix(data, []byte(" "))))
 		}
@@ -109,6 +111,18 @@
 	return line[0] == ':' || bytes.HasPrefix(line, []byte("retry:")) || bytes.HasPrefix(line, []byte("event:"))
 }
 
+// isEventLine reports whether a line is a comment, a field of server-sent events, or a number under a lowercase name, which servers may
+// add to an event.
+func isEventLine(line []byte) bool {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "", "data", "event", "id", "retry":
+		return true
+	}
+	value = bytes.TrimSpace(value)
+	return len(value) > 0 && len(bytes.Trim(value, "0123456789")) == 0 && bytes.Equal(name, bytes.ToLower(name))
+}
+
 // Ready reports whether a complete further event is buffered, so that Next will not block.
 func (e *Events) Ready() bool {
 	buffered, err := e.reader.Peek(e.reader.Buffered())
--- a/router/back/events_test.go
+++ b/router/back/events_test.go
@@ -115,3 +115,28 @@
 		})
 	}
 }
+
+// TestEventLines guards against taking another response's header for part of an event, and against taking comments for content.
+func TestEventLines(t *testing.T) {
+	for name, c := range map[string]struct {
+		text             string
+		comment, foreign bool
+	}{
+		"an event":                 {text: "id: 1\nevent: delta\ndata: a\n\n"},
+		"comments":                 {text: ": ping\r\n:\n\n", comment: true},
+		"fields without content":   {text: "retry: 100\nevent: x\n\n", comment: true},
+		"an empty line":            {text: "\n", comment: true},
+		"an id alone":              {text: "id: 1\n\n"},
+		"a version before the id":  {text: "weight-versions: 3\nid: 1\ndata: a\n\n"},
+		"a response's header":      {text: "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n", foreign: true},
+		"a header inside an event": {text: "id: 1\ndata: aHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", foreign: true},
+		"a field without a value":  {text: "data: a\nx\n\n", foreign: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			event, err := NewEvents(strings.NewReader(c.text)).Next()
+			if err != nil || event.Comment != c.comment || event.Foreign != c.foreign {
+				t.Errorf("comment %v, foreign %v, %v", event.Comment, event.Foreign, err)
+			}
+		})
+	}
+}
--- a/router/front/forward.go
+++ b/router/front/forward.go
@@ -53,7 +53,7 @@
 			return t.interrupted(err)
 		}
 		stall.Reset(c.front.Settings.StallTimeout)
-		if a.CloseDelimited && !isEventText(event.Text) {
+		if a.CloseDelimited && event.Foreign {
 			return t.interrupted(errSecondAnswer)
 		}
 		if err := t.recordEvent(event); err != nil {
@@ -125,19 +125,6 @@
 // errSecondAnswer is returned when a stream without a length breaks off and another answer follows on its connection.
 var errSecondAnswer = errors.New("stream contains the header of another answer")
 
-// isEventText reports whether the text of an event has comments and the fields of server-sent events only.
-func isEventText(text []byte) bool {
-	for line := range bytes.Lines(text) {
-		field, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
-		switch string(field) {
-		case "", "data", "event", "id", "retry":
-		default:
-			return false
-		}
-	}
-	return true
-}
-
 // errForeignEvent is returned when a stream contains an event of another answer.
 var errForeignEvent = errors.New("stream contains an event of another answer")
 
--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -110,7 +110,12 @@
 			result.Failed, result.CallerGone = true, ctx.Err() != nil
 			return &attemptError{server: run.Server.ID, reason: fleet.ReasonStreamBroken, cause: err}
 		}
-		if err := c.order.accept(event, resumes); err != nil {
+		if a.progress.framing == back.FramingConnection && event.Foreign {
+			err = errSecondAnswer
+		} else {
+			err = c.order.accept(event, resumes)
+		}
+		if err != nil {
 			if c.headerWritten {
 				_ = controller.Flush() // of the events before it; the next write reports that the caller has gone
 			}
@@ -142,6 +147,9 @@
 	}
 }
 
+// errSecondAnswer is returned when an answer without a length breaks off and another one follows on its connection.
+var errSecondAnswer = errors.New("the header of another answer stands in an event")
+
 // outOfOrder handles an event that does not follow those that the caller has: nothing more of its answer is passed on.
 func (c *call) outOfOrder(run *pool.Run, a *answer, result *pool.Result, err error) error {
 	var order *OrderError
--- a/router/relay/order_test.go
+++ b/router/relay/order_test.go
@@ -202,6 +202,7 @@
 		"head of a second answer":          {begin: wholeStream(lastOfStream), stray: rawStreamHead},
 		"a second answer":                  {begin: wholeStream(lastOfStream), stray: rawStreamHead + wholeStream(lastOfStream)},
 		"a second answer with rising ids":  {begin: wholeStream(lastOfStream), stray: rawStreamHead + eventsText(lastOfStream+1, lastOfStream+2)},
+		"a second answer inside an event":  {begin: wholeStream(2) + "id: 3\ndata: ev", stray: rawStreamHead + wholeStream(lastOfStream)},
 		"a second answer after two events": {begin: wholeStream(2), stray: rawStreamHead + wholeStream(lastOfStream)},
 	} {
 		for _, path := range []string{"/stream/", "/fixed/"} {
