--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -95,20 +95,7 @@
 		event, err := events.Next()
 		if err != nil {
 			a.progress.recordEnd(end.err)
-			if back.IsCleanEnd(err) {
-				if err := c.confirmEnd(ctx, run, a, result); err != nil {
-					return err
-				}
-				if !c.headerWritten {
-					a.writeHeader(c, -1)
-				}
-				c.recordAnswered(a, run.Server.ID)
-				return nil
-			}
-			var broken *back.EventError
-			a.progress.insideEvent = errors.As(err, &broken) && broken.Inside
-			result.Failed, result.CallerGone = true, ctx.Err() != nil
-			return &attemptError{server: run.Server.ID, reason: fleet.ReasonStreamBroken, cause: err}
+			return c.streamEnded(ctx, run, a, result, err)
 		}
 		if a.progress.framing == back.FramingConnection && event.Foreign {
 			err = errSecondAnswer
--- a/router/relay/ending.go
+++ b/router/relay/ending.go
@@ -21,6 +21,24 @@
 	healthBodyBytes = 4 << 10
 )
 
+// streamEnded handles the end of a stream, given the error of reading its next event.
+func (c *call) streamEnded(ctx context.Context, run *pool.Run, a *answer, result *pool.Result, err error) error {
+	if !back.IsCleanEnd(err) {
+		var broken *back.EventError
+		a.progress.insideEvent = errors.As(err, &broken) && broken.Inside
+		result.Failed, result.CallerGone = true, ctx.Err() != nil
+		return &attemptError{server: run.Server.ID, reason: fleet.ReasonStreamBroken, cause: err}
+	}
+	if err := c.confirmEnd(ctx, run, a, result); err != nil {
+		return err
+	}
+	if !c.headerWritten {
+		a.writeHeader(c, -1)
+	}
+	c.recordAnswered(a, run.Server.ID)
+	return nil
+}
+
 // confirmEnd returns an error if the end of a connection may have cut an answer short. An answer without a length and without chunks
 // ends with its connection, and so does every answer of a process that is killed. Only a process that lives answers a health check
 // that is sent after that.
