--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"io"
-	"mime"
-	"net"
 	"net/http"
 	"strconv"
 
@@ -13,6 +11,7 @@
 	"mangolug.org/core/fleet"
 	"mangolug.org/core/pool"
 	"mangolug.org/router/back"
+	"mangolug.org/router/sock"
 )
 
 // answer is a server's answer to one attempt.
@@ -25,8 +24,7 @@
 }
 
 func (a *answer) isEventStream() bool {
-	media, _, err := mime.ParseMediaType(a.response.Header.Get("Content-Type"))
-	return a.status == http.StatusOK && (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter)) && media == "text/event-stream"
+	return a.status == http.StatusOK && back.IsEventStream(a.response.Header)
 }
 
 // writeHeader sends the answer's header to the caller. A negative length sets no Content-Length.
@@ -97,22 +95,14 @@
 		event, err := events.Next()
 		if err != nil {
 			a.progress.recordEnd(end.err)
-			if back.IsCleanEnd(err) {
-				if err := c.confirmEnd(ctx, run, a, result); err != nil {
-					return err
-				}
-				if !c.headerWritten {
-					a.writeHeader(c, -1)
-				}
-				c.recordAnswered(a, run.Server.ID)
-				return nil
-			}
-			var broken *back.EventError
-			a.progress.insideEvent = errors.As(err, &broken) && broken.Inside
-			result.Failed, result.CallerGone = true, ctx.Err() != nil
-			return &attemptError{server: run.Server.ID, reason: fleet.ReasonStreamBroken, cause: err}
+			return c.streamEnded(ctx, run, a, result, err)
+		}
+		if a.progress.framing == back.FramingConnection && event.Foreign {
+			err = errSecondAnswer
+		} else {
+			err = c.order.accept(event, resumes)
 		}
-		if err := c.order.accept(event, resumes); err != nil {
+		if err != nil {
 			if c.headerWritten {
 				_ = controller.Flush() // of the events before it; the next write reports that the caller has gone
 			}
@@ -144,6 +134,9 @@
 	}
 }
 
+// errSecondAnswer is returned when an answer without a length breaks off and another one follows on its connection.
+var errSecondAnswer = errors.New("the header of another answer stands in an event")
+
 // outOfOrder handles an event that does not follow those that the caller has: nothing more of its answer is passed on.
 func (c *call) outOfOrder(run *pool.Run, a *answer, result *pool.Result, err error) error {
 	var order *OrderError
@@ -215,10 +208,7 @@
 func (c *call) abort() {
 	if !c.request.ProtoAtLeast(1, 1) {
 		if conn, _, err := http.NewResponseController(c.writer).Hijack(); err == nil { // unsupported only by test recorders
-			if tcp, ok := conn.(*net.TCPConn); ok {
-				_ = tcp.SetLinger(0) // fails only if the connection is closed
-			}
-			_ = conn.Close() // the caller is gone if it fails
+			_ = sock.Reset(conn) // a connection that can't be reset is already broken
 		}
 	}
 	panic(http.ErrAbortHandler)
