Ask for a sign that only the very process can give before its connection's end counts

Callers would have seen: half an answer as whole, where the health check after its end was answered by another process at the address, by one that names no server, by the next process under the same id, or by a late answer to another request; whole answers lost where the check waited for a slot for over a second; an unsafe request run twice, as a late second copy of a rejected check was read on its kept connection.

Change: the adapter says which call proves that a server still runs. A model server's report needs no slot and has the time of its start, which the store's entry has too. Other servers name themselves in a health check that is meant for them alone. The call has a connection of its own, and may take as long as the request has left. back.Client.Ask sends it.

A server without a start in its entry that is started anew under its id at its address is not told from the process before.

--- a/router/back/client.go
+++ b/router/back/client.go
@@ -210,6 +210,18 @@
 	return response, nil
 }
 
+// Ask sends a request that may be repeated on a connection of its own, so that no earlier response can be read as its response. All
+// errors are of type *ServerError.
+func (c *Client) Ask(request *http.Request, server string) (*http.Response, error) {
+	c.once.Do(c.init)
+	g := &gate{}
+	response, err := c.roundTrip(c.unpooled, request, g)
+	if err != nil {
+		return nil, g.failure(server, err)
+	}
+	return response, nil
+}
+
 // roundTrip sends a request whose writes are controlled by a gate.
 func (c *Client) roundTrip(transport *http.Transport, request *http.Request, g *gate) (*http.Response, error) {
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -135,7 +135,7 @@
 }
 
 // errSecondAnswer is returned when an answer without a length breaks off and another one follows on its connection.
-var errSecondAnswer = errors.New("the header of another answer stands in an event")
+var errSecondAnswer = errors.New("the header of another answer stands in it")
 
 // outOfOrder handles an event that does not follow those that the caller has: nothing more of its answer is passed on.
 func (c *call) outOfOrder(run *pool.Run, a *answer, result *pool.Result, err error) error {
--- a/router/relay/dialect.go
+++ b/router/relay/dialect.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mangolug.org/core/pool"
+	"mangolug.org/core/route"
 )
 
 // RequestInfo holds the values from a caller's request header.
@@ -41,10 +42,19 @@
 	Malformed     string        // a header that could not be parsed, verbatim; empty if none
 }
 
+// Probe is a call to a server that only the very process that it is meant for answers as expected.
+type Probe struct {
+	Path   string
+	Header http.Header
+	Proves func(status int, h http.Header, body []byte) bool // reports whether the answer is of that process
+}
+
 // HeaderCodec parses and sets the headers on the wire. All fields must be set.
 type HeaderCodec struct {
 	ParseRequest  func(h http.Header) (RequestInfo, error) // parses a caller's header; returns an error if it is invalid
 	WriteRequest  func(h http.Header, s Outgoing)          // removes headers that servers must not get and sets those of the router
 	ParseResponse func(h http.Header) ResponseInfo         // parses a server's header
 	SetRequestID  func(h http.Header, request string)      // sets the request id in the header of a router's own answer
+
+	Probe func(s pool.Server, service route.Service) Probe // returns the call by which a server shows that it still runs
 }
--- a/router/relay/proof_test.go
+++ b/router/relay/proof_test.go
@@ -124,7 +124,7 @@
 func TestUnframedAnswerOfBusyServer(t *testing.T) {
 	for name, health := range map[string]rawServer{
 		"the check waits for a slot": func(n int, c net.Conn, r *http.Request) {
-			timer := time.NewTimer(healthTimeout + healthTimeout/4) // the time that the requests before it need
+			timer := time.NewTimer(1250 * time.Millisecond) // the time that the requests before it need
 			defer timer.Stop()
 			<-timer.C
 			healthOf("raw")(n, c, r)
@@ -156,19 +156,21 @@
 }
 
 // TestLateSecondHealthAnswer guards against a late second copy of a rejected health check, which has no request id, that is read on its
-// kept connection as a promise that the next request did not run.
+// connection as a promise that the next request did not run.
 func TestLateSecondHealthAnswer(t *testing.T) {
 	const rejection = "HTTP/1.1 503 Service Unavailable\r\n" + testNotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
 	w := newScript(t)
 	w.relay.Client = &back.Client{Settings: back.Settings{NonIdempotentIdle: time.Minute}} // as a router's process sets it
 	t.Cleanup(w.relay.Client.Close)
+	var checked net.Conn // of the health check; the requests come one after the other
 	w.replaceServers("raw", listenRaw(t, "127.0.0.1:0", func(n int, c net.Conn, _ *http.Request) {
-		switch n {
-		case 1:
+		switch {
+		case n == 2: // the health check
+			checked = c
+			writeText(c, rejection)
+		case c != checked:
 			writeText(c, rawPlainHead+plainBody)
 			_ = c.Close() // the end of the answer
-		case 2: // the health check
-			writeText(c, rejection)
 		default: // the second request, which is run
 			w.relay.Gate.With(func(now time.Duration, p *pool.Pool) {
 				p.SetServer(now, pool.Server{ID: "s0", Service: "desk", Address: w.addresses[0], DataCentre: "east", Slots: 8})
--- a/router/relay/world_test.go
+++ b/router/relay/world_test.go
@@ -35,6 +35,7 @@
 	testLeaving   = "X-Leaving"
 	testPause     = "X-Rest" // whole seconds
 	testInstance  = "X-Instance"
+	testStart     = "X-Start"
 )
 
 // testHealthPath is the path of the servers' health checks.
@@ -68,9 +69,26 @@
 			return t
 		},
 		SetRequestID: func(h http.Header, id string) { h.Set(testID, id) },
+		Probe:        testProbe,
 	}
 }
 
+// testProbe returns the health check of a server, which tells the time of its start or, if its entry has none, its name.
+func testProbe(s pool.Server, service route.Service) Probe {
+	return Probe{Path: service.HealthPath, Header: http.Header{testServer: {s.ID}}, Proves: func(status int, h http.Header, _ []byte) bool {
+		if s.StartMillis != 0 {
+			return h.Get(testStart) == strconv.FormatInt(s.StartMillis, 10)
+		}
+		if name := h.Get(testInstance); name != "" {
+			return name == s.ID
+		}
+		return status == http.StatusServiceUnavailable && h.Get(testNotRun) != ""
+	}}
+}
+
+// startOf returns the time at which a server of the fixture started, in milliseconds.
+func startOf(server int) int64 { return int64(1000 + server) }
+
 // fixture is a relay in front of simulated backend servers.
 type fixture struct {
 	relay    *Relay
@@ -96,7 +114,7 @@
 	for i := range w.received {
 		s := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == testHealthPath {
-				rw.Header().Set(testInstance, fmt.Sprint("s", i))
+				rw.Header().Set(testStart, strconv.FormatInt(startOf(i), 10))
 				return
 			}
 			w.received[i].Add(1)
@@ -110,7 +128,7 @@
 		}))
 		t.Cleanup(s.Close)
 		w.addresses[i], w.listeners[i] = strings.TrimPrefix(s.URL, "http://"), s.Listener
-		p.SetServer(0, pool.Server{ID: fmt.Sprint("s", i), Service: "desk", Address: strings.TrimPrefix(s.URL, "http://"), DataCentre: "east", Slots: 8})
+		p.SetServer(0, pool.Server{ID: fmt.Sprint("s", i), Service: "desk", Address: strings.TrimPrefix(s.URL, "http://"), DataCentre: "east", Slots: 8, StartMillis: startOf(i)})
 	}
 	w.relay = &Relay{
 		Table: w.table.Load, Gate: &Gate{Pool: p, Clock: clock}, Client: &back.Client{}, HeaderCodec: testDialect(),
