Drop a body without a length in which another answer stands

Callers saw: a second answer of their server, head and all, behind the body of the first or a part of it. Cause: an answer without a length ends with its connection, so what follows on it is read as more of the body.

Change: such a body is searched for the head of an answer that names a request; at most 16 places are looked at. The attempt counts as a foreign answer.

--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -70,6 +70,9 @@
 		result.Failed, result.CallerGone = true, ctx.Err() != nil
 		return &attemptError{server: run.Server.ID, reason: fleet.ReasonStreamBroken, cause: err}
 	}
+	if a.progress.framing == back.FramingConnection && c.hasSecondAnswer(body) {
+		return c.outOfOrder(run, a, result, errSecondAnswer)
+	}
 	if err := c.confirmEnd(ctx, run, a, result); err != nil {
 		return err
 	}
--- a/router/relay/ending.go
+++ b/router/relay/ending.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -77,3 +79,24 @@
 	}
 	return nil
 }
+
+// maxStatusLines is how many possible status lines are looked at in a body.
+const maxStatusLines = 16
+
+// hasSecondAnswer reports whether another answer to a request follows a body on its connection, or a part of it. Where an answer has
+// neither a length nor chunks, that would be read as more of the body.
+func (c *call) hasSecondAnswer(body []byte) bool {
+	for range maxStatusLines {
+		at := bytes.Index(body, []byte("HTTP/1."))
+		if at < 0 {
+			break
+		}
+		head := io.LimitReader(bytes.NewReader(body[at:]), back.DefaultHeaderBytes)
+		response, err := http.ReadResponse(bufio.NewReader(head), c.request)
+		if err == nil && c.relay.HeaderCodec.ParseResponse(response.Header).ID != "" {
+			return true
+		}
+		body = body[at+1:]
+	}
+	return false
+}
