--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -70,6 +70,9 @@
 		result.Failed, result.CallerGone = true, ctx.Err() != nil
 		return &attemptError{server: run.Server.ID, reason: fleet.ReasonStreamBroken, cause: err}
 	}
+	if a.progress.framing == back.FramingConnection && c.hasSecondAnswer(body) {
+		return c.outOfOrder(run, a, result, errSecondAnswer)
+	}
 	if err := c.confirmEnd(ctx, run, a, result); err != nil {
 		return err
 	}
@@ -135,7 +138,7 @@
 }
 
 // errSecondAnswer is returned when an answer without a length breaks off and another one follows on its connection.
-var errSecondAnswer = errors.New("the header of another answer stands in an event")
+var errSecondAnswer = errors.New("the header of another answer stands in it")
 
 // outOfOrder handles an event that does not follow those that the caller has: nothing more of its answer is passed on.
 func (c *call) outOfOrder(run *pool.Run, a *answer, result *pool.Result, err error) error {
