--- a/router/back/events.go
+++ b/router/back/events.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"mime"
+	"net/http"
 )
 
 // endMarker is the data of the event that ends a model's response stream.
@@ -17,6 +19,12 @@
 // eventBufferSize is the size of the read buffer in bytes. Longer lines are assembled from several reads.
 const eventBufferSize = 1 << 10
 
+// IsEventStream reports whether a response with the given header is a stream of server-sent events.
+func IsEventStream(h http.Header) bool {
+	media, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter)) && media == "text/event-stream"
+}
+
 // EventError reports that a stream of server-sent events is incomplete.
 type EventError struct {
 	Events int  // complete events read before
@@ -49,6 +57,7 @@
 	End  bool   // whether the event is the end marker
 
 	Comment bool // whether it has only comments and fields that carry no content
+	Foreign bool // whether it has a line that is no part of an event, such as one of another response's header
 }
 
 var errEventTooLong = errors.New("event too long")
@@ -83,6 +92,7 @@
 			break
 		}
 		event.Comment = event.Comment && isComment(text)
+		event.Foreign = event.Foreign || !isEventLine(text)
 		if data, ok := bytes.CutPrefix(text, []byte("data:")); ok {
 			lines = append(lines, bytes.Clone(bytes.TrimPrefix(data, []byte(" "))))
 		}
@@ -101,6 +111,18 @@
 	return line[0] == ':' || bytes.HasPrefix(line, []byte("retry:")) || bytes.HasPrefix(line, []byte("event:"))
 }
 
+// isEventLine reports whether a line is a comment, a field of server-sent events, or a number under a lowercase name, which servers may
+// add to an event.
+func isEventLine(line []byte) bool {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "", "data", "event", "id", "retry":
+		return true
+	}
+	value = bytes.TrimSpace(value)
+	return len(value) > 0 && len(bytes.Trim(value, "0123456789")) == 0 && bytes.Equal(name, bytes.ToLower(name))
+}
+
 // Ready reports whether a complete further event is buffered, so that Next will not block.
 func (e *Events) Ready() bool {
 	buffered, err := e.reader.Peek(e.reader.Buffered())
--- a/router/front/forward.go
+++ b/router/front/forward.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"mangolug.org/core/fleet"
@@ -28,7 +27,7 @@
 	if model && a.Status >= http.StatusInternalServerError {
 		return &back.ServerError{Server: t.verdict.Grant.Server, Reason: fleet.ReasonServerFailed, Sent: true, Status: a.Status}
 	}
-	events := strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream")
+	events := back.IsEventStream(a.Header)
 	if !t.canContinue(a, events) {
 		return t.interrupted(errDiverged)
 	}
@@ -38,6 +37,10 @@
 	return t.relayBuffered(a, model)
 }
 
+// lastChunkTimeout is how long the caller's answer, already whole, is kept open for the server to end its own, so that the
+// connection to the server can be reused.
+const lastChunkTimeout = 100 * time.Millisecond
+
 // relayEvents relays whole events, except those that the caller received from an interrupted attempt.
 func (t *attempt) relayEvents(a *back.Answer) error {
 	c := t.call
@@ -50,6 +53,9 @@
 			return t.interrupted(err)
 		}
 		stall.Reset(c.front.Settings.StallTimeout)
+		if a.CloseDelimited && event.Foreign {
+			return t.interrupted(errSecondAnswer)
+		}
 		if err := t.recordEvent(event); err != nil {
 			return t.interrupted(err)
 		}
@@ -62,7 +68,10 @@
 			return t.callerLost(err)
 		}
 		if event.End {
-			_, _ = a.Body.Read(make([]byte, 1)) // the transport reuses the connection only after reading EOF
+			if !a.CloseDelimited {
+				stall.Reset(lastChunkTimeout)
+				_, _ = a.Body.Read(make([]byte, 1)) // the transport reuses the connection only after reading EOF
+			}
 			return nil
 		}
 		t.reportProgress()
@@ -113,6 +122,9 @@
 	return c.attemptRefusal(reason, &back.ServerError{Server: t.verdict.Grant.Server, Reason: reason, Sent: true, Err: err})
 }
 
+// errSecondAnswer is returned when a stream without a length breaks off and another answer follows on its connection.
+var errSecondAnswer = errors.New("stream contains the header of another answer")
+
 // errForeignEvent is returned when a stream contains an event of another answer.
 var errForeignEvent = errors.New("stream contains an event of another answer")
 
@@ -214,9 +226,7 @@
 		}
 		if err != nil {
 			c.mayHaveRun = true
-			e := c.attemptRefusal(fleet.ReasonStreamBroken, t.brokenError(err))
-			e.abort = true
-			return e
+			return c.attemptRefusal(fleet.ReasonStreamBroken, t.brokenError(err))
 		}
 	}
 }
@@ -241,10 +251,11 @@
 	c.writer.WriteHeader(a.Status)
 }
 
-// recordAnswer keeps an answer for the key's home. The body is left out if it is over the limit.
+// recordAnswer keeps an answer for the key's home. The body is left out if it is over the limit, or encoded, as the record has no
+// Content-Encoding.
 func (c *call) recordAnswer(a *back.Answer, body []byte) {
 	c.record = fleet.Answer{Status: a.Status, ContentType: a.Header.Get("Content-Type"), Body: body}
-	if len(body) > c.front.Settings.RecordedAnswerBytes {
+	if len(body) > c.front.Settings.RecordedAnswerBytes || a.Header.Get("Content-Encoding") != "" {
 		c.record.Body, c.record.Truncated = nil, true
 	}
 }
--- a/router/front/front_test.go
+++ b/router/front/front_test.go
@@ -229,6 +229,10 @@
 		},
 		"stream without a length or chunks": {
 			answers: []string{events + textEvent + doneEvent, sse + chunks(true, textEvent, doneEvent)}, call: chat, status: 200, want: textEvent + doneEvent,
+			ends: []string{"1 completed"}, sends: 1,
+		},
+		"stream without a length or chunks, cut": {
+			answers: []string{events + textEvent, sse + chunks(true, textEvent, doneEvent)}, call: chat, status: 200, want: textEvent + doneEvent,
 			ends: []string{"1 failed", "2 completed"}, sends: 2,
 		},
 		"no such model":   {answers: []string{plainBody}, call: "POST /v1/completions", status: 404, want: "unknownProduct notRun"},
@@ -295,6 +299,9 @@
 		if cut == strings.Contains(passed, "[DONE]") || cut != (n < len(whole)) {
 			t.Errorf("cut at %d: caller got %q", n, text)
 		}
+		if strings.HasSuffix(text, "BROKEN") != cut {
+			t.Errorf("cut at %d: the answer %q ends in order: %t", n, text, cut)
+		}
 		if cut && !strings.Contains(refusal, `"reason":"streamBroken","outcome":"unknown"`) {
 			t.Errorf("cut at %d: error event %q", n, refusal)
 		}
@@ -355,8 +362,18 @@
 			answers: []string{stream(false, a1, a2), stream(true, b1, event("b", "oak"), doneEvent)},
 			passed:  a1 + a2, reason: "streamBroken", ends: []string{"1 failed", "2 cancelled"}, diverge: 1,
 		},
-		"ends early":       {answers: []string{stream(false, a1, a2), stream(true, b1, doneEvent)}, passed: a1 + a2, reason: "streamBroken", ends: []string{"1 failed", "2 cancelled"}, diverge: 1},
-		"no stream":        {answers: []string{begun, plainBody}, passed: a1, reason: "streamBroken", ends: []string{"1 failed", "2 cancelled"}, diverge: 1},
+		"ends early":     {answers: []string{stream(false, a1, a2), stream(true, b1, doneEvent)}, passed: a1 + a2, reason: "streamBroken", ends: []string{"1 failed", "2 cancelled"}, diverge: 1},
+		"no stream":      {answers: []string{begun, plainBody}, passed: a1, reason: "streamBroken", ends: []string{"1 failed", "2 cancelled"}, diverge: 1},
+		"no stream, 404": {answers: []string{begun, "HTTP/1.1 404 None\r\nX-Attempt-Id: ID\r\nContent-Length: 3\r\n\r\nbad"}, passed: a1, reason: "streamBroken", ends: []string{"1 failed", "2 cancelled"}, diverge: 1},
+		"no stream, 204": {answers: []string{begun, "HTTP/1.1 204 None\r\nX-Attempt-Id: ID\r\n\r\n"}, passed: a1, reason: "streamBroken", ends: []string{"1 failed", "2 cancelled"}, diverge: 1},
+		"stream of a 404": {
+			answers: []string{begun, strings.Replace(stream(true, b1, b2, doneEvent), "200 OK", "404 None", 1)},
+			passed:  a1, reason: "streamBroken", ends: []string{"1 failed", "2 cancelled"}, diverge: 1,
+		},
+		"overloaded, perhaps run": {
+			answers: []string{begun, "HTTP/1.1 429 Slow\r\nX-Attempt-Id: ID\r\nContent-Length: 0\r\n\r\n"},
+			passed:  a1, reason: "streamBroken", ends: []string{"1 failed", "2 cancelled"}, diverge: 1,
+		},
 		"an id is missing": {answers: []string{begun, stream(true, event("", "wal"), event("", "nut"), doneEvent)}, passed: a1, reason: "streamBroken", ends: []string{"1 failed", "2 cancelled"}, diverge: 1},
 		"foreign event":    {answers: []string{begun, stream(true, b1, a2, doneEvent)}, passed: a1, reason: "foreignAnswer", ends: []string{"1 failed", "2 failed"}},
 		"always cut":       {answers: []string{begun}, passed: a1, reason: "streamBroken", ends: []string{"1 failed", "2 failed", "3 failed"}},
@@ -374,6 +391,10 @@
 			b.start(t)
 			_, text := b.do(t, "POST", "/v1/chat/completions", modelBody, tt.header)
 			passed, refusal, _ := strings.Cut(text, "event: error\ndata: ")
+			refusal, broken := strings.CutSuffix(refusal, "BROKEN")
+			if broken != (tt.reason != "") {
+				t.Errorf("the answer %q ends in order: %t", text, !broken)
+			}
 			var body refusalBody
 			_ = json.Unmarshal([]byte(refusal), &body)
 			if passed != tt.passed || body.Reason != tt.reason || body.NotRun || strings.Count(text, "event: error") > 1 {
@@ -414,6 +435,7 @@
 		"another's event":        {[]string{mine, other, doneEvent}, mine, "foreignAnswer"},
 		"another's end":          {[]string{mine, mine, other + doneEvent}, mine + mine, "foreignAnswer"},
 		"an event without an id": {[]string{mine, textEvent, doneEvent}, mine, "foreignAnswer"},
+		"an id only later":       {[]string{textEvent, mine, doneEvent}, textEvent, "streamBroken"},
 		"an event of two pieces": {[]string{mine, bad, doneEvent}, mine, "streamBroken"},
 	}
 	for name, tt := range tests {
--- a/router/plat/client.go
+++ b/router/plat/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 	"mangolug.org/core/fleet"
+	"mangolug.org/router/back"
 )
 
 // Limits on the size of the platform's responses.
@@ -86,6 +87,9 @@
 	if err != nil || version == 0 {
 		return 0, nil, false, &ContentError{Path: path, What: "no " + versionHeader + " above 0"}
 	}
+	if !response.Uncompressed && back.FramingOf(http.MethodGet, response) == back.FramingConnection { // gzip has a checksum at its end
+		return 0, nil, false, &ContentError{Path: path, What: "neither Content-Length nor chunked encoding, one of which is needed to tell a truncated rule file from a whole one"}
+	}
 	text, err = readAll(path, response.Body, MaxValue)
 	if err != nil {
 		return 0, nil, false, err
