Test the health check and resumed runs against weaker code

Change: three tests, green on the code as it is: no answer to the health check in five ways, events missing between two runs, and gaps in a resumed run.

--- a/router/relay/proof_test.go
+++ b/router/relay/proof_test.go
@@ -104,6 +104,65 @@
 	}
 }
 
+// TestNoHealthAnswer guards against taking an open port for a server that lives: the kernel closes the listener of a killed process after
+// its connections, and accepts connections to a frozen one.
+func TestNoHealthAnswer(t *testing.T) {
+	fixed := func(text string) rawServer {
+		return func(_ int, c net.Conn, _ *http.Request) {
+			writeText(c, text)
+			_ = c.Close() // instead of the rest
+		}
+	}
+	for name, health := range map[string]rawServer{
+		"closed without an answer": fixed(""),
+		"closed inside the header": fixed("HTTP/1.1 200 OK\r\n" + testInstance + ": s0\r\nContent-Le"),
+		"no HTTP":                  fixed("ok\r\n\r\n"),
+		"reset": func(_ int, c net.Conn, _ *http.Request) {
+			_ = c.(*net.TCPConn).SetLinger(0) // the connection is open
+			_ = c.Close()
+		},
+		"silent": func(int, net.Conn, *http.Request) {},
+	} {
+		for path, text := range map[string]string{"/fixed/": rawStreamHead + wholeStream(2), "/unsafe/": rawPlainHead + plainBody[:7]} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				w := newScript(t, func(w *fixture, server int, rw http.ResponseWriter, _ *http.Request) {
+					_ = w.listeners[server].Close() // closed once
+					listenRaw(t, w.addresses[server], health)
+					writeRaw(rw, text)
+				})
+				a := w.do(t, http.MethodPost, path, "x", nil)
+				if a.err == nil && a.status != http.StatusBadGateway {
+					t.Errorf("got %d %q as a complete answer", a.status, a.body)
+				}
+				if n := w.runs.Load(); n != 1 {
+					t.Errorf("sent to %d servers, want 1", n)
+				}
+			})
+		}
+	}
+}
+
+// TestResumedRunLeavesNothingOut guards against joining two runs with events missing between them.
+func TestResumedRunLeavesNothingOut(t *testing.T) {
+	w := newScript(t, cutAfter(1, 2), send(4, lastOfStream))
+	checkStream(t, w.do(t, http.MethodPost, "/stream/", "x", nil), wholeStream(lastOfStream))
+}
+
+// TestGapsInResumedRun guards against breaking a resumed run whose ids rise by more than one after its first event, and against a comment
+// that hides events missing before that.
+func TestGapsInResumedRun(t *testing.T) {
+	const rest = "id: 3\ndata: c\n\nid: 5\ndata: d\n\n"
+	w := newScript(t, cutAfter(1, 2), sendText(rest))
+	if a := w.do(t, http.MethodPost, "/stream/", "x", nil); a.err != nil || a.body != wholeStream(2)+rest {
+		t.Errorf("got %q, %v, want all events", a.body, a.err)
+	}
+	w = newScript(t, cutAfter(1, 2), sendText(": hello\n\n"+eventsText(4, lastOfStream)))
+	if a := w.do(t, http.MethodPost, "/stream/", "x", nil); a.err == nil || a.body != wholeStream(2)+": hello\n\n" {
+		t.Errorf("got %q, %v, want two events and a broken answer", a.body, a.err)
+	}
+}
+
 // TestHealthAnswerOfNextProcess guards against taking the health of a server that was started anew under its id and at its address for that
 // of the process that was killed, as a router meets it that was frozen meanwhile.
 func TestHealthAnswerOfNextProcess(t *testing.T) {
