Leave a quarter of a request's time for another server after a probe

Cause: without a bound of its own, a probe that a frozen server never answers took all the time that the request had left, so that the caller got 504 at its deadline and a safe request was not sent again (TestNoHealthAnswer/silent/unsafe).

Change: a probe may take three quarters of the time left, which is also enough for a check that waits for a slot. Ends that were proven and those that were not are counted.

go test -race ./router/relay: pass.

--- a/router/relay/ending.go
+++ b/router/relay/ending.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -15,8 +16,13 @@
 	"mangolug.org/router/back"
 )
 
-// probeBytes is the largest answer to a probe in bytes; a server may list all its runs.
-const probeBytes = 1 << 20
+const (
+	// probeBytes is the largest answer to a probe in bytes; a server may list all its runs.
+	probeBytes = 1 << 20
+	// probeShare is the fraction of a request's remaining time that a probe may take, as it may wait for a slot. The rest is for another
+	// server.
+	probeShare = 0.75
+)
 
 // streamEnded handles the end of a stream, given the error of reading its next event.
 func (c *call) streamEnded(ctx context.Context, run *pool.Run, a *answer, result *pool.Result, err error) error {
@@ -45,8 +51,10 @@
 	}
 	err := c.probe(ctx, run)
 	if err == nil {
+		c.relay.count("ends.proven")
 		return nil
 	}
+	c.relay.count("ends.unproven")
 	result.Failed, result.CallerGone = true, ctx.Err() != nil
 	return &attemptError{
 		server: run.Server.ID, reason: fleet.ReasonStreamBroken, cause: errors.Wrap(err, "the answer ended with its connection, and its server may have ended too"),
@@ -65,6 +73,8 @@
 		Method: http.MethodGet, Host: run.Server.Address, Header: probe.Header,
 		URL: &url.URL{Scheme: "http", Host: run.Server.Address, Path: probe.Path},
 	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(probeShare*float64(c.deadline-c.relay.Clock())))
+	defer cancel()
 	response, err := c.relay.Client.Ask(request.WithContext(ctx), run.Server.ID)
 	if err != nil {
 		return err
