Test a plain server that is started anew under its name, known to fail

Cause: since the probe knows the start of model servers, the test's servers all had one, and the case without, which is a real fault, was shown by no test.

Change: both cases. Also: a name for what drops an answer that fits its two uses.

--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -71,7 +71,7 @@
 		return &attemptError{server: run.Server.ID, reason: fleet.ReasonStreamBroken, cause: err}
 	}
 	if a.progress.framing == back.FramingConnection && c.hasSecondAnswer(body) {
-		return c.outOfOrder(run, a, result, errSecondAnswer)
+		return c.foreign(run, a, result, errSecondAnswer)
 	}
 	if err := c.confirmEnd(ctx, run, a, result); err != nil {
 		return err
@@ -109,7 +109,7 @@
 			if c.headerWritten {
 				_ = controller.Flush() // of the events before it; the next write reports that the caller has gone
 			}
-			return c.outOfOrder(run, a, result, err)
+			return c.foreign(run, a, result, err)
 		}
 		resumes = resumes && event.Comment
 		now := c.relay.Clock()
@@ -140,8 +140,8 @@
 // errSecondAnswer is returned when an answer without a length breaks off and another one follows on its connection.
 var errSecondAnswer = errors.New("the header of another answer stands in it")
 
-// outOfOrder handles an event that does not follow those that the caller has: nothing more of its answer is passed on.
-func (c *call) outOfOrder(run *pool.Run, a *answer, result *pool.Result, err error) error {
+// foreign handles what is no part of the caller's answer: nothing more of the server's answer is passed on.
+func (c *call) foreign(run *pool.Run, a *answer, result *pool.Result, err error) error {
 	var order *OrderError
 	if errors.As(err, &order) {
 		a.progress.outOfOrder++
--- a/router/relay/proof_test.go
+++ b/router/relay/proof_test.go
@@ -55,13 +55,13 @@
 	return listener.Addr().String()
 }
 
-// replaceServers leaves only one server in the pool.
-func (w *fixture) replaceServers(id, address string) {
+// replaceServers leaves only one server in the pool; its entry has no time of its start if start is 0.
+func (w *fixture) replaceServers(id, address string, start int64) {
 	w.relay.Gate.With(func(now time.Duration, p *pool.Pool) {
 		for i := range w.addresses {
 			p.RemoveServer(now, fmt.Sprint("s", i))
 		}
-		p.SetServer(now, pool.Server{ID: id, Service: "desk", Address: address, DataCentre: "east", Slots: 8})
+		p.SetServer(now, pool.Server{ID: id, Service: "desk", Address: address, DataCentre: "east", Slots: 8, StartMillis: start})
 	})
 }
 
@@ -166,15 +166,20 @@
 // TestHealthAnswerOfNextProcess guards against taking the health of a server that was started anew under its id and at its address for that
 // of the process that was killed, as a router meets it that was frozen meanwhile.
 func TestHealthAnswerOfNextProcess(t *testing.T) {
-	w := newScript(t, func(w *fixture, server int, rw http.ResponseWriter, _ *http.Request) {
-		_ = w.listeners[server].Close() // closed once
-		listenRaw(t, w.addresses[server], func(_ int, c net.Conn, _ *http.Request) {
-			writeText(c, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: s%d\r\nContent-Length: 0\r\n\r\n", testInstance, server))
+	for name, start := range map[string]int64{"servers that tell their start": startOf(0), "servers that tell their name": 0} {
+		t.Run(name, func(t *testing.T) {
+			w := newScript(t, func(w *fixture, server int, rw http.ResponseWriter, _ *http.Request) {
+				_ = w.listeners[server].Close() // closed once
+				listenRaw(t, w.addresses[server], func(_ int, c net.Conn, _ *http.Request) {
+					writeText(c, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: s0\r\n%s: %d\r\nContent-Length: 0\r\n\r\n", testInstance, testStart, startOf(0)+1))
+				})
+				writeRaw(rw, rawStreamHead+wholeStream(2))
+			})
+			w.replaceServers("s0", w.addresses[0], start)
+			if a := w.do(t, http.MethodPost, "/fixed/", "x", nil); a.err == nil && a.status == http.StatusOK {
+				t.Errorf("got %d %q as a complete answer", a.status, a.body)
+			}
 		})
-		writeRaw(rw, rawStreamHead+wholeStream(2))
-	})
-	if a := w.do(t, http.MethodPost, "/fixed/", "x", nil); a.err == nil && a.status == http.StatusOK {
-		t.Errorf("got %d %q as a complete answer", a.status, a.body)
 	}
 }
 
@@ -205,7 +210,7 @@
 					}
 					writeText(c, head+text)
 					_ = c.Close() // the end of the answer
-				}))
+				}), 0)
 				if a := w.do(t, http.MethodPost, path, "x", nil); a.err != nil || a.status != http.StatusOK || a.body != text {
 					t.Errorf("got %d %q, %v, want the whole answer", a.status, a.body, a.err)
 				}
@@ -236,7 +241,7 @@
 			})
 			writeText(c, rejection)
 		}
-	}))
+	}), 0)
 	if a := w.do(t, http.MethodPost, "/unsafe/", "x", nil); a.err != nil || a.status != http.StatusOK {
 		t.Fatalf("got %d %q, %v for the first request", a.status, a.body, a.err)
 	}
