--- a/mangoctl/root/root_test.go
+++ b/mangoctl/root/root_test.go
@@ -130,6 +130,48 @@
 	}
 }
 
+// newCutRouter starts a fake admin server of a router whose explanations are cut with their connection.
+func newCutRouter(t *testing.T) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/status" {
+			_ = json.NewEncoder(w).Encode(report.Status{Router: "router-9", DataCentre: "lahore"})
+			return
+		}
+		_, _ = w.Write([]byte(`{"request":"42","team":"c`))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// TestCutExplanation guards against a router whose answer was cut that counts as one that does not know the request or team.
+func TestCutExplanation(t *testing.T) {
+	whole, broken := newRouter(t, ""), newCutRouter(t)
+	for name, tt := range map[string]struct {
+		args   []string
+		code   shell.ExitCode
+		stderr string
+	}{
+		"request, only router":     {[]string{"request", "42", "--router", broken}, shell.ExitUnreachable, "none of 1 routers answered"},
+		"team, only router":        {[]string{"team", "carpenters", "--router", broken}, shell.ExitUnreachable, "none of 1 routers answered"},
+		"request, another knows":   {[]string{"request", "42", "--router", broken, "--router", whole}, shell.ExitPartial, "1 of 2 routers did not answer"},
+		"team, another knows":      {[]string{"team", "carpenters", "--router", broken, "--router", whole}, shell.ExitPartial, "1 of 2 routers did not answer"},
+		"request, no router knows": {[]string{"request", "43", "--router", broken, "--router", whole}, shell.ExitNotFound, "(1 of 2 routers did not answer)"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, _, stderr := stream.Test()
+			if code := Run(shell.New(s), append([]string{"explain"}, tt.args...)); code != tt.code {
+				t.Errorf("exit code %d, want %d", code, tt.code)
+			}
+			if !strings.Contains(stderr.String(), tt.stderr) {
+				t.Errorf("stderr lacks %q:\n%s", tt.stderr, stderr)
+			}
+		})
+	}
+}
+
 func TestTerminalTable(t *testing.T) {
 	s, out, _ := stream.Test()
 	s.Terminal = true
