Log the parts of failed prompts and the servers that ended under requests

Callers see 502 and cut streams as servers end one after the other, and no line told which parts their prompts had, that a server ended, or under which requests. No decision uses it yet.

--- /dev/null
+++ b/core/pool/crash.go
@@ -0,0 +1,98 @@
+package pool
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// crashWindow is the time in which the requests of a server that ended report it.
+	crashWindow = time.Second
+	// provenAfter is how long a server has to live on after the first event of a response before the parts of its prompt count as
+	// harmless: a part that crashes servers does so within some tens of milliseconds.
+	provenAfter = 300 * time.Millisecond
+	// maxCrashParts is the maximum number of prompt parts that are recorded for one crash.
+	maxCrashParts = 64
+)
+
+// crash is the end of an incarnation of a server while it ran requests.
+type crash struct {
+	at        time.Duration // when the first request broke off
+	checked   bool          // a caller of UncheckedCrash checks whether the server has ended
+	confirmed bool          // the server has ended
+	requests  int           // requests of this router that broke off
+	parts     []uint64      // parts of their prompts that may have ended the server
+	harmless  []uint64      // parts that cannot have ended it, as it had long begun to respond to them
+}
+
+// observeBreak records that a run broke off, so that its server may have ended.
+func (p *Pool) observeBreak(now time.Duration, r *Run) {
+	b := r.backend
+	if b.crash == nil || !b.crash.confirmed && now-b.crash.at > crashWindow {
+		b.crash = &crash{at: now}
+	}
+	c := b.crash
+	c.requests++
+	list := &c.parts
+	if r.proven(now) {
+		list = &c.harmless
+	}
+	for _, s := range r.request.sharedSegments() {
+		if len(*list) < maxCrashParts && !slices.Contains(*list, s.ID) {
+			*list = append(*list, s.ID)
+		}
+	}
+}
+
+// proven reports whether a run shows that its prompt does not crash servers.
+func (r *Run) proven(now time.Duration) bool { return r.began && now-r.beganAt >= provenAfter }
+
+// UncheckedCrash reports whether the server of a run may have ended and nobody checks it yet; the caller has to check it and to call
+// ConfirmCrash.
+func (p *Pool) UncheckedCrash(r *Run) bool {
+	c := r.backend.crash
+	if c == nil || c.checked {
+		return false
+	}
+	c.checked = true
+	return true
+}
+
+// ConfirmCrash records whether the server of a run has ended.
+func (p *Pool) ConfirmCrash(now time.Duration, r *Run, ended bool) {
+	b := r.backend
+	c := b.crash
+	if c == nil || c.confirmed {
+		return
+	}
+	if !ended {
+		b.crash = nil
+		return
+	}
+	c.confirmed = true
+	c.parts = slices.DeleteFunc(c.parts, func(part uint64) bool { return slices.Contains(c.harmless, part) })
+	p.emit(b, "ended", fmt.Sprintf("%d requests of this router broke off; parts of those that had just begun or not begun: %s", c.requests, joinParts(c.parts)))
+}
+
+// PartNames returns the IDs of prompt segments for a log line.
+func PartNames(segments []Segment) string {
+	parts := make([]uint64, 0, len(segments))
+	for _, s := range segments {
+		parts = append(parts, s.ID)
+	}
+	return joinParts(parts)
+}
+
+// maxLoggedParts bounds the length of a log line.
+const maxLoggedParts = 16
+
+func joinParts(parts []uint64) string {
+	var names []string
+	for _, part := range parts[:min(len(parts), maxLoggedParts)] {
+		names = append(names, strconv.FormatUint(part, 16))
+	}
+	return strings.Join(names, ",")
+}
--- a/core/pool/request.go
+++ b/core/pool/request.go
@@ -33,11 +33,14 @@
 func (a *Request) tried(server string) bool { return slices.Contains(a.Tried, server) }
 
 // sharedSegments returns the prompt segments that other requests may share.
-func (a *Request) sharedSegments() []Segment {
-	if len(a.Segments) < 2 {
+func (a *Request) sharedSegments() []Segment { return SharedSegments(a.Segments) }
+
+// SharedSegments returns the segments of a prompt that other requests may share: all but the last.
+func SharedSegments(segments []Segment) []Segment {
+	if len(segments) < 2 {
 		return nil
 	}
-	return a.Segments[:len(a.Segments)-1]
+	return segments[:len(segments)-1]
 }
 
 // affinityKey returns the key that groups requests to be sent to the same server: the ID of the last shared part, or of the
@@ -76,13 +79,15 @@
 	usage        Usage
 	prefillAhead int64 // tokens of other requests to be prefilled first
 	sent         time.Duration
-	began        bool // the first event has arrived
+	began        bool          // the first event has arrived
+	beganAt      time.Duration // when it arrived
 	ended        bool
 }
 
 // Result is the outcome of a run.
 type Result struct {
 	Failed        bool // the server failed: an error, a broken response or a timeout
+	Broken        bool // the connection ended before the response did, so that the server may have ended
 	ConnectFailed bool // the connection to the server failed
 	Rejected      bool // the server reported that it did not run the request
 	AddressReused bool // another server has the address
--- a/core/pool/run.go
+++ b/core/pool/run.go
@@ -18,6 +18,7 @@
 	}
 	r.prefillAhead = b.usage(now).Prefill
 	b.localUsage.add(r.usage)
+	b.runs[r] = true
 	b.advertised.recordSend(r)
 	if r.Cold {
 		b.coldLimiter.take(now)
@@ -40,7 +41,7 @@
 	if r.began || r.ended {
 		return
 	}
-	r.began = true
+	r.began, r.beganAt = true, now
 	r.backend.advertised.recordEnd(now, r, true)
 	if r.request.PromptTokens > 0 && !r.Cold && r.prefillAhead < r.PrefillTokens/maxAheadDivisor {
 		p.service(r.Server.Service).prefill.observe(r.PrefillTokens+r.prefillAhead, now-r.sent)
@@ -61,7 +62,11 @@
 	}
 	r.ended = true
 	b := r.backend
+	delete(b.runs, r)
 	b.localUsage.subtract(r.usage)
+	if result.Broken && !result.CallerGone && p.accepting(b) {
+		p.observeBreak(now, r)
+	}
 	b.advertised.recordEnd(now, r, false)
 	if r.request.PromptTokens > 0 && !r.began {
 		p.shares.refundServed(now, r.request.Team, float64(r.request.cost()), now-r.sent)
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -33,8 +33,10 @@
 	advertised *advertised   // what the server advertised; nil if nothing
 	gone       bool          // no longer listed by the platform, or its address belongs to another server
 
-	localUsage  Usage // usage by this router's open requests
-	peerUsage   Usage // usage by the other routers' requests
+	runs        map[*Run]bool // this router's open requests
+	crash       *crash        // the end of this incarnation, if it may have ended under requests; nil for none
+	localUsage  Usage         // usage by this router's open requests
+	peerUsage   Usage         // usage by the other routers' requests
 	peerUsageAt time.Duration
 	meanLoad    movingAverage // average number of requests at a plain server
 	load        Load
--- a/router/back/client.go
+++ b/router/back/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 	"net/http/httptrace"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"mangolug.org/core/fleet"
@@ -222,6 +224,21 @@
 	return response, nil
 }
 
+// Listens reports whether a process listens at an address; the error is one of the dial that shows neither.
+func (c *Client) Listens(ctx context.Context, address string) (bool, error) {
+	c.once.Do(c.init)
+	dialer := net.Dialer{Timeout: c.Settings.ConnectTimeout}
+	connection, err := dialer.DialContext(ctx, "tcp", address)
+	switch {
+	case err == nil:
+		_ = connection.Close() // nothing was sent on it
+		return true, nil
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return false, nil
+	}
+	return false, err
+}
+
 // roundTrip sends a request whose writes are controlled by a gate.
 func (c *Client) roundTrip(transport *http.Transport, request *http.Request, g *gate) (*http.Response, error) {
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -67,7 +67,7 @@
 	body, err := io.ReadAll(io.LimitReader(end, answerLimit+1))
 	a.progress.recordEnd(end.err)
 	if err != nil || len(body) > answerLimit {
-		result.Failed, result.CallerGone = true, ctx.Err() != nil
+		result.Failed, result.Broken, result.CallerGone = true, err != nil, ctx.Err() != nil
 		return &attemptError{server: run.Server.ID, reason: fleet.ReasonStreamBroken, cause: err}
 	}
 	if a.progress.framing == back.FramingConnection && c.hasSecondAnswer(body) {
--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -124,9 +124,7 @@
 	if ctx.Err() != nil {
 		return c.interrupted(ctx, err.Error())
 	}
-	c.log("failed", append([]interface{}{
-		"server", failed.server, "reason", failed.reason, "notRun", failed.notRun, "detail", err.Error(), "lastEvent", c.order.last,
-	}, c.progress.fields()...)...)
+	c.logFailed(failed)
 	if failed.reason == fleet.ReasonGrantExpired {
 		c.sends-- // nothing was sent
 		return nil
@@ -149,6 +147,17 @@
 	return nil
 }
 
+// logFailed logs a failed attempt, with the prompt parts that other requests may share.
+func (c *call) logFailed(failed *attemptError) {
+	fields := []interface{}{
+		"server", failed.server, "reason", failed.reason, "notRun", failed.notRun, "detail", failed.Error(), "lastEvent", c.order.last,
+	}
+	if shared := pool.SharedSegments(c.info.Segments); len(shared) > 0 {
+		fields = append(fields, "parts", pool.PartNames(shared))
+	}
+	c.log("failed", append(fields, c.progress.fields()...)...)
+}
+
 // maxSends is the largest number of times that one request is sent. If several servers in a row did not run it, many are probably
 // gone, and trying them one by one would use up the retry budget of all requests.
 const maxSends = 3
@@ -193,7 +202,12 @@
 // attempt sends the request to one server and passes its answer on. It returns an *attemptError, or an error of writing to the caller.
 func (c *call) attempt(ctx context.Context, run *pool.Run) error {
 	result := pool.Result{}
-	defer func() { c.relay.Gate.Ended(run, result) }()
+	defer func() {
+		c.relay.Gate.Ended(run, result)
+		if result.Broken {
+			c.relay.confirmCrash(run)
+		}
+	}()
 	send, cancel := context.WithCancel(ctx)
 	defer cancel()
 	started := c.relay.Clock()
@@ -203,7 +217,7 @@
 		errors.As(err, &failed)
 		result.CallerGone = ctx.Err() != nil || failed.Reason == fleet.ReasonGrantExpired
 		result.ConnectFailed = !failed.Sent
-		result.Failed = true
+		result.Failed, result.Broken = true, failed.Reason == fleet.ReasonServerFailed
 		return &attemptError{server: run.Server.ID, reason: failed.Reason, notRun: failed.NotRun, cause: failed.Err}
 	}
 	defer response.Body.Close()
