--- a/core/pool/crash.go
+++ b/core/pool/crash.go
@@ -62,7 +62,7 @@
 }
 
 // ConfirmCrash records whether the server of a run has ended.
-func (p *Pool) ConfirmCrash(now time.Duration, r *Run, ended bool) {
+func (p *Pool) ConfirmCrash(_ time.Duration, r *Run, ended bool) {
 	b := r.backend
 	c := b.crash
 	if c == nil || c.confirmed {
