Let the fleet know prompt parts that crash servers, and refuse requests with them

Cause: nothing told the fleet which part of a prompt ends servers. A router sent the request on to a second server and forgot it, and the next one met the same part anew. Ruled out: overload (17 of 17 ends have the same parts in common, also without queues).

Now a server counts as ended if requests broke off and it refuses a connection. The parts of prompts that it had just begun to answer, or had not begun, are accused; each crash counts once for the fleet, by the server's incarnation; an answer that goes on clears its parts. Two crashes just after the header of an answer, or three before it, make a part poisoned: 503 at once, until one request tries it after 15 s, 30 s, ... News is merged as sets, so it may arrive twice. While two parts explain the same crashes, only requests with both are refused.

--- a/core/digest/fleet.go
+++ b/core/digest/fleet.go
@@ -33,7 +33,8 @@
 	Centre   *Sum     // usage of a head and of all that report to it, sent to the heads of the other data centres
 	Others   *Sum     // usage of all other routers, sent by a relay
 	Leave    bool     // the sender no longer reports to the receiver, or is no longer the head of its data centre
-	Update   *Update  // update of the platform's state; nil if the sender does not know the state
+	Suspects []Suspect
+	Update   *Update // update of the platform's state; nil if the sender does not know the state
 }
 
 // Outgoing is a message to be sent.
--- a/core/fleet/reason.go
+++ b/core/fleet/reason.go
@@ -45,6 +45,7 @@
 	ReasonUnknownRoute                     // unknownRoute
 	ReasonTeamShare                        // teamShare
 	ReasonServersRest                      // serversRest
+	ReasonPoisonedPrompt                   // poisonedPrompt
 )
 
 // Failed reports whether the reason is one of a refusal, retry or failure, and not part of a request's normal course.
@@ -56,7 +57,7 @@
 // UnmarshalText parses the name of a reason. An unknown name becomes ReasonNone.
 func (r *Reason) UnmarshalText(text []byte) error {
 	*r = ReasonNone
-	for c := ReasonNone; c <= ReasonServersRest; c++ {
+	for c := ReasonNone; c <= ReasonPoisonedPrompt; c++ {
 		if c.String() == string(text) {
 			*r = c
 		}
--- a/core/pool/crash.go
+++ b/core/pool/crash.go
@@ -25,7 +25,7 @@
 	confirmed bool          // the server has ended
 	requests  int           // requests of this router that broke off
 	parts     []uint64      // parts of their prompts that may have ended the server
-	harmless  []uint64      // parts that cannot have ended it, as it had long begun to respond to them
+	answered  []uint64      // those of them in prompts that the server had just begun to answer
 }
 
 // observeBreak records that a run broke off, so that its server may have ended.
@@ -36,19 +36,43 @@
 	}
 	c := b.crash
 	c.requests++
-	list := &c.parts
-	if r.proven(now) {
-		list = &c.harmless
+	if r.proven() {
+		return
+	}
+	c.parts = addParts(c.parts, r.request.sharedSegments())
+	if r.answered.Load() {
+		c.answered = addParts(c.answered, r.request.sharedSegments())
+	}
+	if c.confirmed {
+		p.accuseOf(now, b)
 	}
-	for _, s := range r.request.sharedSegments() {
-		if len(*list) < maxCrashParts && !slices.Contains(*list, s.ID) {
-			*list = append(*list, s.ID)
+}
+
+func addParts(parts []uint64, segments []Segment) []uint64 {
+	for _, s := range segments {
+		if len(parts) < maxCrashParts && !slices.Contains(parts, s.ID) {
+			parts = append(parts, s.ID)
 		}
 	}
+	return parts
 }
 
+// Answered records that the header of a response has arrived; it may be called without exclusive access to the pool.
+func (r *Run) Answered() { r.answered.Store(true) }
+
+// Event records the time of the newest event of a response; it may be called without exclusive access to the pool.
+func (r *Run) Event(now time.Duration) { r.lastEventAt.Store(int64(now)) }
+
+func (r *Run) lastEvent() time.Duration { return time.Duration(r.lastEventAt.Load()) }
+
 // proven reports whether a run shows that its prompt does not crash servers.
-func (r *Run) proven(now time.Duration) bool { return r.began && now-r.beganAt >= provenAfter }
+func (r *Run) proven() bool { return r.began && r.lastEvent()-r.beganAt >= provenAfter }
+
+// accuseOf records the parts that may have ended a server, as far as no response to them went on.
+func (p *Pool) accuseOf(now time.Duration, b *backend) {
+	p.proveOpenRuns(now, p.service(b.Service))
+	p.accuse(now, b)
+}
 
 // UncheckedCrash reports whether the server of a run may have ended and nobody checks it yet; the caller has to check it and to call
 // ConfirmCrash.
@@ -62,7 +86,7 @@
 }
 
 // ConfirmCrash records whether the server of a run has ended.
-func (p *Pool) ConfirmCrash(_ time.Duration, r *Run, ended bool) {
+func (p *Pool) ConfirmCrash(now time.Duration, r *Run, ended bool) {
 	b := r.backend
 	c := b.crash
 	if c == nil || c.confirmed {
@@ -73,8 +97,8 @@
 		return
 	}
 	c.confirmed = true
-	c.parts = slices.DeleteFunc(c.parts, func(part uint64) bool { return slices.Contains(c.harmless, part) })
 	p.emit(b, "ended", fmt.Sprintf("%d requests of this router broke off; parts of those that had just begun or not begun: %s", c.requests, joinParts(c.parts)))
+	p.accuseOf(now, b)
 }
 
 // PartNames returns the IDs of prompt segments for a log line.
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -14,7 +14,7 @@
 	Joined     bool     // the peers are known, so that this router can compute its share of fleet-wide rates
 	Peers      []string // names of the other live routers
 	Random     *rand.Rand
-	OnEvent    func(Event) // called on each change in the view of a server; may be nil
+	OnEvent    func(Event) // called on each change in the view of a server or a prompt part; may be nil
 
 	table      *route.Table
 	servers    map[string]*backend
@@ -37,11 +37,13 @@
 	failureRate float64 // moving failure rate over all its servers
 	queue       queue
 	demand      demandCounts
+	suspects    suspects
 }
 
-// Event is a change in a router's view of a server.
+// Event is a change in a router's view of a server or of a prompt part.
 type Event struct {
 	Server, Service string
+	Part            string // ID of a prompt part; empty for events of servers
 	Kind            string
 	Detail          string
 }
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -57,6 +57,9 @@
 func (p *Pool) Admit(now time.Duration, a *Request) (Decision, bool) {
 	p.init()
 	v := p.service(a.Service)
+	if s := p.poisonedBy(now, v, a); s != nil {
+		return p.rejectPoisoned(now, a, s), true
+	}
 	if a.PromptTokens > 0 && !a.Retry {
 		a.overShare, a.shareFraction = p.shares.admit(now, a.Team, float64(a.cost()), p.throughput())
 	}
@@ -120,6 +123,9 @@
 // decide sends a request if a server has room, or rejects it if its time to wait is over; it returns false if the request
 // has to wait.
 func (p *Pool) decide(now time.Duration, v *service, a *Request) (Decision, bool) {
+	if s := p.poisonedBy(now, v, a); s != nil {
+		return p.rejectPoisoned(now, a, s), true
+	}
 	c, ok := p.pick(now, v, a)
 	overServed := a.overShare && p.shares.overServed(now, a.Team)
 	inTime := ok && !overServed && now+c.backlog <= a.sendBy
@@ -204,6 +210,13 @@
 	return Decision{Request: a, Reason: reason, RetryAfter: retryAfter, Backlog: p.shortestBacklog(now, v), Waited: now - a.Arrived}
 }
 
+// rejectPoisoned returns a rejection whose Retry-After is the time until the part may be tried again.
+func (p *Pool) rejectPoisoned(now time.Duration, a *Request, s *suspect) Decision {
+	retryAfter := max(minRetryAfter, s.trialDue()-now)
+	retryAfter += time.Duration(p.Random.Float64() * float64(minRetryAfter))
+	return Decision{Request: a, Reason: fleet.ReasonPoisonedPrompt, RetryAfter: retryAfter, Waited: now - a.Arrived}
+}
+
 // minRetryAfter is the minimum Retry-After before jitter: about the time in which other routers' load becomes known here.
 const minRetryAfter = 300 * time.Millisecond
 
--- a/core/pool/request.go
+++ b/core/pool/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"mangolug.org/core/fleet"
@@ -24,6 +25,7 @@
 	overShare     bool    // the request exceeds its team's share of the fleet
 	shareFraction float64 // fraction of the team's demand that is within its share
 	sendBy        time.Duration
+	trial         *suspect // the poisoned part that the request may try again; nil for none
 }
 
 // cost returns the tokens that the request is charged: a prompt token counts once and a generated token twice.
@@ -81,6 +83,8 @@
 	sent         time.Duration
 	began        bool          // the first event has arrived
 	beganAt      time.Duration // when it arrived
+	answered     atomic.Bool   // the header of the response has arrived
+	lastEventAt  atomic.Int64  // time of the newest event
 	ended        bool
 }
 
--- a/core/pool/run.go
+++ b/core/pool/run.go
@@ -19,6 +19,9 @@
 	r.prefillAhead = b.usage(now).Prefill
 	b.localUsage.add(r.usage)
 	b.runs[r] = true
+	if a.trial != nil {
+		a.trial.startTrial(now)
+	}
 	b.advertised.recordSend(r)
 	if r.Cold {
 		b.coldLimiter.take(now)
@@ -63,6 +66,11 @@
 	r.ended = true
 	b := r.backend
 	delete(b.runs, r)
+	if r.began && result == (Result{}) {
+		p.prove(now, now, r)
+	} else if r.proven() {
+		p.prove(now, r.lastEvent(), r)
+	}
 	b.localUsage.subtract(r.usage)
 	if result.Broken && !result.CallerGone && p.accepting(b) {
 		p.observeBreak(now, r)
--- a/router/proc/peers.go
+++ b/router/proc/peers.go
@@ -30,6 +30,14 @@
 				routers = len(live)
 			}
 		},
+		Suspects: func() []digest.Suspect {
+			var list []digest.Suspect
+			p.gate.With(func(now time.Duration, q *pool.Pool) { list = q.Suspects(now) })
+			return list
+		},
+		OnSuspects: func(list []digest.Suspect) {
+			p.gate.With(func(now time.Duration, q *pool.Pool) { q.MergeSuspects(now, list) })
+		},
 		OnNewer: func() {
 			select {
 			case p.newerState <- struct{}{}:
--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -117,6 +117,7 @@
 			c.longestPause = max(c.longestPause, now-c.lastEventAt)
 		}
 		c.lastEventAt = now
+		run.Event(now)
 		if first {
 			first = false
 			c.relay.Gate.Began(run)
--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -235,6 +235,7 @@
 		return err
 	}
 	c.relay.observe("firstHeaderMillis", c.relay.Clock()-started)
+	run.Answered()
 	if a.isEventStream() {
 		return c.forwardEvents(ctx, run, a, &result)
 	}
--- a/router/share/codec_test.go
+++ b/router/share/codec_test.go
@@ -30,6 +30,10 @@
 		Changes: []digest.Change{{Key: "a", Value: []byte("x"), Revision: 4}, {Key: "b", Revision: 8, Deleted: true}},
 	}
 	want.Members = []digest.Member{{Address: "10.0.0.1:7000", DataCentre: "east", Beat: 1 << 40}, {Address: "[::1]:9", DataCentre: "west", Beat: 3}}
+	want.Suspects = []digest.Suspect{{
+		Service: 7, Part: 1 << 60, Crashes: []digest.Crash{{Server: 9, Age: 1500 * time.Millisecond, Answered: true}, {Server: 8, Age: time.Millisecond}},
+		Cleared: true, ClearedAge: time.Minute, Trials: 2, TriedAge: time.Second,
+	}}
 	text, err := Encode(want)
 	if err != nil {
 		t.Fatal(err)
--- a/router/share/news.go
+++ b/router/share/news.go
@@ -12,13 +12,16 @@
 	if n == nil {
 		return nil
 	}
-	w := &News{Revision: n.Revision, Age: uint32(min(max(0, n.Age.Milliseconds()), math.MaxUint32)), From: n.From, To: n.To}
+	w := &News{Revision: n.Revision, Age: toMillis(n.Age), From: n.From, To: n.To}
 	for _, c := range n.Changes {
 		w.Changes = append(w.Changes, &Change{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted})
 	}
 	return w
 }
 
+// toMillis returns a time in whole milliseconds.
+func toMillis(t time.Duration) uint32 { return uint32(min(max(0, t.Milliseconds()), math.MaxUint32)) }
+
 // decodeUpdate returns the update in a wire message.
 func decodeUpdate(w *News) *digest.Update {
 	if w == nil {
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -14,15 +14,17 @@
 // maxDatagramBytes is the size of the receive buffer: at least the maximum size of a UDP datagram.
 const maxDatagramBytes = 64 << 10
 
-// Exchanger runs a fleet's digest over a UDP socket. All exported fields must be set.
+// Exchanger runs a fleet's digest over a UDP socket. All exported fields must be set unless stated otherwise.
 type Exchanger struct {
-	Fleet   *digest.Fleet
-	Socket  net.PacketConn
-	Clock   func() time.Duration
-	Summary func() digest.Sum                                     // returns this router's own summary
-	OnPeers func(others digest.Sum, known bool, routers []string) // receives the peers' summary and the live routers, once per period
-	OnNewer func()                                                // called when a peer announces a newer state of the platform
-	OnError func(error)                                           // called when a datagram cannot be sent or decoded
+	Fleet      *digest.Fleet
+	Socket     net.PacketConn
+	Clock      func() time.Duration
+	Summary    func() digest.Sum                                     // returns this router's own summary
+	OnPeers    func(others digest.Sum, known bool, routers []string) // receives the peers' summary and the live routers, once per period
+	Suspects   func() []digest.Suspect                               // returns what to tell the peers of prompt parts; may be nil
+	OnSuspects func([]digest.Suspect)                                // receives what a peer tells of prompt parts; may be nil
+	OnNewer    func()                                                // called when a peer announces a newer state of the platform
+	OnError    func(error)                                           // called when a datagram cannot be sent or decoded
 
 	mutex sync.Mutex // guards Fleet
 }
@@ -63,12 +65,24 @@
 	period := s.Fleet.Period(now)
 	s.mutex.Unlock()
 	s.OnPeers(others, known, routers)
+	if s.Suspects != nil {
+		attachSuspects(out, s.Suspects())
+	}
 	for i := range out {
 		s.send(&out[i])
 	}
 	return period
 }
 
+// attachSuspects adds news of prompt parts to the messages that carry loads, which go to every router within a few periods.
+func attachSuspects(out []digest.Outgoing, list []digest.Suspect) {
+	for i := range out {
+		if len(out[i].Message.Members) == 0 {
+			out[i].Message.Suspects = list
+		}
+	}
+}
+
 func (s *Exchanger) send(o *digest.Outgoing) {
 	to, err := net.ResolveUDPAddr("udp", o.To)
 	if err != nil {
@@ -108,6 +122,9 @@
 		if newer {
 			s.OnNewer()
 		}
+		if len(m.Suspects) > 0 && s.OnSuspects != nil {
+			s.OnSuspects(m.Suspects)
+		}
 		for i := range out {
 			s.send(&out[i])
 		}
