Read the limit that a server names, and log it

Servers in need name the requests a second that they take from all routers together (Server-Limit), and get as many as before. No line had the limit. Each router now logs and counts when a server names one or none any more; nothing is decided by it yet. A value that is no positive decimal number is reported and changes nothing.

--- a/router/relay/dialect.go
+++ b/router/relay/dialect.go
@@ -39,6 +39,8 @@
 	ColdRemaining time.Duration // remaining time for which the server is cold; 0 if not given
 	Leaving       bool          // the server is about to stop and must get no more requests
 	RetryAfter    time.Duration // how long the server asks this router to send no requests; 0 if not given
+	RateLimit     float64       // requests per second that the server takes from all routers together; 0 if not given
+	BadRateLimit  bool          // it is given and can't be parsed
 	Malformed     string        // a header that could not be parsed, verbatim; empty if none
 }
 
--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -277,10 +277,10 @@
 	if a.status != http.StatusServiceUnavailable {
 		pauseFor = 0
 	}
-	if !a.info.HasLoad && a.info.ColdRemaining == 0 && !a.info.Leaving && pauseFor == 0 {
-		return
-	}
 	c.relay.Gate.With(func(now time.Duration, p *pool.Pool) {
+		if !a.info.BadRateLimit {
+			p.ObserveRateLimit(now, run, a.info.RateLimit)
+		}
 		if a.info.HasLoad {
 			p.ObserveLoad(now, run, a.info.Load)
 		}
