Give the turns of servers that limit their rates to larger requests

Callers of large requests were refused for their team's share while servers that limit the number of their requests stood half idle (12 to 18 requests in 4 s where 28 and more are allowed): small requests took the turns, and a large one that came between two turns was refused at once. Beside servers that name no limit, requests below the mean prompt now leave a turn free for one interval, and a larger request that nothing else takes in time waits for a turn of this router if one is left for it.

--- a/core/pool/pick.go
+++ b/core/pool/pick.go
@@ -50,6 +50,7 @@
 	if a.PromptTokens == 0 {
 		return p.cheapest(now, v, a, v.servers, nil)
 	}
+	a.small = float64(a.PromptTokens) < v.meanPrompt && p.anyUnlimited(now, v)
 	affinity := p.affinityServers(now, v, a)
 	var home *backend
 	if len(affinity) > 0 {
@@ -105,7 +106,13 @@
 		return false
 	}
 	rate, limited := p.sendRate(now, b)
-	return !limited || b.limiter.ready(now, rate)
+	if !limited {
+		return true
+	}
+	if a.small && b.advertised.limit(now) > 0 { // a larger request may still come for this turn
+		return b.limiter.ready(now-interval(rate), rate)
+	}
+	return b.limiter.ready(now, rate)
 }
 
 // accepting reports whether neither the operators nor the server itself have closed it for new work.
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -33,13 +33,15 @@
 
 // service is the state of all servers of one service.
 type service struct {
-	name        string
-	servers     []*backend // all known servers, sorted by ID
-	prefill     prefillRate
-	failureRate float64 // moving failure rate over all its servers
-	queue       queue
-	demand      demandCounts
-	suspects    suspects
+	name         string
+	servers      []*backend // all known servers, sorted by ID
+	prefill      prefillRate
+	limitedUntil time.Duration // until then a server may limit its rate
+	meanPrompt   float64       // moving average of the prompt tokens of requests
+	failureRate  float64       // moving failure rate over all its servers
+	queue        queue
+	demand       demandCounts
+	suspects     suspects
 }
 
 // Event is a change in a router's view of a server or of a prompt part.
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -71,6 +71,7 @@
 	}
 	if a.PromptTokens > 0 {
 		v.demand.observe(now, a.affinityKey())
+		v.meanPrompt += promptWeight * (float64(a.PromptTokens) - v.meanPrompt)
 	}
 	a.sendBy = p.latestSend(v, a)
 	if len(v.queue.requests) == 0 || a.Retry || a.PromptTokens == 0 {
@@ -157,6 +158,9 @@
 	if !ok {
 		return p.reject(now, v, a, fleet.ReasonNoServer), true
 	}
+	if !overServed && !a.small && v.queue.ahead(a) < p.turns(now, v, a) {
+		return Decision{}, false
+	}
 	if !overServed && p.underHalfFull(now, c.backend) {
 		return p.send(now, a, c), true
 	}
--- a/core/pool/ratelimit.go
+++ b/core/pool/ratelimit.go
@@ -24,6 +24,8 @@
 	rateLimitRefresh = time.Second
 	// rateLimitTolerance is the fraction by which two statements of one limit may differ, as messages round it.
 	rateLimitTolerance = 0.01
+	// promptWeight is the weight of the newest request in the moving average of prompt tokens.
+	promptWeight = 0.02
 	// maxLimitsSent bounds the rate limits in one message to other routers.
 	maxLimitsSent = 64
 )
@@ -66,6 +68,9 @@
 		l.newsAt = now
 	}
 	l.rate, l.at, l.known = rate, at, true
+	if v := p.service(b.Service); rate > 0 {
+		v.limitedUntil = max(v.limitedUntil, at+rateLimitTTL)
+	}
 	switch {
 	case rate == before:
 	case rate == 0:
@@ -155,6 +160,9 @@
 // earliestRateLimited returns when a server that limits the rate of requests may get the last of the requests queued before a new one and that one
 // itself, or false if a server that may get it limits no rate.
 func (p *Pool) earliestRateLimited(now time.Duration, v *service, a *Request) (time.Duration, bool) {
+	if now > v.limitedUntil {
+		return 0, false
+	}
 	first, total := time.Duration(0), 0.0
 	for _, b := range v.servers {
 		if !p.eligible(now, b) || a.tried(b.ID) {
@@ -179,6 +187,31 @@
 	return first + time.Duration(float64(v.queue.ahead(a))/total*float64(time.Second)), true
 }
 
+// turns returns how many requests this router may send, before the time until which a request may wait, to servers that limit their rates.
+func (p *Pool) turns(now time.Duration, v *service, a *Request) int {
+	n := 0
+	if now > v.limitedUntil {
+		return n
+	}
+	for _, b := range v.servers {
+		if b.advertised.limit(now) == 0 || !p.eligible(now, b) || a.tried(b.ID) {
+			continue
+		}
+		if rate, _ := p.sendRate(now, b); rate > 0 {
+			if left := a.sendBy - b.limiter.next(now, rate); left >= 0 {
+				n += 1 + int(left/interval(rate))
+			}
+		}
+	}
+	return n
+}
+
+// anyUnlimited reports whether a server of a service takes new work at any rate. Beside it those that limit the number of requests serve callers
+// best with the larger ones.
+func (p *Pool) anyUnlimited(now time.Duration, v *service) bool {
+	return slices.ContainsFunc(v.servers, func(b *backend) bool { return p.eligible(now, b) && b.advertised.limit(now) == 0 })
+}
+
 // RateLimits returns the servers' statements that the other routers should know. It is called once per period.
 func (p *Pool) RateLimits(now time.Duration) []digest.RateLimit {
 	var due []*backend
--- a/core/pool/ratelimit_test.go
+++ b/core/pool/ratelimit_test.go
@@ -236,3 +236,52 @@
 		t.Errorf("limit %v long after the last statement, want none", got)
 	}
 }
+
+// TestTurnsOfLimitedServersGoToLargerRequests guards against small requests that take the few turns of servers that limit the number of requests, while
+// larger ones are refused for want of a server.
+func TestTurnsOfLimitedServersGoToLargerRequests(t *testing.T) {
+	f := newLimitedFleet(t, 1, 2, func(time.Duration) float64 { return 0 })
+	p := f.routers[0]
+	request := func(tokens int64) *Request {
+		f.now++
+		return &Request{
+			Service: "chat", PromptTokens: tokens, Arrived: f.now, Objective: f.now + time.Second, Deadline: f.now + 4*time.Second,
+			Segments: []Segment{{ID: uint64(f.now), Tokens: tokens}},
+		}
+	}
+	send := func(a *Request) *Run {
+		d, ok := p.Admit(f.now, a)
+		if !ok || d.Run == nil {
+			t.Fatalf("a request of %d tokens was not sent: %v", a.PromptTokens, d.Reason)
+		}
+		return d.Run
+	}
+	for i := range 100 { // until the mean is known
+		r := send(request([]int64{100, 5000}[i%2]))
+		p.Began(f.now, r)
+		p.Ended(f.now, r, Result{})
+	}
+	limited := p.servers["s1"]
+	p.setRateLimit(f.now, limited, 2, f.now)
+	f.now += 600 * time.Millisecond
+	for range 5 {
+		r := send(request(100))
+		if r.Server.ID != "s0" {
+			t.Fatal("a small request took the turn of the limited server")
+		}
+		p.Began(f.now, r)
+	}
+	busy := send(request(5000))
+	for busy.Server.ID != "s1" {
+		busy = send(request(5000))
+	}
+	p.servers["s0"].localUsage.Prefill = 200000 // takes longer than a request may wait
+	a := request(5000)
+	if d, ok := p.Admit(f.now, a); ok {
+		t.Fatalf("a large request was not queued for the next turn: %v", d.Reason)
+	}
+	f.now += interval(2 * rateLimitMargin)
+	if got := p.Dispatch(f.now); len(got) != 1 || got[0].Run == nil || got[0].Run.Server.ID != "s1" {
+		t.Errorf("decisions %+v at the next turn, want the large request to be sent to s1", got)
+	}
+}
