Close the connection of a refusal, so that it can't be read again

Reported by other operators: a server writes an earlier refusal once more on a kept connection while it runs the same request, which comes again under its id.

Cause: a second copy has the right id, so only the connection tells it from the answer. A connection on which a request was refused is no longer used. It costs a connection for each refusal of a server, which are few, as routers keep to the servers' limits.

--- a/router/back/kept_test.go
+++ b/router/back/kept_test.go
@@ -174,3 +174,29 @@
 		t.Errorf("%d connections, want 2", n)
 	}
 }
+
+// TestLateSecondRefusal guards against an earlier refusal, written again on a kept connection while the next attempt runs there, that is taken for
+// that attempt's.
+func TestLateSecondRefusal(t *testing.T) {
+	first := ""
+	refusal := func(id string) string {
+		return "HTTP/1.1 503 Full\r\n" + HeaderAttempt + ": " + id + "\r\n" + HeaderNotRun + ": true\r\nContent-Length: 0\r\n\r\n"
+	}
+	s := &keepAliveServer{before: func(c net.Conn, _ int64, id string) {
+		if first == "" {
+			first = id
+		}
+		_, _ = io.WriteString(c, refusal(first))
+	}}
+	s.start(t)
+	c := &Client{Settings: Settings{NonIdempotentIdle: time.Minute}}
+	defer c.Close()
+	_, err := sendOnce(c, s.address, "a0")
+	checkError(t, err, &ServerError{Reason: fleet.ReasonServerOverloaded, Sent: true, NotRun: true, Status: http.StatusServiceUnavailable})
+	for range 3 {
+		var failed *ServerError
+		if _, err := sendOnce(c, s.address, "a1"); !errors.As(err, &failed) || failed.NotRun {
+			t.Errorf("error %v, want one that promises nothing", err)
+		}
+	}
+}
--- a/router/front/ends_test.go
+++ b/router/front/ends_test.go
@@ -217,3 +217,31 @@
 		})
 	}
 }
+
+// TestHeadCutAtEachByte guards against an answer that looks whole, or a promise that nothing ran, though the server stopped in the middle of its head.
+func TestHeadCutAtEachByte(t *testing.T) {
+	for name, d := range map[string]struct{ call, head string }{
+		"plain":  {"GET /swatch-desk/colours", head + "Content-Length: 6\r\n\r\n"},
+		"once":   {"POST /swatch-desk/dispatches", created + "Content-Length: 6\r\n\r\n"},
+		"model":  {"POST /v1/chat/completions", head + "Content-Type: text/plain\r\nContent-Length: 6\r\n\r\n"},
+		"stream": {"POST /v1/chat/completions", sse},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for cut := range len(d.head) + 1 {
+				b := newBench(t, d.head[:cut])
+				b.start(t)
+				method, path, _ := strings.Cut(d.call, " ")
+				body := ""
+				if method == "POST" {
+					body = modelBody
+				}
+				answer, text := b.do(t, method, path, body, nil)
+				whole := answer.StatusCode < 400 && !strings.HasSuffix(text, "BROKEN")
+				if whole || strings.Contains(text, `"notRun":true`) {
+					t.Errorf("cut at byte %d: got %d %q", cut, answer.StatusCode, text)
+				}
+				b.server.Close()
+			}
+		})
+	}
+}
--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -228,7 +228,7 @@
 	}
 	c.observeServer(run, a)
 	if err := c.verify(run, a, &result); err != nil {
-		if a.info.ID != c.info.ID || a.status == http.StatusMisdirectedRequest {
+		if a.info.ID != c.info.ID || a.info.NotRun || a.status == http.StatusMisdirectedRequest {
 			// A second copy of this answer would be read as that of the next request, which may be this one again.
 			back.CloseConnection(response)
 		}
