Refuse at once what a router without a share of any limit can't send

Where all servers name a limit and there are more routers than may share it, a router without a share kept requests until they could no longer be in time, and then said that there is no server. It refuses them at once with serversLimited (TestRouterWithoutAShareRefusesAtOnce; the requests waited before).

--- a/core/pool/ratelimit.go
+++ b/core/pool/ratelimit.go
@@ -163,15 +163,15 @@
 	if now > v.limitedUntil {
 		return 0, false
 	}
-	first, total := time.Duration(0), 0.0
+	first, total, found := time.Duration(0), 0.0, false
 	for _, b := range v.servers {
 		if !p.eligible(now, b) || a.tried(b.ID) {
 			continue
 		}
-		limit := b.advertised.limit(now)
-		if limit == 0 {
+		if b.advertised.limit(now) == 0 {
 			return 0, false
 		}
+		found = true
 		rate, _ := p.sendRate(now, b)
 		if rate <= 0 {
 			continue
@@ -181,8 +181,8 @@
 			first = at
 		}
 	}
-	if total == 0 {
-		return 0, false
+	if total == 0 { // other routers send what the limits allow
+		return max(now+rateLimitRefresh, a.sendBy+1), found
 	}
 	return first + time.Duration(float64(v.queue.ahead(a))/total*float64(time.Second)), true
 }
--- a/core/pool/ratelimit_test.go
+++ b/core/pool/ratelimit_test.go
@@ -209,6 +209,26 @@
 	}
 }
 
+// TestRouterWithoutAShareRefusesAtOnce guards against requests that wait at a router that may send to none of the limited servers.
+func TestRouterWithoutAShareRefusesAtOnce(t *testing.T) {
+	f := newLimitedFleet(t, 40, 1, func(time.Duration) float64 { return 1 })
+	f.run(time.Second)
+	refused := 0
+	for _, p := range f.routers {
+		if rate, limited := p.sendRate(f.now, p.servers["s0"]); !limited || rate > 0 {
+			continue
+		}
+		d, ok := p.Admit(f.now, &Request{Service: "chat", PromptTokens: 10, Arrived: f.now, Objective: f.now + time.Second, Deadline: f.now + 4*time.Second})
+		if !ok || d.Reason != fleet.ReasonServersLimited || d.RetryAfter <= 0 {
+			t.Fatalf("decided %t, %v, Retry-After %v, want a refusal for the limit", ok, d.Reason, d.RetryAfter)
+		}
+		refused++
+	}
+	if want := len(f.routers) - minLimitSenders - limitSendersPerRate; refused != want {
+		t.Errorf("%d routers have no share, want %d", refused, want)
+	}
+}
+
 // TestOldStatementsOfLimits guards against an old statement, on a late response or on a long path, that replaces a newer one.
 func TestOldStatementsOfLimits(t *testing.T) {
 	f := newLimitedFleet(t, 2, 1, func(time.Duration) float64 { return 0 })
--- a/router/back/client.go
+++ b/router/back/client.go
@@ -134,14 +134,19 @@
 	c.unpooled.DisableKeepAlives = true
 }
 
-func (c *Client) transport() *http.Transport {
-	dialer := &net.Dialer{Timeout: c.Settings.ConnectTimeout}
+func (c *Client) dialer() *net.Dialer {
+	d := &net.Dialer{Timeout: c.Settings.ConnectTimeout}
 	if c.Settings.UnackedTimeout > 0 {
-		SetDeadPeerTimeout(dialer, c.Settings.UnackedTimeout)
+		SetDeadPeerTimeout(d, c.Settings.UnackedTimeout)
 	}
 	if c.Settings.Source != nil {
-		dialer.LocalAddr = &net.TCPAddr{IP: c.Settings.Source}
+		d.LocalAddr = &net.TCPAddr{IP: c.Settings.Source}
 	}
+	return d
+}
+
+func (c *Client) transport() *http.Transport {
+	dialer := c.dialer()
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			raw, err := dialer.DialContext(ctx, network, address)
@@ -227,8 +232,7 @@
 // Listens reports whether a process listens at an address; the error is one of the dial that shows neither.
 func (c *Client) Listens(ctx context.Context, address string) (bool, error) {
 	c.once.Do(c.init)
-	dialer := net.Dialer{Timeout: c.Settings.ConnectTimeout}
-	connection, err := dialer.DialContext(ctx, "tcp", address)
+	connection, err := c.dialer().DialContext(ctx, "tcp", address)
 	switch {
 	case err == nil:
 		_ = connection.Close() // nothing was sent on it
--- a/router/back/client_test.go
+++ b/router/back/client_test.go
@@ -395,3 +395,24 @@
 		})
 	}
 }
+
+// TestListens guards against a server that is taken for ended while it listens, or while the network alone shows nothing.
+func TestListens(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &Client{}
+	if on, err := c.Listens(context.Background(), l.Addr().String()); !on || err != nil {
+		t.Errorf("listens %t, %v, want true", on, err)
+	}
+	l.Close()
+	if on, err := c.Listens(context.Background(), l.Addr().String()); on || err != nil {
+		t.Errorf("after the end: listens %t, %v, want false and no error", on, err)
+	}
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, err := c.Listens(ended, l.Addr().String()); err == nil {
+		t.Error("no error of a dial that shows nothing")
+	}
+}
