Keep the crashes of a part in order when an earlier time of one arrives

News of a crash from another router may date it earlier. Its time was taken over in place, so that the list could be out of order and evidence be counted wrongly. Found by reading; the tests of prompt parts pass before and after.

--- a/core/pool/poison.go
+++ b/core/pool/poison.go
@@ -68,6 +68,8 @@
 	answered bool // it had just begun to answer a prompt with the part
 }
 
+func compareCrashes(a, b partCrash) int { return cmp.Compare(a.at, b.at) }
+
 // hash returns a hash of the incarnation.
 func (i incarnation) hash() uint32 {
 	h := fnv.New32a()
@@ -101,15 +103,15 @@
 	if s.cleared && c.at <= s.clearedAt {
 		return false
 	}
-	for i, known := range s.crashes {
-		if known.server == c.server {
-			s.crashes[i].at = min(known.at, c.at)
-			if known.answered || !c.answered {
-				return false
-			}
-			s.crashes[i].answered, s.changedAt = true, now
-			return true
+	if i := slices.IndexFunc(s.crashes, func(known partCrash) bool { return known.server == c.server }); i >= 0 {
+		news := c.answered && !s.crashes[i].answered
+		s.crashes[i].answered = s.crashes[i].answered || c.answered
+		s.crashes[i].at = min(s.crashes[i].at, c.at)
+		slices.SortFunc(s.crashes, compareCrashes)
+		if news {
+			s.changedAt = now
 		}
+		return news
 	}
 	if u.isProven(part, c.at) {
 		s.clear(now, c.at+minCrashGap) // the time at other routers may differ a little
@@ -119,7 +121,7 @@
 	if len(s.crashes) == maxPartCrashes && c.at >= s.crashes[maxPartCrashes-1].at {
 		return false
 	}
-	at, _ := slices.BinarySearchFunc(s.crashes, c, func(a, b partCrash) int { return cmp.Compare(a.at, b.at) })
+	at, _ := slices.BinarySearchFunc(s.crashes, c, compareCrashes)
 	s.crashes = slices.Insert(s.crashes, at, c)
 	s.crashes = s.crashes[:min(len(s.crashes), maxPartCrashes)]
 	s.changedAt = now
