--- a/core/digest/fleet.go
+++ b/core/digest/fleet.go
@@ -28,14 +28,14 @@
 	// Revision is the newest revision of the platform's state that the sender knows to exist, even if it lacks the
 	// changes up to it.
 	Revision int64
-	Members  []Member // gossip; nil if none
-	Part     *Sum     // usage of a router and of those that report to it, sent to its relay; empty when a router only probes a candidate
-	Centre   *Sum     // usage of a head and of all that report to it, sent to the heads of the other data centres
-	Others   *Sum     // usage of all other routers, sent by a relay
-	Leave    bool     // the sender no longer reports to the receiver, or is no longer the head of its data centre
-	Suspects []Suspect
-	Limits   []RateLimit
-	Update   *Update // update of the platform's state; nil if the sender does not know the state
+	Members  []Member    // gossip; nil if none
+	Part     *Sum        // usage of a router and of those that report to it, sent to its relay; empty when a router only probes a candidate
+	Centre   *Sum        // usage of a head and of all that report to it, sent to the heads of the other data centres
+	Others   *Sum        // usage of all other routers, sent by a relay
+	Leave    bool        // the sender no longer reports to the receiver, or is no longer the head of its data centre
+	Suspects []Suspect   // news of prompt parts that may crash servers
+	Limits   []RateLimit // news of the servers' rate limits
+	Update   *Update     // update of the platform's state; nil if the sender does not know the state
 }
 
 // Outgoing is a message to be sent.
--- a/core/pool/crash.go
+++ b/core/pool/crash.go
@@ -44,7 +44,7 @@
 		c.answered = addParts(c.answered, r.request.sharedSegments())
 	}
 	if c.confirmed {
-		p.accuseOf(now, b)
+		p.accuse(now, b)
 	}
 }
 
@@ -68,12 +68,6 @@
 // proven reports whether a run shows that its prompt does not crash servers.
 func (r *Run) proven() bool { return r.began && r.lastEvent()-r.beganAt >= provenAfter }
 
-// accuseOf records the parts that may have ended a server, as far as no response to them went on.
-func (p *Pool) accuseOf(now time.Duration, b *backend) {
-	p.proveOpenRuns(now, p.service(b.Service))
-	p.accuse(now, b)
-}
-
 // UncheckedCrash reports whether the server of a run may have ended and nobody checks it yet; the caller has to check it and to call
 // ConfirmCrash.
 func (p *Pool) UncheckedCrash(r *Run) bool {
@@ -98,7 +92,7 @@
 	}
 	c.confirmed = true
 	p.emit(b, "ended", fmt.Sprintf("%d requests of this router broke off; parts of those that had just begun or not begun: %s", c.requests, joinParts(c.parts)))
-	p.accuseOf(now, b)
+	p.accuse(now, b)
 }
 
 // PartNames returns the IDs of prompt segments for a log line.
--- a/core/pool/poison.go
+++ b/core/pool/poison.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"hash/fnv"
 	"math"
 	"slices"
 	"strconv"
@@ -34,7 +33,7 @@
 	maxSuspects, maxPartCrashes = 512, 16
 	// maxSuspectsSent bounds the parts in one message to other routers.
 	maxSuspectsSent = 32
-	// resendTime is how long news of a part is repeated in messages, which may be lost; what may be poisoned is repeated each
+	// resendTime is how long news for other routers is repeated in messages, which may be lost; a part that may be poisoned is repeated each
 	// suspectRefresh besides.
 	resendTime, suspectRefresh = 400 * time.Millisecond, time.Second
 )
@@ -56,9 +55,9 @@
 	triedAt   time.Duration // time of the latest one
 	changedAt time.Duration
 
-	evidence int
-	poisoned bool     // requests with this part and all of with must not reach servers
-	with     []uint64 // parts that explain its crashes as well
+	evidence     int
+	poisoned     bool     // requests with this part and all its alternatives must not reach servers
+	alternatives []uint64 // parts that explain its crashes as well
 }
 
 // partCrash is the end of an incarnation of a server that ran a request with a part.
@@ -72,14 +71,13 @@
 
 // hash returns a hash of the incarnation.
 func (i incarnation) hash() uint32 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(i.id + " " + i.address + " " + strconv.FormatInt(i.startMillis, 10))) // hash.Hash.Write never returns an error
-	return h.Sum32()
+	return nameID(i.id + " " + i.address + " " + strconv.FormatInt(i.startMillis, 10))
 }
 
-// accuse records the parts of the prompts under which a server ended.
+// accuse records the parts of the prompts under which a server ended, as far as no response to them went on.
 func (p *Pool) accuse(now time.Duration, b *backend) {
 	v, parts := p.service(b.Service), b.crash.parts
+	p.proveOpenRuns(now, v)
 	known := slices.DeleteFunc(slices.Clone(parts), func(part uint64) bool { return v.suspects.parts[part] == nil || !v.suspects.parts[part].poisoned })
 	if len(known) > 0 {
 		parts = known // they explain the crash
@@ -89,7 +87,7 @@
 		if v.suspects.parts[part] == nil && v.suspects.isProven(part, b.crash.at) {
 			continue
 		}
-		c := partCrash{b.start, b.crash.at, slices.Contains(b.crash.answered, part)}
+		c := partCrash{b.incarnationID, b.crash.at, slices.Contains(b.crash.answered, part)}
 		changed = v.suspects.addCrash(now, part, c) || changed
 	}
 	if changed {
@@ -203,10 +201,10 @@
 		s.evidence = evidence(s.crashes)
 	}
 	for _, s := range v.suspects.parts {
-		s.with = s.with[:0]
+		s.alternatives = nil
 		was := s.poisoned
 		if s.poisoned = s.evidence >= minEvidence; s.poisoned {
-			s.with = v.suspects.alternatives(s)
+			s.alternatives = v.suspects.alternatives(s)
 		}
 		if s.poisoned != was {
 			p.emitPart(v, s)
@@ -273,7 +271,7 @@
 	shared := a.sharedSegments()
 	for _, part := range shared {
 		s := v.suspects.parts[part.ID]
-		if s == nil || !s.poisoned || !containsAll(shared, s.with) {
+		if s == nil || !s.poisoned || !containsAll(shared, s.alternatives) {
 			continue
 		}
 		if !p.mayTry(now, s) {
--- a/core/pool/poison_test.go
+++ b/core/pool/poison_test.go
@@ -93,7 +93,7 @@
 	return d
 }
 
-// crash ends the server of a run while the runs of some routers are open there, and returns it after a while.
+// crash ends the server of a run just after the header of its response, and starts it anew.
 func (f *crashFleet) crash(router int, r *Run) {
 	f.t.Helper()
 	r.Answered()
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -95,7 +95,7 @@
 		p.emit(o, "gone", "server "+s.ID+" has its address")
 	}
 	p.addresses[s.Address] = s.ID
-	b = &backend{Server: s, runs: make(map[*Run]bool), hash: hash64(s.ID), start: s.incarnation().hash(), coldUntil: now + s.ColdRemaining, advertised: p.advertised[s.incarnation()]}
+	b = &backend{Server: s, runs: make(map[*Run]bool), hash: hash64(s.ID), incarnationID: s.incarnation().hash(), coldUntil: now + s.ColdRemaining, advertised: p.advertised[s.incarnation()]}
 	p.servers[s.ID] = b
 	v := p.service(s.Service)
 	at := len(v.servers)
--- a/core/pool/ratelimit.go
+++ b/core/pool/ratelimit.go
@@ -227,7 +227,7 @@
 	for _, b := range due[:min(len(due), maxLimitsSent)] {
 		l := &b.advertised.rateLimit
 		l.sentAt = now
-		list = append(list, digest.RateLimit{Server: b.start, Rate: l.rate, Age: now - l.at})
+		list = append(list, digest.RateLimit{Server: b.incarnationID, Rate: l.rate, Age: now - l.at})
 	}
 	return list
 }
@@ -243,7 +243,7 @@
 		byHash[l.Server] = l
 	}
 	for _, b := range p.servers {
-		if l, ok := byHash[b.start]; ok && l.Age <= rateLimitTTL {
+		if l, ok := byHash[b.incarnationID]; ok && l.Age <= rateLimitTTL {
 			p.setRateLimit(now, b, l.Rate, now-l.Age)
 		}
 	}
--- a/core/pool/ratelimit_test.go
+++ b/core/pool/ratelimit_test.go
@@ -247,7 +247,7 @@
 	if got := b.advertised.limit(f.now); got != 5 {
 		t.Errorf("limit %v after a response to a request that was sent before the limit was named, want 5", got)
 	}
-	p.MergeRateLimits(f.now, []digest.RateLimit{{Server: b.start, Rate: 9, Age: time.Second}, {Server: b.start + 1, Rate: 1}})
+	p.MergeRateLimits(f.now, []digest.RateLimit{{Server: b.incarnationID, Rate: 9, Age: time.Second}, {Server: b.incarnationID + 1, Rate: 1}})
 	if got := b.advertised.limit(f.now); got != 5 {
 		t.Errorf("limit %v after older news, want 5", got)
 	}
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -27,12 +27,12 @@
 // backend is a server with this router's view of it.
 type backend struct {
 	Server
-	hash       uint64 // hash of the ID
-	start      uint32 // hash of the incarnation
-	coldUntil  time.Duration
-	lapsesAt   time.Duration // when to remove the server, whose entry was lost during an outage; 0 for never
-	advertised *advertised   // what the server advertised; nil if nothing
-	gone       bool          // no longer listed by the platform, or its address belongs to another server
+	hash          uint64 // hash of the ID
+	incarnationID uint32 // hash of the incarnation, which names it in messages
+	coldUntil     time.Duration
+	lapsesAt      time.Duration // when to remove the server, whose entry was lost during an outage; 0 for never
+	advertised    *advertised   // what the server advertised; nil if nothing
+	gone          bool          // no longer listed by the platform, or its address belongs to another server
 
 	runs        map[*Run]bool // this router's open requests
 	crash       *crash        // the end of this incarnation, if it may have ended under requests; nil for none
