Log a fingerprint of requests that fail and of those whose servers end

Lines of failed sends and of ended servers named parts of prompts only, so that nothing showed whether a request without a prompt had ended servers before. A fingerprint is a hash of method, path, caller's key and body. No decision depends on it.

--- a/core/pool/crash.go
+++ b/core/pool/crash.go
@@ -25,6 +25,7 @@
 	confirmed bool          // the server has ended
 	requests  int           // requests of this router that broke off
 	parts     []uint64      // parts of their prompts that may have ended the server
+	unproven  []uint64      // fingerprints of those requests that may have ended the server
 	answered  []uint64      // those of them in prompts that the server had just begun to answer
 }
 
@@ -40,6 +41,9 @@
 		return
 	}
 	c.parts = addParts(c.parts, r.request.sharedSegments())
+	if len(c.unproven) < maxCrashParts && !slices.Contains(c.unproven, r.request.Fingerprint) {
+		c.unproven = append(c.unproven, r.request.Fingerprint)
+	}
 	if r.answered.Load() {
 		c.answered = addParts(c.answered, r.request.sharedSegments())
 	}
@@ -91,7 +95,7 @@
 		return
 	}
 	c.confirmed = true
-	p.emit(b, "ended", fmt.Sprintf("%d requests of this router broke off; parts of those that had just begun or not begun: %s", c.requests, joinParts(c.parts)))
+	p.emit(b, "ended", fmt.Sprintf("%d requests of this router broke off; those that had just begun or not begun: %s; parts of their prompts: %s", c.requests, joinParts(c.unproven), joinParts(c.parts)))
 	p.accuse(now, b)
 }
 
--- a/core/pool/request.go
+++ b/core/pool/request.go
@@ -21,6 +21,7 @@
 	Deadline     time.Duration // point in time at which the caller gives up
 	Tried        []string      // servers that failed the request
 	Retry        bool          // the request is a retry
+	Fingerprint  uint64        // the same each time the same caller sends the same request
 
 	overShare     bool    // the request exceeds its team's share of the fleet
 	shareFraction float64 // fraction of the team's demand that is within its share
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -33,6 +33,7 @@
 	service     string
 	body        []byte
 	heldBytes   int64 // bytes of the body counted as held
+	fingerprint uint64
 
 	runs          int           // number of servers that may have run it
 	sends         int           // number of times that it was sent to a server
@@ -90,7 +91,15 @@
 		timeout = min(timeout, c.route.Timeout)
 	}
 	c.deadline = c.arrived + timeout
-	return c.readBody()
+	if e := c.readBody(); e != nil {
+		return e
+	}
+	key := c.info.Key
+	if c.team == "" {
+		key = "" // nobody checked it
+	}
+	c.fingerprint = fingerprint(c.request, key, c.body)
+	return nil
 }
 
 // shed refuses a request for which this router has no capacity. The caller should retry once its connections reach another router.
@@ -237,6 +246,6 @@
 	}
 	return &pool.Request{
 		ID: c.info.ID, Service: c.service, Team: c.team, PromptTokens: c.info.Prompt, OutputTokens: output, Segments: c.info.Segments,
-		Arrived: arrived, Objective: arrived + c.route.Objective, Deadline: c.deadline, Tried: c.tried, Retry: c.sends > 0,
+		Arrived: arrived, Objective: arrived + c.route.Objective, Deadline: c.deadline, Tried: c.tried, Retry: c.sends > 0, Fingerprint: c.fingerprint,
 	}
 }
--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -147,10 +147,11 @@
 	return nil
 }
 
-// logFailed logs a failed attempt, with the prompt parts that other requests may share.
+// logFailed logs a failed attempt, with what shows whether the same request or the same prompt parts failed before.
 func (c *call) logFailed(failed *attemptError) {
 	fields := []interface{}{
 		"server", failed.server, "reason", failed.reason, "notRun", failed.notRun, "detail", failed.Error(), "lastEvent", c.order.last,
+		"fingerprint", strconv.FormatUint(c.fingerprint, 16),
 	}
 	if shared := pool.SharedSegments(c.info.Segments); len(shared) > 0 {
 		fields = append(fields, "parts", pool.PartNames(shared))
