Know a request that crashes servers by its fingerprint, and refuse it at once

Callers saw servers of plain services end as soon as they were back, and 502, noServer and retryBudget meanwhile. Cause: what ends servers was known by the parts of its prompt only, so that a request without parts was new to each router each time it came. Requests now have a fingerprint (method, host, path, caller's key, body), accused beside parts by the same evidence, proof, trials and news.

--- a/core/digest/fleet.go
+++ b/core/digest/fleet.go
@@ -33,7 +33,7 @@
 	Centre   *Sum        // usage of a head and of all that report to it, sent to the heads of the other data centres
 	Others   *Sum        // usage of all other routers, sent by a relay
 	Leave    bool        // the sender no longer reports to the receiver, or is no longer the head of its data centre
-	Suspects []Suspect   // news of prompt parts that may crash servers
+	Suspects []Suspect   // news of prompt parts and requests that may crash servers
 	Limits   []RateLimit // news of the servers' rate limits
 	Update   *Update     // update of the platform's state; nil if the sender does not know the state
 }
--- a/core/fleet/reason.go
+++ b/core/fleet/reason.go
@@ -47,6 +47,7 @@
 	ReasonServersRest                      // serversRest
 	ReasonPoisonedPrompt                   // poisonedPrompt
 	ReasonServersLimited                   // serversLimited
+	ReasonPoisonedRequest                  // poisonedRequest
 )
 
 // Failed reports whether the reason is one of a refusal, retry or failure, and not part of a request's normal course.
--- a/core/pool/crash.go
+++ b/core/pool/crash.go
@@ -3,19 +3,17 @@
 import (
 	"fmt"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 )
 
 const (
 	// crashWindow is the time in which the requests of a server that ended report it.
 	crashWindow = time.Second
-	// provenAfter is how long a server has to live on after the first event of a response before the parts of its prompt count as
-	// harmless: a part that crashes servers does so within some tens of milliseconds.
+	// provenAfter is how long a server has to live on after the first event of a response before the subjects of the request count as
+	// harmless: one that crashes servers does so within some tens of milliseconds.
 	provenAfter = 300 * time.Millisecond
-	// maxCrashParts is the maximum number of prompt parts that are recorded for one crash.
-	maxCrashParts = 64
+	// maxCrashSubjects is the maximum number of subjects that are recorded for one crash.
+	maxCrashSubjects = 64
 )
 
 // crash is the end of an incarnation of a server while it ran requests.
@@ -24,9 +22,8 @@
 	checked   bool          // a caller of UncheckedCrash checks whether the server has ended
 	confirmed bool          // the server has ended
 	requests  int           // requests of this router that broke off
-	parts     []uint64      // parts of their prompts that may have ended the server
-	unproven  []uint64      // fingerprints of those requests that may have ended the server
-	answered  []uint64      // those of them in prompts that the server had just begun to answer
+	subjects  []subject     // subjects of those that may have ended the server
+	answered  []subject     // subjects of those that the server had just begun to answer
 }
 
 // observeBreak records that a run broke off, so that its server may have ended.
@@ -40,25 +37,22 @@
 	if r.proven() {
 		return
 	}
-	c.parts = addParts(c.parts, r.request.sharedSegments())
-	if len(c.unproven) < maxCrashParts && !slices.Contains(c.unproven, r.request.Fingerprint) {
-		c.unproven = append(c.unproven, r.request.Fingerprint)
-	}
+	c.subjects = addSubjects(c.subjects, r.request.subjects())
 	if r.answered.Load() {
-		c.answered = addParts(c.answered, r.request.sharedSegments())
+		c.answered = addSubjects(c.answered, r.request.subjects())
 	}
 	if c.confirmed {
 		p.accuse(now, b)
 	}
 }
 
-func addParts(parts []uint64, segments []Segment) []uint64 {
-	for _, s := range segments {
-		if len(parts) < maxCrashParts && !slices.Contains(parts, s.ID) {
-			parts = append(parts, s.ID)
+func addSubjects(list, more []subject) []subject {
+	for _, s := range more {
+		if len(list) < maxCrashSubjects && !slices.Contains(list, s) {
+			list = append(list, s)
 		}
 	}
-	return parts
+	return list
 }
 
 // Answered records that the header of a response has arrived; it may be called without exclusive access to the pool.
@@ -69,7 +63,7 @@
 
 func (r *Run) lastEvent() time.Duration { return time.Duration(r.lastEventAt.Load()) }
 
-// proven reports whether a run shows that its prompt does not crash servers.
+// proven reports whether a run shows that its request does not crash servers.
 func (r *Run) proven() bool { return r.began && r.lastEvent()-r.beganAt >= provenAfter }
 
 // UncheckedCrash reports whether the server of a run may have ended and nobody checks it yet; the caller has to check it and to call
@@ -95,26 +89,6 @@
 		return
 	}
 	c.confirmed = true
-	p.emit(b, "ended", fmt.Sprintf("%d requests of this router broke off; those that had just begun or not begun: %s; parts of their prompts: %s", c.requests, joinParts(c.unproven), joinParts(c.parts)))
+	p.emit(b, "ended", fmt.Sprintf("%d requests of this router broke off; those that had just begun or not begun: %s; parts of their prompts: %s", c.requests, joinNames(c.subjects, SubjectRequest), joinNames(c.subjects, SubjectPart)))
 	p.accuse(now, b)
 }
-
-// PartNames returns the IDs of prompt segments for a log line.
-func PartNames(segments []Segment) string {
-	parts := make([]uint64, 0, len(segments))
-	for _, s := range segments {
-		parts = append(parts, s.ID)
-	}
-	return joinParts(parts)
-}
-
-// maxLoggedParts bounds the length of a log line.
-const maxLoggedParts = 16
-
-func joinParts(parts []uint64) string {
-	var names []string
-	for _, part := range parts[:min(len(parts), maxLoggedParts)] {
-		names = append(names, strconv.FormatUint(part, 16))
-	}
-	return strings.Join(names, ",")
-}
--- a/core/pool/evidence.go
+++ b/core/pool/evidence.go
@@ -10,76 +10,83 @@
 const (
 	// minCrashGap is the time between two crashes that count as two: servers that end at the same moment have another cause in common.
 	minCrashGap = 100 * time.Millisecond
-	// provenWindow is how long a response to a prompt part shows that it does not crash servers.
+	// provenWindow is how long a response to a prompt part shows that the part does not crash servers.
 	provenWindow = 2 * time.Second
-	// maxSuspects bounds the parts that are remembered for one service, and maxPartCrashes the crashes of each.
-	maxSuspects, maxPartCrashes = 512, 16
+	// maxSuspects bounds the subjects that are remembered for one service, and maxSubjectCrashes the crashes of each.
+	maxSuspects, maxSubjectCrashes = 512, 16
 )
 
-// suspects are the prompt parts whose requests ran on servers of one service that ended. The zero value is ready to use.
+// suspects are the subjects of requests that ran on servers of one service that ended. The zero value is ready to use.
 type suspects struct {
-	parts       map[uint64]*suspect
+	known       map[subject]*suspect
 	proven      prefixCache // when a response to a part was last seen to go on
 	refreshedAt time.Duration
 }
 
-// suspect is what is known of one part.
+// suspect is what is known of one subject.
 type suspect struct {
-	part      uint64
-	crashes   []partCrash // the first ones since the part was cleared, by time
+	subject
+	crashes   []subjectCrash // the first ones since the subject was cleared, by time
 	cleared   bool
-	clearedAt time.Duration // a response to the part went on after the crashes up to this time
-	trials    int           // number of requests that tried the part after it was poisoned
+	clearedAt time.Duration // a response went on after the crashes up to this time
+	trials    int           // number of requests that tried the subject after it was poisoned
 	triedAt   time.Duration // time of the latest one
 	changedAt time.Duration
 
 	evidence     int
-	poisoned     bool     // requests with this part and all its alternatives must not reach servers
-	alternatives []uint64 // parts that explain its crashes as well
+	poisoned     bool      // requests with this subject and all its alternatives must not reach servers
+	alternatives []subject // what explains its crashes as well
 }
 
-// partCrash is the end of an incarnation of a server that ran a request with a part.
-type partCrash struct {
+// subjectCrash is the end of an incarnation of a server that ran a request with a subject.
+type subjectCrash struct {
 	server   uint32 // hash of the incarnation
 	at       time.Duration
-	answered bool // it had just begun to answer a prompt with the part
+	answered bool // it had just begun to answer such a request
 }
 
-func compareCrashes(a, b partCrash) int { return cmp.Compare(a.at, b.at) }
+func compareCrashes(a, b subjectCrash) int { return cmp.Compare(a.at, b.at) }
 
 // hash returns a hash of the incarnation.
 func (i incarnation) hash() uint32 {
 	return nameID(i.id + " " + i.address + " " + strconv.FormatInt(i.startMillis, 10))
 }
 
-// accuse records the parts of the prompts under which a server ended, as far as no response to them went on.
+// accuse records the subjects of the requests under which a server ended, as far as no response to them went on.
 func (p *Pool) accuse(now time.Duration, b *backend) {
-	v, parts := p.service(b.Service), b.crash.parts
+	v, accused := p.service(b.Service), b.crash.subjects
 	p.proveOpenRuns(now, v)
-	known := slices.DeleteFunc(slices.Clone(parts), func(part uint64) bool { return v.suspects.parts[part] == nil || !v.suspects.parts[part].poisoned })
-	if len(known) > 0 {
-		parts = known // they explain the crash
+	explained := slices.DeleteFunc(slices.Clone(accused), func(s subject) bool {
+		return !v.suspects.refuses(s, accused) || evidence(v.suspects.known[s].crashesElsewhere(b.incarnationID)) < minEvidence
+	})
+	if len(explained) > 0 {
+		accused = explained // these were the cause already before this crash
 	}
 	changed := false
-	for _, part := range parts {
-		if v.suspects.parts[part] == nil && v.suspects.isProven(part, b.crash.at) {
+	for _, s := range accused {
+		if v.suspects.known[s] == nil && v.suspects.isProven(s, b.crash.at) {
 			continue
 		}
-		c := partCrash{b.incarnationID, b.crash.at, slices.Contains(b.crash.answered, part)}
-		changed = v.suspects.addCrash(now, part, c) || changed
+		c := subjectCrash{b.incarnationID, b.crash.at, slices.Contains(b.crash.answered, s)}
+		changed = v.suspects.addCrash(now, s, c) || changed
 	}
 	if changed {
 		p.judge(v)
 	}
 }
 
+// crashesElsewhere returns the crashes of all servers but one.
+func (s *suspect) crashesElsewhere(server uint32) []subjectCrash {
+	return slices.DeleteFunc(slices.Clone(s.crashes), func(c subjectCrash) bool { return c.server == server })
+}
+
 // addCrash records a crash and reports whether it is news.
-func (u *suspects) addCrash(now time.Duration, part uint64, c partCrash) bool {
-	s := u.suspect(now, part)
+func (u *suspects) addCrash(now time.Duration, of subject, c subjectCrash) bool {
+	s := u.suspect(now, of)
 	if s.cleared && c.at <= s.clearedAt {
 		return false
 	}
-	if i := slices.IndexFunc(s.crashes, func(known partCrash) bool { return known.server == c.server }); i >= 0 {
+	if i := slices.IndexFunc(s.crashes, func(known subjectCrash) bool { return known.server == c.server }); i >= 0 {
 		news := c.answered && !s.crashes[i].answered
 		s.crashes[i].answered = s.crashes[i].answered || c.answered
 		s.crashes[i].at = min(s.crashes[i].at, c.at)
@@ -89,61 +96,65 @@
 		}
 		return news
 	}
-	if u.isProven(part, c.at) {
+	if u.isProven(of, c.at) {
 		s.clear(now, c.at+minCrashGap) // the time at other routers may differ a little
 		s.changedAt = now
 		return true
 	}
-	if len(s.crashes) == maxPartCrashes && c.at >= s.crashes[maxPartCrashes-1].at {
+	if len(s.crashes) == maxSubjectCrashes && c.at >= s.crashes[maxSubjectCrashes-1].at {
 		return false
 	}
 	at, _ := slices.BinarySearchFunc(s.crashes, c, compareCrashes)
 	s.crashes = slices.Insert(s.crashes, at, c)
-	s.crashes = s.crashes[:min(len(s.crashes), maxPartCrashes)]
+	s.crashes = s.crashes[:min(len(s.crashes), maxSubjectCrashes)]
 	s.changedAt = now
 	return true
 }
 
 // isProven reports whether this router saw a response to a part go on so shortly before a crash, or after it, that the part is not its cause.
-func (u *suspects) isProven(part uint64, crashAt time.Duration) bool {
-	at, ok := u.proven.lastUsed[part]
+// Of requests it keeps no such record: each has another fingerprint, and one that comes again clears itself with its next response.
+func (u *suspects) isProven(s subject, crashAt time.Duration) bool {
+	if s.kind != SubjectPart {
+		return false
+	}
+	at, ok := u.proven.lastUsed[s.id]
 	return ok && crashAt-at <= provenWindow
 }
 
-// suspect returns the record of a part, and creates it if necessary.
-func (u *suspects) suspect(now time.Duration, part uint64) *suspect {
-	s := u.parts[part]
+// suspect returns the record of a subject, and creates it if necessary.
+func (u *suspects) suspect(now time.Duration, of subject) *suspect {
+	s := u.known[of]
 	if s != nil {
 		return s
 	}
-	if u.parts == nil {
-		u.parts = make(map[uint64]*suspect)
+	if u.known == nil {
+		u.known = make(map[subject]*suspect)
 	}
-	if len(u.parts) >= maxSuspects {
+	if len(u.known) >= maxSuspects {
 		u.forgetOne()
 	}
-	s = &suspect{part: part, changedAt: now}
-	u.parts[part] = s
+	s = &suspect{subject: of, changedAt: now}
+	u.known[of] = s
 	return s
 }
 
-// forgetOne removes the part with the least evidence, and of several the one without news for longest.
+// forgetOne removes the subject with the least evidence, and of several the one without news for longest.
 func (u *suspects) forgetOne() {
 	var least *suspect
-	for _, s := range u.parts {
-		if least == nil || cmp.Or(cmp.Compare(s.evidence, least.evidence), cmp.Compare(s.changedAt, least.changedAt), cmp.Compare(s.part, least.part)) < 0 {
+	for _, s := range u.known {
+		if least == nil || cmp.Or(cmp.Compare(s.evidence, least.evidence), cmp.Compare(s.changedAt, least.changedAt), cmp.Compare(s.id, least.id)) < 0 {
 			least = s
 		}
 	}
-	delete(u.parts, least.part)
+	delete(u.known, least.subject)
 }
 
-// clear records that a response to the part went on after all crashes up to a time.
+// clear records that a response to the subject went on after all crashes up to a time.
 func (s *suspect) clear(now, at time.Duration) {
 	if s.cleared && at <= s.clearedAt {
 		return
 	}
-	kept := slices.DeleteFunc(s.crashes, func(c partCrash) bool { return c.at <= at })
+	kept := slices.DeleteFunc(s.crashes, func(c subjectCrash) bool { return c.at <= at })
 	if len(kept) < len(s.crashes) || !s.cleared {
 		s.changedAt = now
 	}
@@ -153,17 +164,18 @@
 	}
 }
 
-// prove records that a response to a run went on, or ended well, at some time, so that no part of its prompt crashes servers.
+// prove records that a response to a run went on, or ended well, at some time, so that no subject of its request crashes servers.
 func (p *Pool) prove(now, at time.Duration, r *Run) {
-	shared := r.request.sharedSegments()
-	if len(shared) == 0 {
+	v := p.service(r.Server.Service)
+	if shared := r.request.sharedSegments(); len(shared) > 0 {
+		v.suspects.proven.record(at, shared)
+	}
+	if len(v.suspects.known) == 0 {
 		return
 	}
-	v := p.service(r.Server.Service)
-	v.suspects.proven.record(at, shared)
 	changed := false
-	for _, part := range shared {
-		if s := v.suspects.parts[part.ID]; s != nil && len(s.crashes) > 0 {
+	for _, of := range r.request.subjects() {
+		if s := v.suspects.known[of]; s != nil && len(s.crashes) > 0 {
 			s.clear(now, at)
 			changed = true
 		}
@@ -173,7 +185,7 @@
 	}
 }
 
-// proveOpenRuns clears the parts of prompts to which responses go on.
+// proveOpenRuns clears the subjects of requests to which responses go on.
 func (p *Pool) proveOpenRuns(now time.Duration, v *service) {
 	for _, b := range v.servers {
 		for r := range b.runs {
--- a/core/pool/poison_test.go
+++ b/core/pool/poison_test.go
@@ -39,8 +39,8 @@
 		}
 		if i == 0 {
 			p.OnEvent = func(e Event) {
-				if e.Part != "" {
-					f.poisoned = append(f.poisoned, e.Part+" "+e.Kind)
+				if e.Subject != "" {
+					f.poisoned = append(f.poisoned, e.Subject+" "+e.Kind)
 				}
 			}
 		}
@@ -80,10 +80,21 @@
 
 // send sends a request with some shared parts by a router, to a server other than those tried, and returns its run or a refusal.
 func (f *crashFleet) send(router int, tried []string, parts ...uint64) Decision {
+	f.t.Helper()
+	return f.sendRequest(router, 0, tried, parts...)
+}
+
+// sendRequest sends a request with a fingerprint, and with a prompt unless there are no parts.
+func (f *crashFleet) sendRequest(router int, fingerprint uint64, tried []string, parts ...uint64) Decision {
 	f.t.Helper()
 	f.own++
-	a := &Request{ID: fmt.Sprint(f.own), Service: "chat", PromptTokens: 100, OutputTokens: 10, Arrived: f.now, Objective: f.now + time.Second, Deadline: f.now + 5*time.Second, Tried: tried}
-	for _, part := range append(parts, ownPart+f.own) {
+	a := &Request{ID: fmt.Sprint(f.own), Service: "chat", PromptTokens: 100, OutputTokens: 10, Arrived: f.now, Objective: f.now + time.Second, Deadline: f.now + 5*time.Second, Tried: tried, Fingerprint: fingerprint}
+	if len(parts) == 0 {
+		a.PromptTokens, a.OutputTokens = 0, 0
+	} else {
+		parts = append(slices.Clone(parts), ownPart+f.own)
+	}
+	for _, part := range parts {
 		a.Segments = append(a.Segments, Segment{ID: part, Tokens: 20})
 	}
 	d, ok := f.routers[router].Admit(f.now, a)
@@ -350,8 +361,8 @@
 		}
 	}
 	u := &f.routers[0].service("chat").suspects
-	if len(u.parts) > maxSuspects || len(u.proven.lastUsed) > maxCachedSegments+1 {
-		t.Errorf("%d suspects and %d proven parts are kept", len(u.parts), len(u.proven.lastUsed))
+	if len(u.known) > maxSuspects || len(u.proven.lastUsed) > maxCachedSegments+1 {
+		t.Errorf("%d suspects and %d proven parts are kept", len(u.known), len(u.proven.lastUsed))
 	}
 }
 
@@ -359,18 +370,18 @@
 func TestSuspectNewsMayRepeat(t *testing.T) {
 	now := time.Minute
 	p := newCrashFleet(t, 1, 3).routers[0]
-	news := digest.Suspect{Service: nameID("chat"), Part: deadly, Crashes: []digest.Crash{{Server: 1, Age: time.Second, Answered: true}}}
+	news := digest.Suspect{Service: nameID("chat"), ID: deadly, Crashes: []digest.Crash{{Server: 1, Age: time.Second, Answered: true}}}
 	for range 5 {
-		p.MergeSuspects(now, []digest.Suspect{news, {Service: nameID("chat"), Part: deadly}})
+		p.MergeSuspects(now, []digest.Suspect{news, {Service: nameID("chat"), ID: deadly}})
 		now += 200 * time.Millisecond
 	}
-	s := p.service("chat").suspects.parts[deadly]
+	s := p.service("chat").suspects.known[subject{SubjectPart, deadly}]
 	if s.poisoned || len(s.crashes) != 1 {
 		t.Errorf("poisoned %t by %d crashes, want one", s.poisoned, len(s.crashes))
 	}
-	p.MergeSuspects(now, []digest.Suspect{{Service: nameID("chat"), Part: deadly, Cleared: true, ClearedAge: 10 * time.Millisecond}})
+	p.MergeSuspects(now, []digest.Suspect{{Service: nameID("chat"), ID: deadly, Cleared: true, ClearedAge: 10 * time.Millisecond}})
 	p.MergeSuspects(now, []digest.Suspect{news})
-	if s := p.service("chat").suspects.parts[deadly]; len(s.crashes) > 0 {
+	if s := p.service("chat").suspects.known[subject{SubjectPart, deadly}]; len(s.crashes) > 0 {
 		t.Error("old news brought a cleared crash back")
 	}
 	if !slices.ContainsFunc(p.Suspects(now), func(d digest.Suspect) bool { return d.Cleared }) {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -14,7 +14,7 @@
 	Joined     bool     // the peers are known, so that this router can compute its share of fleet-wide rates
 	Peers      []string // names of the other live routers
 	Random     *rand.Rand
-	OnEvent    func(Event) // called on each change in the view of a server or a prompt part; may be nil
+	OnEvent    func(Event) // called on each change in the view of a server or a subject; may be nil
 
 	table      *route.Table
 	servers    map[string]*backend
@@ -44,10 +44,11 @@
 	suspects     suspects
 }
 
-// Event is a change in a router's view of a server or of a prompt part.
+// Event is a change in a router's view of a server or of a subject.
 type Event struct {
 	Server, Service string
-	Part            string // ID of a prompt part; empty for events of servers
+	Subject         string // ID of a prompt part or fingerprint of a request; empty for events of servers
+	SubjectKind     SubjectKind
 	Kind            string
 	Detail          string
 }
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -232,11 +232,15 @@
 	return Decision{Request: a, Reason: fleet.ReasonServersLimited, RetryAfter: retryAfter, Waited: now - a.Arrived}
 }
 
-// rejectPoisoned returns a rejection whose Retry-After is the time until the part may be tried again.
+// rejectPoisoned returns a rejection whose Retry-After is the time until the subject may be tried again.
 func (p *Pool) rejectPoisoned(now time.Duration, a *Request, s *suspect) Decision {
 	retryAfter := max(minRetryAfter, s.trialDue()-now)
 	retryAfter += time.Duration(p.Random.Float64() * float64(minRetryAfter))
-	return Decision{Request: a, Reason: fleet.ReasonPoisonedPrompt, RetryAfter: retryAfter, Waited: now - a.Arrived}
+	reason := fleet.ReasonPoisonedPrompt
+	if s.kind == SubjectRequest {
+		reason = fleet.ReasonPoisonedRequest
+	}
+	return Decision{Request: a, Reason: reason, RetryAfter: retryAfter, Waited: now - a.Arrived}
 }
 
 // minRetryAfter is the minimum Retry-After before jitter: about the time in which other routers' load becomes known here.
--- a/core/pool/request.go
+++ b/core/pool/request.go
@@ -26,8 +26,8 @@
 	overShare     bool    // the request exceeds its team's share of the fleet
 	shareFraction float64 // fraction of the team's demand that is within its share
 	sendBy        time.Duration
-	small         bool     // leaves the turns of servers that limit their rates to larger requests
-	trial         *suspect // the poisoned part that the request may try again; nil for none
+	small         bool       // leaves the turns of servers that limit their rates to larger requests
+	trials        []*suspect // the poisoned subjects that the request may try again
 }
 
 // cost returns the tokens that the request is charged: a prompt token counts once and a generated token twice.
--- a/core/pool/run.go
+++ b/core/pool/run.go
@@ -19,8 +19,8 @@
 	r.prefillAhead = b.usage(now).Prefill
 	b.localUsage.add(r.usage)
 	b.runs[r] = true
-	if a.trial != nil {
-		a.trial.startTrial(now)
+	for _, s := range a.trials {
+		s.startTrial(now)
 	}
 	b.advertised.recordSend(r)
 	if rate, limited := p.sendRate(now, b); limited {
--- a/core/pool/trial.go
+++ b/core/pool/trial.go
@@ -7,14 +7,14 @@
 )
 
 const (
-	// trialDelay is the time from the latest crash under a poisoned part to the first request that tries it again; each further trial doubles
+	// trialDelay is the time from the latest crash under a poisoned subject to the first request that tries it again; each further trial doubles
 	// it, up to maxTrialDelay.
 	trialDelay, maxTrialDelay = 15 * time.Second, 10 * time.Minute
 	// trialSlot is the time in which one router may start a trial; in each further slot twice as many may, in case they get no such request.
 	trialSlot = 5 * time.Second
 )
 
-// trialDue returns the time from which a poisoned part may be tried again.
+// trialDue returns the time from which a poisoned subject may be tried again.
 func (s *suspect) trialDue() time.Duration {
 	latest := s.crashes[len(s.crashes)-1].at
 	if s.trials > 0 {
@@ -23,7 +23,7 @@
 	return latest + min(maxTrialDelay, trialDelay<<min(s.trials, 8))
 }
 
-// mayTry reports whether this router may try a poisoned part now. Rendezvous hashing selects the same router in each router's view, so that
+// mayTry reports whether this router may try a poisoned subject now. Rendezvous hashing selects the same router in each router's view, so that
 // few of them do at once.
 func (p *Pool) mayTry(now time.Duration, s *suspect) bool {
 	waited := now - s.trialDue()
@@ -31,7 +31,7 @@
 		return false
 	}
 	allowed := 1 << min(int(waited/trialSlot), 16)
-	return p.routersAhead(s.part) < allowed
+	return p.routersAhead(s.id) < allowed
 }
 
 // routersAhead returns the number of other routers that precede this one in the order by rendezvous hashing for a key.
@@ -46,7 +46,7 @@
 	return n
 }
 
-// startTrial records that a request tries a poisoned part.
+// startTrial records that a request tries a poisoned subject.
 func (s *suspect) startTrial(now time.Duration) {
 	s.trials++
 	s.triedAt, s.changedAt = now, now
--- a/mangoctl/expl/words.go
+++ b/mangoctl/expl/words.go
@@ -30,6 +30,7 @@
 	fleet.ReasonKeyTooOld:          "its idempotency key was made before the key's home began to record keys",
 	fleet.ReasonOutcomeUnknown:     "it may have run: a byte left the router and no whole answer came back",
 	fleet.ReasonPoisonedPrompt:     "servers ended one after the other when they began to answer prompts with a part of its prompt",
+	fleet.ReasonPoisonedRequest:    "servers ended one after the other while they ran this very request",
 	fleet.ReasonServersLimited:     "all backend servers limit the requests per second that they take, and none takes it in time",
 	fleet.ReasonConnectFailed:      "the backend server could not be reached; no byte left",
 	fleet.ReasonServerOverloaded:   "the backend server was overloaded and did not begin it",
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -137,11 +137,12 @@
 // now returns the monotonic time since the process began, on which all decisions are based.
 func (p *Process) now() time.Duration { return time.Since(p.began) }
 
-// logEvent logs and counts a change of the estimated state of a backend server or a prompt part.
+// logEvent logs and counts a change of the estimated state of a backend server, or of a prompt part or request that may crash servers.
 func (p *Process) logEvent(e pool.Event) {
-	if e.Part != "" {
-		p.count("parts." + e.Kind)
-		p.log.Warn("part", "part", e.Part, "service", e.Service, "is", e.Kind, "detail", e.Detail)
+	if e.Subject != "" {
+		kind := e.SubjectKind.String()
+		p.count(kind + "s." + e.Kind)
+		p.log.Warn(kind, kind, e.Subject, "service", e.Service, "is", e.Kind, "detail", e.Detail)
 		return
 	}
 	p.count("servers." + e.Kind)
--- a/router/share/codec_test.go
+++ b/router/share/codec_test.go
@@ -31,7 +31,7 @@
 	}
 	want.Members = []digest.Member{{Address: "10.0.0.1:7000", DataCentre: "east", Beat: 1 << 40}, {Address: "[::1]:9", DataCentre: "west", Beat: 3}}
 	want.Suspects = []digest.Suspect{{
-		Service: 7, Part: 1 << 60, Crashes: []digest.Crash{{Server: 9, Age: 1500 * time.Millisecond, Answered: true}, {Server: 8, Age: time.Millisecond}},
+		Service: 7, ID: 1 << 60, Crashes: []digest.Crash{{Server: 9, Age: 1500 * time.Millisecond, Answered: true}, {Server: 8, Age: time.Millisecond}},
 		Cleared: true, ClearedAge: time.Minute, Trials: 2, TriedAge: time.Second,
 	}}
 	want.Limits = []digest.RateLimit{{Server: 5, Rate: 6.25, Age: time.Second}, {Server: 6, Age: 2 * time.Second}}
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -21,7 +21,7 @@
 	Clock   func() time.Duration
 	Summary func() digest.Sum                                     // returns this router's own summary
 	OnPeers func(others digest.Sum, known bool, routers []string) // receives the peers' summary and the live routers, once per period
-	News    func() ([]digest.Suspect, []digest.RateLimit)         // returns what to tell the peers of prompt parts and rate limits; may be nil
+	News    func() ([]digest.Suspect, []digest.RateLimit)         // returns what to tell the peers of suspects and rate limits; may be nil
 	OnNews  func([]digest.Suspect, []digest.RateLimit)            // receives what a peer tells of them; may be nil
 	OnNewer func()                                                // called when a peer announces a newer state of the platform
 	OnError func(error)                                           // called when a datagram cannot be sent or decoded
@@ -75,7 +75,7 @@
 	return period
 }
 
-// attachNews adds news of prompt parts and rate limits to the messages that carry loads, which go to every router within a few periods.
+// attachNews adds news of suspects and rate limits to the messages that carry loads, which go to every router within a few periods.
 func attachNews(out []digest.Outgoing, suspects []digest.Suspect, limits []digest.RateLimit) {
 	for i := range out {
 		if m := &out[i].Message; len(m.Members) == 0 {
--- a/router/share/suspects.go
+++ b/router/share/suspects.go
@@ -14,7 +14,7 @@
 	var encoded []*Suspect
 	for _, s := range list {
 		w := &Suspect{
-			Service: s.Service, Part: s.Part, Cleared: s.Cleared, ClearedAge: toMillis(s.ClearedAge),
+			Service: s.Service, Id: s.ID, Request: s.Request, Cleared: s.Cleared, ClearedAge: toMillis(s.ClearedAge),
 			Trials: toUnits(s.Trials, 1), TriedAge: toMillis(s.TriedAge),
 		}
 		for _, c := range s.Crashes {
@@ -29,10 +29,10 @@
 	var decoded []digest.Suspect
 	for _, w := range list {
 		if len(w.Servers) != len(w.Ages) || len(w.Servers) != len(w.Answered) {
-			return nil, fmt.Errorf("prompt part %x: %d servers, %d ages, %d marks", w.Part, len(w.Servers), len(w.Ages), len(w.Answered))
+			return nil, fmt.Errorf("suspect %x: %d servers, %d ages, %d marks", w.Id, len(w.Servers), len(w.Ages), len(w.Answered))
 		}
 		s := digest.Suspect{
-			Service: w.Service, Part: w.Part, Cleared: w.Cleared, ClearedAge: fromMillis(w.ClearedAge),
+			Service: w.Service, ID: w.Id, Request: w.Request, Cleared: w.Cleared, ClearedAge: fromMillis(w.ClearedAge),
 			Trials: int64(w.Trials), TriedAge: fromMillis(w.TriedAge),
 		}
 		for i, server := range w.Servers {
