--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -150,8 +150,8 @@
 // logFailed logs a failed attempt, with what shows whether the same request or the same prompt parts failed before.
 func (c *call) logFailed(failed *attemptError) {
 	fields := []interface{}{
-		"server", failed.server, "reason", failed.reason, "notRun", failed.notRun, "detail", failed.Error(), "lastEvent", c.order.last,
-		"fingerprint", strconv.FormatUint(c.fingerprint, 16),
+		"server", failed.server, "reason", failed.reason, "notRun", failed.notRun, "detail", failed.Error(),
+		"fingerprint", strconv.FormatUint(c.fingerprint, 16), "lastEvent", c.order.last,
 	}
 	if shared := pool.SharedSegments(c.info.Segments); len(shared) > 0 {
 		fields = append(fields, "parts", pool.PartNames(shared))
