Log the versions of servers, and the attempt by which a caller resumes a stream

Nothing in a line showed which software version a stream began at. sent now has the server's version and the attempt that a caller names in Resumes; seen has the version. No decision depends on them.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"mangolug.org/core/route"
@@ -109,7 +110,7 @@
 	v.servers = append(v.servers, nil)
 	copy(v.servers[at+1:], v.servers[at:])
 	v.servers[at] = b
-	p.emit(b, "seen", s.Address)
+	p.emit(b, "seen", s.Address+", version "+strconv.Quote(s.Version))
 }
 
 func stateName(draining bool) string {
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -17,6 +17,7 @@
 	Draining      bool
 	ColdRemaining time.Duration // how much longer the server was cold when the entry was read
 	StartMillis   int64         // start time in Unix milliseconds; 0 if unknown
+	Version       string        // version of its software; empty if unknown
 }
 
 // Load is the load that a server reports in a response.
--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -54,9 +54,15 @@
 		"unread", v.Run.PrefillTokens, "again", v.Run.SharedPrefillTokens, "home", v.Run.Home, "pace", v.PrefillRate, "prompt", c.info.Prompt,
 		"output", c.info.Output, "hint", c.info.LengthHint, "cold", v.Run.Cold, "send", c.sends,
 	}
+	if v.Run.Server.Version != "" {
+		fields = append(fields, "version", v.Run.Server.Version)
+	}
 	if c.progress.resumedAfter != "" {
 		fields = append(fields, "resumedAfter", c.progress.resumedAfter)
 	}
+	if c.info.Began != "" {
+		fields = append(fields, "begunBy", c.info.Began)
+	}
 	c.log("sent", fields...)
 }
 
