Let a stream go on only at servers of the software version at which it began

Callers got streams whose events came from two software versions, within one answer or when they came back. Cause: Version of a server's entry and Resumes of a caller were read nowhere, so that any server of the service went on. A request is pinned now to the version of the server whose first event its caller got. A router that didn't begin a stream knows its version if the service had only one for as long as streams live, or by the record of the router that began it, which three others keep while versions are mixed; otherwise it refuses at once (streamUnknown, versionGone) rather than guess.

Ruled out by logs: stale entries, and that only callers that come back are at fault.

--- a/core/digest/fleet.go
+++ b/core/digest/fleet.go
@@ -35,6 +35,7 @@
 	Leave    bool        // the sender no longer reports to the receiver, or is no longer the head of its data centre
 	Suspects []Suspect   // news of prompt parts and requests that may crash servers
 	Limits   []RateLimit // news of the servers' rate limits
+	Streams  *Streams    // what is told or asked of callers' streams; nil for nothing
 	Update   *Update     // update of the platform's state; nil if the sender does not know the state
 }
 
--- /dev/null
+++ b/core/digest/stream.go
@@ -0,0 +1,23 @@
+package digest
+
+import "time"
+
+// StreamVersion says at which software version a stream began.
+type StreamVersion struct {
+	Attempt uint64 // hash of the caller and of the id of its attempt that brought the first event
+	Version uint32 // hash of the version's name
+}
+
+// StreamQuestion asks at which software version a stream began.
+type StreamQuestion struct {
+	Attempt uint64
+	Service uint32        // hash of the service's name
+	Window  time.Duration // the stream began within it
+}
+
+// Streams is what a router tells or asks another one of callers' streams.
+type Streams struct {
+	Told    []StreamVersion
+	Asked   []StreamQuestion
+	Unknown []uint64 // attempts that the receiver asked for and the sender doesn't know
+}
--- a/core/fleet/enums_string.go
+++ b/core/fleet/enums_string.go
@@ -49,11 +49,13 @@
 	_ = x[ReasonPoisonedPrompt-38]
 	_ = x[ReasonServersLimited-39]
 	_ = x[ReasonPoisonedRequest-40]
+	_ = x[ReasonVersionGone-41]
+	_ = x[ReasonStreamUnknown-42]
 }
 
-const _Reason_name = "nonegrantedheldunauthorizedbadRequestbodyTooLargeunknownProducttooManyOpenqueueFullqueueByteswouldMissDeadlinedeadlinePassednoServernotReadydrainingstoppedcallerGoneretryBudgetnoMajoritykeyHomeUnreachablekeyInvalidkeyMismatchkeyInProgresskeyTooOldoutcomeUnknownconnectFailedserverOverloadedserverFailedstreamBrokenforeignAnswerserverLeavingdataCentreOutgrantExpiredstaleTermslowCallerunknownRouteteamShareserversRestpoisonedPromptserversLimitedpoisonedRequest"
+const _Reason_name = "nonegrantedheldunauthorizedbadRequestbodyTooLargeunknownProducttooManyOpenqueueFullqueueByteswouldMissDeadlinedeadlinePassednoServernotReadydrainingstoppedcallerGoneretryBudgetnoMajoritykeyHomeUnreachablekeyInvalidkeyMismatchkeyInProgresskeyTooOldoutcomeUnknownconnectFailedserverOverloadedserverFailedstreamBrokenforeignAnswerserverLeavingdataCentreOutgrantExpiredstaleTermslowCallerunknownRouteteamShareserversRestpoisonedPromptserversLimitedpoisonedRequestversionGonestreamUnknown"
 
-var _Reason_index = [...]uint16{0, 4, 11, 15, 27, 37, 49, 63, 74, 83, 93, 110, 124, 132, 140, 148, 155, 165, 176, 186, 204, 214, 225, 238, 247, 261, 274, 290, 302, 314, 327, 340, 353, 365, 374, 384, 396, 405, 416, 430, 444, 459}
+var _Reason_index = [...]uint16{0, 4, 11, 15, 27, 37, 49, 63, 74, 83, 93, 110, 124, 132, 140, 148, 155, 165, 176, 186, 204, 214, 225, 238, 247, 261, 274, 290, 302, 314, 327, 340, 353, 365, 374, 384, 396, 405, 416, 430, 444, 459, 470, 483}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/core/fleet/reason.go
+++ b/core/fleet/reason.go
@@ -48,6 +48,8 @@
 	ReasonPoisonedPrompt                   // poisonedPrompt
 	ReasonServersLimited                   // serversLimited
 	ReasonPoisonedRequest                  // poisonedRequest
+	ReasonVersionGone                      // versionGone
+	ReasonStreamUnknown                    // streamUnknown
 )
 
 // Failed reports whether the reason is one of a refusal, retry or failure, and not part of a request's normal course.
--- a/core/pool/advertised.go
+++ b/core/pool/advertised.go
@@ -112,7 +112,7 @@
 func (p *Pool) earliestBackoffEnd(now time.Duration, v *service, a *Request) (time.Duration, bool) {
 	var earliest time.Duration
 	for _, b := range v.servers {
-		if !p.accepting(b) || a.tried(b.ID) {
+		if !p.accepting(b) || a.excludes(b) {
 			continue
 		}
 		if !b.advertised.backingOff(now) {
--- a/core/pool/pick.go
+++ b/core/pool/pick.go
@@ -102,7 +102,7 @@
 
 // usable reports whether a request may be sent to a server now, whatever the server's load.
 func (p *Pool) usable(now time.Duration, b *backend, a *Request) bool {
-	if !p.eligible(now, b) || a.tried(b.ID) {
+	if !p.eligible(now, b) || a.excludes(b) {
 		return false
 	}
 	rate, limited := p.sendRate(now, b)
@@ -164,7 +164,7 @@
 	}
 	first := make([]ranked, 0, n+1)
 	for _, b := range v.servers {
-		if !p.eligible(now, b) || p.cold(now, b) {
+		if !p.eligible(now, b) || p.cold(now, b) || a.excludes(b) {
 			continue
 		}
 		h := route.Mix(b.hash ^ key)
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -15,7 +15,8 @@
 	Joined     bool     // the peers are known, so that this router can compute its share of fleet-wide rates
 	Peers      []string // names of the other live routers
 	Random     *rand.Rand
-	OnEvent    func(Event) // called on each change in the view of a server or a subject; may be nil
+	OnVersion  func(service string) // called when a service has a software version beside others; may be nil
+	OnEvent    func(Event)          // called on each change in the view of a server or a subject; may be nil
 
 	table      *route.Table
 	servers    map[string]*backend
@@ -29,6 +30,8 @@
 	peersVersion uint64 // number of changes of Peers
 
 	sourceLost bool          // the platform is unreachable
+	wasRead    bool          // all servers were read from the platform at least once
+	readAnewAt time.Duration // when they were last read all together
 	peersAt    time.Duration // when the peers' usage was last known; 0 for never
 }
 
@@ -43,6 +46,7 @@
 	queue        queue
 	demand       demandCounts
 	suspects     suspects
+	versionsGone map[uint32]time.Duration // when a server of a software version was last seen to go
 }
 
 // Event is a change in a router's view of a server or of a subject.
@@ -83,17 +87,21 @@
 		if b.Draining != s.Draining {
 			p.emit(b, "state", stateName(s.Draining))
 		}
+		if b.Version != s.Version {
+			p.service(b.Service).leaveVersion(now, b.versionID)
+		}
 		b.Server, b.lapsesAt = s, 0
+		p.addVersion(p.service(b.Service), b)
 		if s.ColdRemaining > 0 {
 			b.coldUntil = max(b.coldUntil, now+s.ColdRemaining)
 		}
 		return
 	}
 	if b != nil {
-		p.drop(b)
+		p.drop(now, b)
 	}
 	if o := p.servers[p.addresses[s.Address]]; o != nil && o.Address == s.Address {
-		p.drop(o)
+		p.drop(now, o)
 		p.emit(o, "gone", "server "+s.ID+" has its address")
 	}
 	p.addresses[s.Address] = s.ID
@@ -110,6 +118,7 @@
 	v.servers = append(v.servers, nil)
 	copy(v.servers[at+1:], v.servers[at:])
 	v.servers[at] = b
+	p.addVersion(v, b)
 	p.emit(b, "seen", s.Address+", version "+strconv.Quote(s.Version))
 }
 
@@ -134,7 +143,7 @@
 		}
 		return
 	}
-	p.drop(b)
+	p.drop(now, b)
 	p.emit(b, "gone", "removed by the platform")
 }
 
@@ -157,16 +166,17 @@
 	}
 	for _, b := range p.servers {
 		if b.lapsesAt > 0 && now >= b.lapsesAt {
-			p.drop(b)
+			p.drop(now, b)
 			p.emit(b, "gone", "its entry did not come back")
 		}
 	}
 }
 
-func (p *Pool) drop(b *backend) {
+func (p *Pool) drop(now time.Duration, b *backend) {
 	b.gone = true
 	delete(p.servers, b.ID)
 	v := p.service(b.Service)
+	v.leaveVersion(now, b.versionID)
 	for i, o := range v.servers {
 		if o == b {
 			v.servers = append(v.servers[:i], v.servers[i+1:]...)
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -63,8 +63,8 @@
 func (p *Pool) Admit(now time.Duration, a *Request) (Decision, bool) {
 	p.init()
 	v := p.service(a.Service)
-	if s := p.poisonedBy(now, v, a); s != nil {
-		return p.rejectPoisoned(now, a, s), true
+	if decision, ok := p.rejectAtOnce(now, v, a); ok {
+		return decision, true
 	}
 	if a.PromptTokens > 0 && !a.Retry {
 		a.overShare, a.shareFraction = p.shares.admit(now, a.Team, float64(a.cost()), p.throughput())
@@ -133,8 +133,8 @@
 // decide sends a request if a server has room, or rejects it if its time to wait is over; it returns false if the request
 // has to wait.
 func (p *Pool) decide(now time.Duration, v *service, a *Request) (Decision, bool) {
-	if s := p.poisonedBy(now, v, a); s != nil {
-		return p.rejectPoisoned(now, a, s), true
+	if decision, ok := p.rejectAtOnce(now, v, a); ok {
+		return decision, true
 	}
 	c, ok := p.pick(now, v, a)
 	overServed := a.overShare && p.shares.overServed(now, a.Team)
@@ -232,6 +232,21 @@
 	return Decision{Request: a, Reason: fleet.ReasonServersLimited, RetryAfter: retryAfter, Waited: now - a.Arrived}
 }
 
+// rejectAtOnce rejects a request that no server can serve by its deadline, however long it waits.
+func (p *Pool) rejectAtOnce(now time.Duration, v *service, a *Request) (Decision, bool) {
+	if s := p.poisonedBy(now, v, a); s != nil {
+		return p.rejectPoisoned(now, a, s), true
+	}
+	if p.versionGone(v, a) {
+		retryAfter := serverReturn + time.Duration(p.Random.Float64()*float64(serverReturn))
+		return Decision{Request: a, Reason: fleet.ReasonVersionGone, RetryAfter: retryAfter, Waited: now - a.Arrived}, true
+	}
+	return Decision{}, false
+}
+
+// serverReturn is the Retry-After before jitter for a stream whose version has no server left: one that only ended may be back by then.
+const serverReturn = time.Second
+
 // rejectPoisoned returns a rejection whose Retry-After is the time until the subject may be tried again.
 func (p *Pool) rejectPoisoned(now time.Duration, a *Request, s *suspect) Decision {
 	retryAfter := max(minRetryAfter, s.trialDue()-now)
--- a/core/pool/ratelimit.go
+++ b/core/pool/ratelimit.go
@@ -165,7 +165,7 @@
 	}
 	first, total, found := time.Duration(0), 0.0, false
 	for _, b := range v.servers {
-		if !p.eligible(now, b) || a.tried(b.ID) {
+		if !p.eligible(now, b) || a.excludes(b) {
 			continue
 		}
 		if b.advertised.limit(now) == 0 {
@@ -194,7 +194,7 @@
 		return n
 	}
 	for _, b := range v.servers {
-		if b.advertised.limit(now) == 0 || !p.eligible(now, b) || a.tried(b.ID) {
+		if b.advertised.limit(now) == 0 || !p.eligible(now, b) || a.excludes(b) {
 			continue
 		}
 		if rate, _ := p.sendRate(now, b); rate > 0 {
--- a/core/pool/request.go
+++ b/core/pool/request.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +20,8 @@
 	Deadline     time.Duration // point in time at which the caller gives up
 	Tried        []string      // servers that failed the request
 	Retry        bool          // the request is a retry
+	Pinned       bool          // it goes on with a stream that began at a server of the given version
+	Version      uint32        // VersionID of that version
 	Fingerprint  uint64        // the same each time the same caller sends the same request
 
 	overShare     bool    // the request exceeds its team's share of the fleet
@@ -33,9 +34,6 @@
 // cost returns the tokens that the request is charged: a prompt token counts once and a generated token twice.
 func (a *Request) cost() int64 { return a.PromptTokens + 2*a.OutputTokens }
 
-// tried reports whether a server has already failed the request.
-func (a *Request) tried(server string) bool { return slices.Contains(a.Tried, server) }
-
 // sharedSegments returns the prompt segments that other requests may share.
 func (a *Request) sharedSegments() []Segment { return SharedSegments(a.Segments) }
 
--- a/core/pool/run.go
+++ b/core/pool/run.go
@@ -84,7 +84,7 @@
 	}
 	if result.AddressReused {
 		// The platform reports changes late: the intended server is gone.
-		p.drop(b)
+		p.drop(now, b)
 		p.emit(b, "gone", "another server has its address")
 		return
 	}
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -29,6 +29,7 @@
 type backend struct {
 	Server
 	hash          uint64 // hash of the ID
+	versionID     uint32 // hash of the software version
 	incarnationID uint32 // hash of the incarnation, which names it in messages
 	coldUntil     time.Duration
 	lapsesAt      time.Duration // when to remove the server, whose entry was lost during an outage; 0 for never
--- /dev/null
+++ b/core/pool/version_test.go
@@ -0,0 +1,140 @@
+package pool
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"mangolug.org/core/fleet"
+	"mangolug.org/core/route"
+)
+
+// versionPool returns a pool with servers of the given versions, which all were read when the pool began to.
+func versionPool(versions ...string) *Pool {
+	p := &Pool{Self: "r", DataCentre: "d", Joined: true}
+	p.Configure(route.NewTable(route.Config{Services: []route.Service{{Name: "chat", Model: true, Slots: 64}}}))
+	for i, v := range versions {
+		p.SetServer(0, versionServer(i, v))
+	}
+	p.ReadAnew(0)
+	return p
+}
+
+func versionServer(i int, version string) Server {
+	id := string(rune('a' + i))
+	return Server{ID: id, Service: "chat", Address: "10.0.0.1:" + id, DataCentre: "d", Slots: 64, Version: version}
+}
+
+// TestSoleVersion guards against a router that takes the version it sees for the only one, though another was there when a stream began.
+func TestSoleVersion(t *testing.T) {
+	const window, now = 30 * time.Second, time.Minute
+	for name, d := range map[string]struct {
+		versions []string
+		change   func(p *Pool)
+		sole     bool
+	}{
+		"one version":                  {[]string{"v1", "v1"}, nil, true},
+		"no version given":             {[]string{"", ""}, nil, true},
+		"two versions":                 {[]string{"v1", "v2"}, nil, false},
+		"one of them gives none":       {[]string{"v1", ""}, nil, false},
+		"no servers":                   {nil, nil, false},
+		"the other went just now":      {[]string{"v1", "v2"}, func(p *Pool) { p.RemoveServer(now-window/2, "b") }, false},
+		"the other went long ago":      {[]string{"v1", "v2"}, func(p *Pool) { p.RemoveServer(now-2*window, "b") }, true},
+		"its id has another version":   {[]string{"v1", "v1"}, func(p *Pool) { p.SetServer(now-window/2, versionServer(1, "v2")) }, false},
+		"all have another version now": {[]string{"v1"}, func(p *Pool) { p.SetServer(now-window/2, versionServer(0, "v2")) }, false},
+		"its address has another server": {[]string{"v1", "v1"}, func(p *Pool) {
+			s := versionServer(1, "v2")
+			s.ID = "z"
+			p.SetServer(now-window/2, s)
+		}, false},
+		"the router began just now":     {[]string{"v1"}, func(p *Pool) { p.ReadAnew(now - window/2) }, false},
+		"the platform is out of reach":  {[]string{"v1"}, func(p *Pool) { p.SourceLost(now - time.Second) }, false},
+		"other routers know of nothing": {[]string{"v1"}, func(p *Pool) { p.SourceLost(now - time.Second); p.peersAt = now }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := versionPool(d.versions...)
+			if d.change != nil {
+				d.change(p)
+			}
+			if _, sole := p.SoleVersion(now, ServiceID("chat"), window); sole != d.sole {
+				t.Errorf("sole %t, want %t", sole, d.sole)
+			}
+		})
+	}
+}
+
+// TestPinnedRequestsKeepTheirVersion guards against a stream that goes on at another version since its own is full, cold or gone, and against one
+// that waits for servers that no longer exist.
+func TestPinnedRequestsKeepTheirVersion(t *testing.T) {
+	for name, d := range map[string]struct {
+		change func(p *Pool)
+		tried  []string
+		want   []string // servers that may get the request; none if it is rejected at once
+	}{
+		"both serve":          {nil, nil, []string{"a", "b"}},
+		"one has failed it":   {nil, []string{"a"}, []string{"b"}},
+		"both have failed it": {nil, []string{"a", "b"}, nil},
+		"both are gone":       {func(p *Pool) { p.RemoveServer(0, "a"); p.RemoveServer(0, "b") }, nil, nil},
+		"one is gone, one drains": {func(p *Pool) {
+			p.RemoveServer(0, "a")
+			s := versionServer(1, "v1")
+			s.Draining = true
+			p.SetServer(0, s)
+		}, nil, nil},
+		"one has another version":   {func(p *Pool) { p.SetServer(0, versionServer(0, "v2")) }, nil, []string{"b"}},
+		"their data centre is out":  {func(p *Pool) { p.Evacuate(0, "d", true) }, nil, nil},
+		"a third server comes back": {func(p *Pool) { p.RemoveServer(0, "b"); p.SetServer(0, versionServer(5, "v1")) }, nil, []string{"a", "f"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := versionPool("v1", "v1", "v2", "v2", "")
+			if d.change != nil {
+				d.change(p)
+			}
+			for i := range 40 {
+				now := time.Second + time.Duration(i)*time.Millisecond
+				a := &Request{
+					Service: "chat", PromptTokens: 100, OutputTokens: 10, Arrived: now, Objective: now + time.Second, Deadline: now + 5*time.Second, Tried: d.tried,
+					Segments: []Segment{{ID: uint64(i), Tokens: 20}, {ID: 1 << 40, Tokens: 20}}, Pinned: true, Version: VersionID("v1"),
+				}
+				decision, ok := p.Admit(now, a)
+				if !ok {
+					t.Fatal("the request waits")
+				}
+				if decision.Run == nil {
+					if len(d.want) > 0 || decision.Reason != fleet.ReasonVersionGone {
+						t.Fatalf("rejected for %v", decision.Reason)
+					}
+					continue
+				}
+				if !slices.Contains(d.want, decision.Run.Server.ID) {
+					t.Fatalf("sent to %s, want one of %v", decision.Run.Server.ID, d.want)
+				}
+				p.Began(now, decision.Run)
+				p.Ended(now, decision.Run, Result{})
+			}
+		})
+	}
+}
+
+// TestPinnedRequestsOfLargeFleets guards against a stream that finds no server of its version since only a few of very many are looked at.
+func TestPinnedRequestsOfLargeFleets(t *testing.T) {
+	versions := make([]string, 26)
+	for i := range versions {
+		versions[i] = "v2"
+	}
+	versions[17] = "v1"
+	p := versionPool(versions...)
+	for i := range 100 {
+		now := time.Second + time.Duration(i)*50*time.Millisecond
+		a := &Request{
+			Service: "chat", PromptTokens: 100, OutputTokens: 10, Arrived: now, Objective: now + time.Second, Deadline: now + 5*time.Second,
+			Segments: []Segment{{ID: uint64(i), Tokens: 20}, {ID: 1 << 40, Tokens: 20}}, Pinned: true, Version: VersionID("v1"),
+		}
+		decision, ok := p.Admit(now, a)
+		if !ok || decision.Run == nil || decision.Run.Server.ID != "r" {
+			t.Fatalf("request %d: decided %t, %v", i, ok, decision.Reason)
+		}
+		p.Began(now, decision.Run)
+		p.Ended(now, decision.Run, Result{})
+	}
+}
--- /dev/null
+++ b/core/resume/register_test.go
@@ -0,0 +1,200 @@
+package resume
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"mangolug.org/core/digest"
+)
+
+// network delivers messages between registers at once; those of routers that ended are lost.
+type network struct {
+	mutex   sync.Mutex
+	routers map[string]*Register
+	lose    int // number of messages that are lost next
+	sent    int
+}
+
+func newNetwork(routers int) *network {
+	n := &network{routers: make(map[string]*Register)}
+	for i := range routers {
+		n.start(fmt.Sprintf("10.0.0.%d:7", i+1))
+	}
+	return n
+}
+
+// start starts a router anew, without what it knew.
+func (n *network) start(name string) *Register {
+	r := &Register{
+		Clock:   func() time.Duration { return time.Minute },
+		Routers: func() []string { return n.others(name) },
+		Send:    func(to string, m digest.Streams) { n.deliver(name, to, m) },
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.routers[name] = r
+	return r
+}
+
+func (n *network) others(name string) []string {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	var list []string
+	for other := range n.routers {
+		if other != name {
+			list = append(list, other)
+		}
+	}
+	return list
+}
+
+func (n *network) deliver(from, to string, m digest.Streams) {
+	n.mutex.Lock()
+	n.sent++
+	lost := n.lose > 0
+	if lost {
+		n.lose--
+	}
+	r := n.routers[to]
+	n.mutex.Unlock()
+	if r != nil && !lost {
+		r.Receive(from, m)
+	}
+}
+
+func (n *network) router(i int) *Register { return n.routers[fmt.Sprintf("10.0.0.%d:7", i+1)] }
+
+// ask asks a router for a stream and returns its version, or 0 if it is not known.
+func (n *network) ask(t *testing.T, router int, attempt uint64) uint32 {
+	t.Helper()
+	version, err := n.router(router).Version(context.Background(), digest.StreamQuestion{Attempt: attempt, Service: 1, Window: time.Minute})
+	var unknown *UnknownError
+	if err != nil && !errors.As(err, &unknown) {
+		t.Errorf("error %v", err)
+	}
+	return version // 0 if it is not known
+}
+
+// TestVersionIsKnownAtOtherRouters guards against a caller whose stream can't go on since the router to which it comes back did not begin it (LOST).
+func TestVersionIsKnownAtOtherRouters(t *testing.T) {
+	for name, d := range map[string]struct {
+		routers int
+		change  func(n *network)
+		tell    bool
+		want    uint32
+	}{
+		"nine routers":                   {routers: 9, tell: true, want: 5},
+		"295 routers":                    {routers: 295, tell: true, want: 5},
+		"two routers":                    {routers: 2, tell: true, want: 5},
+		"its own router ended":           {routers: 9, tell: true, want: 5, change: func(n *network) { n.start("10.0.0.1:7") }},
+		"its own router is out of sight": {routers: 9, tell: true, want: 5, change: func(n *network) { delete(n.routers, "10.0.0.1:7") }},
+		"some messages are lost":         {routers: 9, tell: true, want: 5, change: func(n *network) { n.lose = 4 }},
+		"told when a second version came": {routers: 9, want: 5, change: func(n *network) {
+			n.router(0).TellAll()
+			n.start("10.0.0.1:7")
+		}},
+		"a router that knows a sole version": {routers: 9, want: 7, change: func(n *network) {
+			n.start("10.0.0.1:7")
+			n.router(4).Sole = func(uint32, time.Duration) (uint32, bool) { return 7, true }
+			for i := range 9 {
+				n.router(i).Sole = n.router(4).Sole
+			}
+		}},
+		"all routers were restarted": {routers: 9, tell: true, want: 0, change: func(n *network) {
+			for i := range 9 {
+				n.start(fmt.Sprintf("10.0.0.%d:7", i+1))
+			}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newNetwork(d.routers)
+			attempt := AttemptID("team", "attempt-1")
+			n.router(0).Began(digest.StreamVersion{Attempt: attempt, Version: 5}, time.Minute, d.tell)
+			if d.change != nil {
+				d.change(n)
+			}
+			for _, router := range []int{1, d.routers - 1} {
+				if got := n.ask(t, router, attempt); got != d.want {
+					t.Errorf("router %d knows version %d, want %d", router, got, d.want)
+				}
+			}
+			if got := n.ask(t, 1, AttemptID("other team", "attempt-1")); got != 0 && d.want != 7 {
+				t.Errorf("another team's stream has version %d", got)
+			}
+		})
+	}
+}
+
+// TestPartOfTheRoutersEnds guards against streams that can't go on since a third of all routers ended at once.
+func TestPartOfTheRoutersEnds(t *testing.T) {
+	n := newNetwork(9)
+	const streams = 300
+	for i := range streams {
+		n.router(i%9).Began(digest.StreamVersion{Attempt: AttemptID("team", fmt.Sprint(i)), Version: 5}, time.Minute, true)
+	}
+	for _, i := range []int{1, 4, 7} {
+		n.start(fmt.Sprintf("10.0.0.%d:7", i+1))
+	}
+	known := 0
+	for i := range streams {
+		if n.ask(t, (i*5+3)%9, AttemptID("team", fmt.Sprint(i))) == 5 {
+			known++
+		}
+	}
+	if known < streams*9/10 {
+		t.Errorf("%d of %d streams are known, want nine tenths at least", known, streams)
+	}
+}
+
+// TestUnknownStreamIsAnsweredAtOnce guards against callers that wait for the whole timeout though every router said that it doesn't know their stream.
+func TestUnknownStreamIsAnsweredAtOnce(t *testing.T) {
+	n := newNetwork(9)
+	began := time.Now()
+	if got := n.ask(t, 3, 99); got != 0 {
+		t.Errorf("version %d", got)
+	}
+	if took := time.Since(began); took > askTimeout/2 {
+		t.Errorf("took %v", took)
+	}
+	if n.sent > 2*askedHolders {
+		t.Errorf("%d messages for one question", n.sent)
+	}
+	if len(n.router(3).asking) > 0 {
+		t.Error("the question is kept")
+	}
+}
+
+// TestSilentRouters guards against a caller that waits for routers that don't answer.
+func TestSilentRouters(t *testing.T) {
+	n := newNetwork(9)
+	n.lose = 1000
+	began := time.Now()
+	if got := n.ask(t, 3, 99); got != 0 {
+		t.Errorf("version %d", got)
+	}
+	if took := time.Since(began); took < askTimeout || took > 5*askTimeout {
+		t.Errorf("took %v, want about %v", took, askTimeout)
+	}
+}
+
+// TestRecordsAreBounded guards against memory that grows with the streams that callers begin, and against records that outlive their streams.
+func TestRecordsAreBounded(t *testing.T) {
+	var r records
+	for i := range uint64(3 * maxRecords) {
+		r.add(time.Duration(i), digest.StreamVersion{Attempt: i, Version: 1}, time.Minute)
+		if len(r.byAttempt) > maxRecords {
+			t.Fatalf("%d records", len(r.byAttempt))
+		}
+	}
+	last := uint64(3*maxRecords - 1)
+	if _, ok := r.version(time.Second, last); !ok {
+		t.Error("the newest is not known")
+	}
+	if _, ok := r.version(2*time.Minute, last); ok {
+		t.Error("a record outlives its stream")
+	}
+}
--- a/mangoctl/expl/words.go
+++ b/mangoctl/expl/words.go
@@ -31,6 +31,8 @@
 	fleet.ReasonOutcomeUnknown:     "it may have run: a byte left the router and no whole answer came back",
 	fleet.ReasonPoisonedPrompt:     "servers ended one after the other when they began to answer prompts with a part of its prompt",
 	fleet.ReasonPoisonedRequest:    "servers ended one after the other while they ran this very request",
+	fleet.ReasonVersionGone:        "its stream began at a software version of the backend servers that none of them has any longer",
+	fleet.ReasonStreamUnknown:      "no router knows at which software version of the backend servers its stream began",
 	fleet.ReasonServersLimited:     "all backend servers limit the requests per second that they take, and none takes it in time",
 	fleet.ReasonConnectFailed:      "the backend server could not be reached; no byte left",
 	fleet.ReasonServerOverloaded:   "the backend server was overloaded and did not begin it",
--- a/router/proc/peers.go
+++ b/router/proc/peers.go
@@ -40,6 +40,7 @@
 				q.MergeRateLimits(now, limits)
 			})
 		},
+		Streams: p.streams,
 		OnNewer: func() {
 			select {
 			case p.newerState <- struct{}{}:
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"mangolug.org/core/pool"
+	"mangolug.org/core/resume"
 	"mangolug.org/core/route"
 	"mangolug.org/router/admin"
 	"mangolug.org/router/back"
@@ -62,6 +63,7 @@
 	metrics        net.Listener     // nil if there is none
 	peers          net.PacketConn   // nil if there is none
 	exchanger      *share.Exchanger // nil if there is none
+	streams        *resume.Register // software versions at which callers' streams began
 	lastRelay      string           // the router that sent the sum of the others' loads when it was last logged
 	overloaded     atomic.Bool      // reported to the balancer as not ready, so that it sends callers elsewhere
 	lag            atomic.Int64     // how long goroutines wait for the processor, a moving average in nanoseconds
@@ -93,18 +95,21 @@
 	}
 	p.gate = &relay.Gate{
 		Clock: p.now,
-		Pool:  &pool.Pool{Self: s.Control, DataCentre: s.DataCentre, OnEvent: p.logEvent},
+		Pool:  &pool.Pool{Self: s.Control, DataCentre: s.DataCentre, OnEvent: p.logEvent, OnVersion: p.severalVersions},
 	}
 	_, requests := s.room()
 	p.limit.valve.InitialLimit = int(initialShare * float64(requests))
+	p.streams = &resume.Register{Clock: p.now, Sole: p.soleVersion}
 	if p.peers != nil {
 		p.exchanger = p.newExchanger()
+		p.streams.Routers, p.streams.Send = p.liveRouters, p.exchanger.SendStreams
 	}
 	stopping, cut := context.WithCancel(context.Background())
 	p.cancelRequests = cut
 	p.relay = &relay.Relay{
 		Table: p.table.Load, Gate: p.gate, HeaderCodec: d, Clock: p.now, DrainRemaining: p.drainRemaining, TooManyConnections: p.connsOverLimit, Overloaded: p.rejects, BodyLimit: p.bodyLimit, RebalanceDelay: p.untilRedirected, CallerGone: callerGone, Log: p.log, Metrics: p.registry,
 		Client:   &back.Client{Settings: back.Settings{UnackedTimeout: ackTimeout, ConnectTimeout: connectTimeout, IdleTimeout: serverIdleTimeout, NonIdempotentIdle: nonIdempotentIdleTimeout}},
+		Streams:  p.streams,
 		Budgets:  pool.RetryBudgets{Ratio: s.RetryRatio, Slack: s.RetrySlack},
 		Stopping: stopping,
 	}
--- a/router/proc/source.go
+++ b/router/proc/source.go
@@ -69,6 +69,7 @@
 				q.RemoveServer(now, id)
 			}
 		}
+		q.ReadAnew(now)
 	})
 }
 
--- /dev/null
+++ b/router/proc/streams.go
@@ -0,0 +1,28 @@
+package proc
+
+import (
+	"time"
+
+	"mangolug.org/core/digest"
+	"mangolug.org/core/pool"
+)
+
+// liveRouters returns the addresses of the other live routers.
+func (p *Process) liveRouters() (live []string) {
+	p.exchanger.WithFleet(func(now time.Duration, fleet *digest.Fleet) { live = fleet.Live(now) })
+	return live
+}
+
+// soleVersion returns the only software version that servers of a service have had within a window, as far as this router knows.
+func (p *Process) soleVersion(service uint32, window time.Duration) (version uint32, ok bool) {
+	p.gate.With(func(now time.Duration, q *pool.Pool) { version, ok = q.SoleVersion(now, service, window) })
+	return version, ok
+}
+
+// severalVersions lets other routers know the streams that this one began, since a service has another software version now. It is called with
+// exclusive access to the pool.
+func (p *Process) severalVersions(service string) {
+	p.count("versions.joined")
+	p.log.Info("versions", "service", service, "are", "several")
+	go p.streams.TellAll()
+}
--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -121,6 +121,7 @@
 		if first {
 			first = false
 			c.relay.Gate.Began(run)
+			c.recordBegin(pool.VersionID(run.Server.Version))
 			a.progress.firstEvent = event.ID
 			c.logBegan(run, a)
 			c.relay.observe("firstEventMillis", c.relay.Clock()-c.arrived)
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -10,6 +10,7 @@
 
 	"mangolug.org/core/fleet"
 	"mangolug.org/core/pool"
+	"mangolug.org/core/resume"
 	"mangolug.org/core/route"
 	"mangolug.org/router/back"
 )
@@ -27,6 +28,7 @@
 	BodyLimit          func() int64                 // returns the limit on the bytes of all callers' bodies held; nil or 0 means no limit
 	RebalanceDelay     func() time.Duration         // returns the time until new connections of callers reach other routers; nil or 0 means that they already do
 	CallerGone         func(r *http.Request) bool   // reports whether the caller has closed its connection; nil means never
+	Streams            *resume.Register             // knows at which software versions callers' streams began; nil means that only a sole version is known
 	Budgets            pool.RetryBudgets            // guarded by Gate
 	Log                *log.Logger
 	Metrics            metrics.Registry
@@ -79,6 +81,10 @@
 	}
 	ctx, cancel := c.context()
 	defer cancel()
+	if e := c.resumeStream(ctx); e != nil {
+		c.refuse(e)
+		return
+	}
 	if e := c.run(ctx); e != nil {
 		c.refuse(e)
 	}
--- a/router/relay/world_test.go
+++ b/router/relay/world_test.go
@@ -30,6 +30,7 @@
 	testServer    = "X-Server"
 	testTeam      = "X-Team"
 	testLastEvent = "Last-Event-Id"
+	testBegan     = "X-Began" // id of the attempt that brought the first event
 	testSigned    = "X-Signed"
 	testNotRun    = "X-Not-Run"
 	testLeaving   = "X-Leaving"
@@ -48,7 +49,7 @@
 			if h.Get(testTimeout) != "" && err != nil {
 				return RequestInfo{}, err
 			}
-			return RequestInfo{ID: h.Get(testID), Key: h.Get(testKey), Timeout: time.Duration(left) * time.Millisecond, LastEvent: h.Get(testLastEvent)}, nil
+			return RequestInfo{ID: h.Get(testID), Key: h.Get(testKey), Timeout: time.Duration(left) * time.Millisecond, LastEvent: h.Get(testLastEvent), Began: h.Get(testBegan)}, nil
 		},
 		WriteRequest: func(h http.Header, s Outgoing) {
 			h.Del(testKey)
@@ -130,6 +131,7 @@
 		w.addresses[i], w.listeners[i] = strings.TrimPrefix(s.URL, "http://"), s.Listener
 		p.SetServer(0, pool.Server{ID: fmt.Sprint("s", i), Service: "desk", Address: strings.TrimPrefix(s.URL, "http://"), DataCentre: "east", Slots: 8, StartMillis: startOf(i)})
 	}
+	p.ReadAnew(-time.Hour) // so that a sole version of the servers is known
 	w.relay = &Relay{
 		Table: w.table.Load, Gate: &Gate{Pool: p, Clock: clock}, Client: &back.Client{}, HeaderCodec: testDialect(),
 		Clock: clock, Budgets: pool.RetryBudgets{Ratio: 0.2, Slack: 20}, Metrics: metrics.NewRegistry(),
--- a/router/share/codec.go
+++ b/router/share/codec.go
@@ -18,7 +18,7 @@
 
 // Encode returns the datagram for a message. It returns an error if a member's address is not a valid ip:port.
 func Encode(m *digest.Message) ([]byte, error) {
-	d := &Datagram{From: m.From, Revision: m.Revision, Part: encodeTotals(m.Part), Centre: encodeTotals(m.Centre), Others: encodeTotals(m.Others), News: encodeUpdate(m.Update), Leaves: m.Leave, Suspects: encodeSuspects(m.Suspects), Limits: encodeLimits(m.Limits)}
+	d := &Datagram{From: m.From, Revision: m.Revision, Part: encodeTotals(m.Part), Centre: encodeTotals(m.Centre), Others: encodeTotals(m.Others), News: encodeUpdate(m.Update), Leaves: m.Leave, Suspects: encodeSuspects(m.Suspects), Limits: encodeLimits(m.Limits), Streams: encodeStreams(m.Streams)}
 	if len(m.Members) > 0 {
 		members, err := encodeMembers(m.Members)
 		if err != nil {
@@ -47,6 +47,9 @@
 	if m.Limits, err = decodeLimits(d.Limits); err != nil {
 		return m, err
 	}
+	if m.Streams, err = decodeStreams(d.Streams); err != nil {
+		return m, err
+	}
 	for _, t := range []struct {
 		from *Totals
 		to   **digest.Sum
--- a/router/share/codec_test.go
+++ b/router/share/codec_test.go
@@ -34,6 +34,11 @@
 		Service: 7, ID: 1 << 60, Crashes: []digest.Crash{{Server: 9, Age: 1500 * time.Millisecond, Answered: true}, {Server: 8, Age: time.Millisecond}},
 		Cleared: true, ClearedAge: time.Minute, Trials: 2, TriedAge: time.Second,
 	}}
+	want.Streams = &digest.Streams{
+		Told:    []digest.StreamVersion{{Attempt: 1 << 63, Version: 5}, {Attempt: 7, Version: 6}},
+		Asked:   []digest.StreamQuestion{{Attempt: 9, Service: 3, Window: 30 * time.Second}},
+		Unknown: []uint64{11},
+	}
 	want.Limits = []digest.RateLimit{{Server: 5, Rate: 6.25, Age: time.Second}, {Server: 6, Age: 2 * time.Second}}
 	text, err := Encode(want)
 	if err != nil {
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"mangolug.org/core/digest"
+	"mangolug.org/core/resume"
 )
 
 // maxDatagramBytes is the size of the receive buffer: at least the maximum size of a UDP datagram.
@@ -23,6 +24,7 @@
 	OnPeers func(others digest.Sum, known bool, routers []string) // receives the peers' summary and the live routers, once per period
 	News    func() ([]digest.Suspect, []digest.RateLimit)         // returns what to tell the peers of suspects and rate limits; may be nil
 	OnNews  func([]digest.Suspect, []digest.RateLimit)            // receives what a peer tells of them; may be nil
+	Streams *resume.Register                                      // receives what peers tell and ask of callers' streams; may be nil
 	OnNewer func()                                                // called when a peer announces a newer state of the platform
 	OnError func(error)                                           // called when a datagram cannot be sent or decoded
 
@@ -126,8 +128,16 @@
 		if len(m.Suspects)+len(m.Limits) > 0 && s.OnNews != nil {
 			s.OnNews(m.Suspects, m.Limits)
 		}
+		if m.Streams != nil && s.Streams != nil {
+			s.Streams.Receive(m.From, *m.Streams)
+		}
 		for i := range out {
 			s.send(&out[i])
 		}
 	}
 }
+
+// SendStreams sends a message on callers' streams to a router at once. It may be lost.
+func (s *Exchanger) SendStreams(to string, m digest.Streams) {
+	s.send(&digest.Outgoing{To: to, Message: digest.Message{From: s.Fleet.Address, Streams: &m}})
+}
