Learn from servers what routers that all ended had begun

A router that starts asks up to eight servers for the requests that they run: those go on while the connections of routers without power hang. And the rest of a stream is admitted like a retry, before new requests.

Weighed and not done: to look for the last part of a prompt in what servers keep, as another request of the same session may have left it at another version.

TestRunsOfServersAreLearned, TestReportsOfServers, TestReportedStreams.

--- a/core/pool/request.go
+++ b/core/pool/request.go
@@ -19,7 +19,7 @@
 	Objective    time.Duration // point in time by which a response meets its latency objective
 	Deadline     time.Duration // point in time at which the caller gives up
 	Tried        []string      // servers that failed the request
-	Retry        bool          // the request is a retry
+	Retry        bool          // part of the work is done already: a retry, or the rest of a stream
 	Pinned       bool          // it goes on with a stream that began at a server of the given version
 	Version      uint32        // VersionID of that version
 	Fingerprint  uint64        // the same each time the same caller sends the same request
--- a/core/pool/version.go
+++ b/core/pool/version.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -57,6 +58,20 @@
 	return versions[0], true
 }
 
+// WarmServers returns up to n servers, chosen at random, that are not cold.
+func (p *Pool) WarmServers(now time.Duration, n int) []Server {
+	p.init()
+	var warm []Server
+	for _, b := range p.servers {
+		if !p.cold(now, b) {
+			warm = append(warm, b.Server)
+		}
+	}
+	slices.SortFunc(warm, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
+	p.Random.Shuffle(len(warm), func(i, j int) { warm[i], warm[j] = warm[j], warm[i] })
+	return warm[:min(n, len(warm))]
+}
+
 // addVersion records a server's version, and calls OnVersion if the service has other versions too.
 func (p *Pool) addVersion(v *service, b *backend) {
 	b.versionID = nameID(b.Version)
--- a/core/resume/records.go
+++ b/core/resume/records.go
@@ -22,11 +22,21 @@
 	until   time.Duration // when it is forgotten
 }
 
+// callerMask is the part of an attempt's hash that depends on its caller as well; the rest depends on the id alone.
+const callerMask = 1<<32 - 1
+
 // AttemptID returns the hash that stands for a caller's attempt. Another team's attempt with the same id has another one.
 func AttemptID(team, id string) uint64 {
+	return ReportedID(id) | uint64(max(1, hash32(team+"\x00"+id)))
+}
+
+// ReportedID returns the hash that stands for an attempt whose caller is not known, as it was reported by a server.
+func ReportedID(id string) uint64 { return uint64(hash32(id)) << 32 }
+
+func hash32(text string) uint32 {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(team + "\x00" + id)) // hash.Hash.Write never returns an error
-	return route.Mix(h.Sum64())
+	_, _ = h.Write([]byte(text)) // hash.Hash.Write never returns an error
+	return uint32(route.Mix(h.Sum64()))
 }
 
 func (r *records) add(now time.Duration, s digest.StreamVersion, keep time.Duration) {
@@ -54,8 +64,12 @@
 	}
 }
 
+// version returns the version of an attempt's stream. A record of the caller goes before one that a server reported.
 func (r *records) version(now time.Duration, attempt uint64) (uint32, bool) {
 	s, ok := r.byAttempt[attempt]
+	if !ok {
+		s, ok = r.byAttempt[attempt&^callerMask]
+	}
 	return s.version, ok && now < s.until
 }
 
@@ -70,7 +84,7 @@
 	return list
 }
 
-// holders returns the routers that are told of a stream, or asked for it, by rendezvous hashing: the first n of those given.
+// holders returns the routers that are told of a stream, or asked for it, by rendezvous hashing of the attempt's id: the first n of those given.
 func holders(attempt uint64, routers []string, n int) []string {
 	type ranked struct {
 		name string
@@ -78,7 +92,7 @@
 	}
 	list := make([]ranked, 0, len(routers))
 	for _, name := range routers {
-		list = append(list, ranked{name, route.Mix(attempt ^ AttemptID("", name))})
+		list = append(list, ranked{name, route.Mix(attempt>>32 ^ AttemptID("", name))})
 	}
 	slices.SortFunc(list, func(a, b ranked) int {
 		switch {
--- a/core/resume/register_test.go
+++ b/core/resume/register_test.go
@@ -129,6 +129,21 @@
 	}
 }
 
+// TestReportedStreams guards against a stream that a server reported, without its caller, and that is found for no caller or at no other router.
+func TestReportedStreams(t *testing.T) {
+	n := newNetwork(9)
+	n.router(2).Began(digest.StreamVersion{Attempt: ReportedID("attempt-1"), Version: 6}, time.Minute, false)
+	n.router(2).TellAll()
+	for i := range 9 {
+		if got := n.ask(t, i, AttemptID("team", "attempt-1")); got != 6 {
+			t.Errorf("router %d knows version %d, want 6", i, got)
+		}
+		if got := n.ask(t, i, AttemptID("team", "attempt-2")); got != 0 {
+			t.Errorf("router %d knows version %d of another attempt", i, got)
+		}
+	}
+}
+
 // TestPartOfTheRoutersEnds guards against streams that can't go on since a third of all routers ended at once.
 func TestPartOfTheRoutersEnds(t *testing.T) {
 	n := newNetwork(9)
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -63,6 +63,7 @@
 	metrics        net.Listener     // nil if there is none
 	peers          net.PacketConn   // nil if there is none
 	exchanger      *share.Exchanger // nil if there is none
+	learned        atomic.Bool      // the servers were asked for their runs
 	streams        *resume.Register // software versions at which callers' streams began
 	lastRelay      string           // the router that sent the sum of the others' loads when it was last logged
 	overloaded     atomic.Bool      // reported to the balancer as not ready, so that it sends callers elsewhere
--- a/router/proc/source.go
+++ b/router/proc/source.go
@@ -71,6 +71,9 @@
 		}
 		q.ReadAnew(now)
 	})
+	if !p.learned.Swap(true) {
+		go p.learnRuns()
+	}
 }
 
 // setOutOfService sets which data centres are out of service, and puts the others back.
--- a/router/proc/streams.go
+++ b/router/proc/streams.go
@@ -1,6 +1,7 @@
 package proc
 
 import (
+	"context"
 	"time"
 
 	"mangolug.org/core/digest"
@@ -19,6 +20,15 @@
 	return version, ok
 }
 
+// tellDelay is the time from the start of a router until it tells others what it learned from servers: by then it knows most of them.
+const tellDelay = time.Second
+
+// learnRuns learns from servers what routers that ended have begun, and tells the others.
+func (p *Process) learnRuns() {
+	p.relay.LearnRuns(context.Background()) // bounded by its own timeouts
+	time.AfterFunc(tellDelay, p.streams.TellAll)
+}
+
 // severalVersions lets other routers know the streams that this one began, since a service has another software version now. It is called with
 // exclusive access to the pool.
 func (p *Process) severalVersions(service string) {
--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -228,6 +228,12 @@
 	if c.route != nil {
 		route = c.route.Name
 	}
-	c.log("refused", "reason", e.reason, "status", e.status, "route", route, "team", c.team, "configuration", version,
-		"after", c.relay.Clock()-c.arrived, "sends", c.sends, "mayHaveRun", c.runs > 0, "retryAfter", e.retryAfter, "detail", e.detail)
+	fields := []interface{}{
+		"reason", e.reason, "status", e.status, "route", route, "team", c.team, "configuration", version,
+		"after", c.relay.Clock() - c.arrived, "sends", c.sends, "mayHaveRun", c.runs > 0, "retryAfter", e.retryAfter, "detail", e.detail,
+	}
+	if c.info.Began != "" {
+		fields = append(fields, "begunBy", c.info.Began)
+	}
+	c.log("refused", fields...)
 }
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -39,6 +39,7 @@
 	sends         int           // number of times that it was sent to a server
 	progress      *progress     // of the newest attempt
 	tried         []string      // servers that are excluded from retries
+	resumed       bool          // the caller came back for the rest of a stream
 	pinned        bool          // the stream has begun, here or at an attempt before, and goes on only at servers of the version below
 	version       uint32        // pool.VersionID of that version
 	headerWritten bool          // the answer's header was sent to the caller
@@ -248,6 +249,6 @@
 	}
 	return &pool.Request{
 		ID: c.info.ID, Service: c.service, Team: c.team, PromptTokens: c.info.Prompt, OutputTokens: output, Segments: c.info.Segments,
-		Arrived: arrived, Objective: arrived + c.route.Objective, Deadline: c.deadline, Tried: c.tried, Retry: c.sends > 0, Fingerprint: c.fingerprint, Pinned: c.pinned, Version: c.version,
+		Arrived: arrived, Objective: arrived + c.route.Objective, Deadline: c.deadline, Tried: c.tried, Retry: c.sends > 0 || c.resumed, Fingerprint: c.fingerprint, Pinned: c.pinned, Version: c.version,
 	}
 }
--- a/router/relay/dialect.go
+++ b/router/relay/dialect.go
@@ -52,12 +52,19 @@
 	Proves func(status int, h http.Header, body []byte) bool // reports whether the answer is of that process
 }
 
-// HeaderCodec parses and sets the headers on the wire. All fields must be set.
+// Report is a call by which a server tells which requests it runs.
+type Report struct {
+	Path     string                                          // empty if the server has no report
+	Requests func(status int, body []byte) ([]string, error) // returns the ids of the requests
+}
+
+// HeaderCodec parses and sets the headers on the wire. All fields must be set but Report.
 type HeaderCodec struct {
 	ParseRequest  func(h http.Header) (RequestInfo, error) // parses a caller's header; returns an error if it is invalid
 	WriteRequest  func(h http.Header, s Outgoing)          // removes headers that servers must not get and sets those of the router
 	ParseResponse func(h http.Header) ResponseInfo         // parses a server's header
 	SetRequestID  func(h http.Header, request string)      // sets the request id in the header of a router's own answer
 
-	Probe func(s pool.Server, service route.Service) Probe // returns the call by which a server shows that it still runs
+	Probe  func(s pool.Server, service route.Service) Probe  // returns the call by which a server shows that it still runs
+	Report func(s pool.Server, service route.Service) Report // returns the call by which it tells its requests; nil if servers have none
 }
--- a/router/relay/resume.go
+++ b/router/relay/resume.go
@@ -59,6 +59,7 @@
 	if version, ok := c.soleVersion(); ok {
 		c.relay.count("resumed.soleVersion")
 		c.pin(version)
+		c.resumed = true
 		return nil
 	}
 	e := &refusal{
@@ -73,9 +74,10 @@
 	if err == nil {
 		c.relay.count("resumed.known")
 		c.pin(version)
+		c.resumed = true
 		return nil
 	}
-	e.detail = "begun by " + c.info.Began + ": " + err.Error()
+	e.detail = err.Error()
 	var unknown *resume.UnknownError
 	if errors.As(err, &unknown) && (unknown.Asked == 0 || unknown.Silent > 0) {
 		e.retryAfter = unknownRetryAfter
--- a/router/relay/resume_test.go
+++ b/router/relay/resume_test.go
@@ -180,3 +180,33 @@
 		}
 	}
 }
+
+// TestRunsOfServersAreLearned guards against callers whose streams all are refused once every router was restarted, though servers still run what the
+// routers before had sent (LOST).
+func TestRunsOfServersAreLearned(t *testing.T) {
+	for name, d := range map[string]struct {
+		reports [3]string
+		status  int
+		server  int // that goes on; -1 for none
+	}{
+		"reported by a server":      {[3]string{"", "id-8 " + firstAttempt, "id-9"}, http.StatusOK, 1},
+		"another one fails to":      {[3]string{"-", "", firstAttempt}, http.StatusOK, 2},
+		"its server fails to":       {[3]string{"id-7", "-", "id-9"}, http.StatusServiceUnavailable, -1},
+		"reported by none":          {[3]string{"id-7", "id-8", "id-9"}, http.StatusServiceUnavailable, -1},
+		"reports that name nothing": {[3]string{"", "", ""}, http.StatusServiceUnavailable, -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newVersionFixture(t, [3]string{"v1", "v2", "v3"})
+			f.reports = d.reports
+			f.relay.LearnRuns(t.Context())
+			f.ran = append(f.ran, -1) // so that no run breaks off
+			a := f.do(t, http.MethodPost, "/stream/", "x", func(r *http.Request) {
+				r.Header.Set(testLastEvent, "3")
+				r.Header.Set(testBegan, firstAttempt)
+			})
+			if got := f.ran[len(f.ran)-1]; a.status != d.status || got != d.server {
+				t.Errorf("status %d at server %d, want %d at %d", a.status, got, d.status, d.server)
+			}
+		})
+	}
+}
--- a/router/relay/world_test.go
+++ b/router/relay/world_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"mangolug.org/core/pool"
@@ -39,6 +40,9 @@
 	testStart     = "X-Start"
 )
 
+// testReportPath is the path at which servers name the requests that they run.
+const testReportPath = "/report"
+
 // testHealthPath is the path of the servers' health checks.
 const testHealthPath = "/health"
 
@@ -71,6 +75,14 @@
 		},
 		SetRequestID: func(h http.Header, id string) { h.Set(testID, id) },
 		Probe:        testProbe,
+		Report: func(pool.Server, route.Service) Report {
+			return Report{Path: testReportPath, Requests: func(status int, body []byte) ([]string, error) {
+				if status != http.StatusOK {
+					return nil, errors.Errorf("status %d", status)
+				}
+				return strings.Fields(string(body)), nil
+			}}
+		},
 	}
 }
 
@@ -95,6 +107,7 @@
 	relay    *Relay
 	server   *httptest.Server
 	runs     atomic.Int64 // requests that servers began to run
+	reports  [3]string    // ids that each server reports as its runs; "-" for a server that fails to
 	received [3]atomic.Int64
 
 	addresses [3]string
@@ -118,6 +131,13 @@
 				rw.Header().Set(testStart, strconv.FormatInt(startOf(i), 10))
 				return
 			}
+			if r.URL.Path == testReportPath {
+				if w.reports[i] == "-" {
+					rw.WriteHeader(http.StatusServiceUnavailable)
+				}
+				_, _ = io.WriteString(rw, w.reports[i]) // fails only if the relay gave up
+				return
+			}
 			w.received[i].Add(1)
 			rw.Header().Set(testID, r.Header.Get(testID))
 			body, err := io.ReadAll(r.Body) // net/http detects that a caller leaves only after the body is read
