--- a/core/pool/lapse_test.go
+++ b/core/pool/lapse_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -52,3 +53,26 @@
 func server(id string) Server {
 	return Server{ID: id, Service: "chat", Address: "10.0.0.1:80", DataCentre: "east", Slots: 8}
 }
+
+// TestUnknownServiceTakesNoAddress guards against an odd entry that removes a sound server by its address.
+func TestUnknownServiceTakesNoAddress(t *testing.T) {
+	for name, d := range map[string]struct {
+		service string
+		want    []string
+	}{
+		"of no service":       {"ghost", []string{"a", "odd"}},
+		"of the same service": {"chat", []string{"odd"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := versionPool("v1")
+			odd := versionServer(0, "v1")
+			odd.ID, odd.Service = "odd", d.service
+			p.SetServer(time.Second, odd)
+			got := p.Servers()
+			slices.Sort(got)
+			if !slices.Equal(got, d.want) {
+				t.Errorf("servers %v, want %v", got, d.want)
+			}
+		})
+	}
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -100,11 +100,13 @@
 	if b != nil {
 		p.drop(now, b)
 	}
-	if o := p.servers[p.addresses[s.Address]]; o != nil && o.Address == s.Address {
+	if o := p.servers[p.addresses[s.Address]]; o == nil || o.Address != s.Address {
+		p.addresses[s.Address] = s.ID
+	} else if p.hasService(s.Service) || !p.hasService(o.Service) {
+		p.addresses[s.Address] = s.ID
 		p.drop(now, o)
 		p.emit(o, "gone", "server "+s.ID+" has its address")
 	}
-	p.addresses[s.Address] = s.ID
 	b = &backend{Server: s, runs: make(map[*Run]bool), hash: hash64(s.ID), incarnationID: s.incarnation().hash(), coldUntil: now + s.ColdRemaining, advertised: p.advertised[s.incarnation()]}
 	p.servers[s.ID] = b
 	v := p.service(s.Service)
@@ -122,6 +124,9 @@
 	p.emit(b, "seen", s.Address+", version "+strconv.Quote(s.Version))
 }
 
+// hasService reports whether a service is configured, or none is known yet. An entry of any other service must not take a server's address.
+func (p *Pool) hasService(name string) bool { return p.table == nil || p.table.Service(name) != nil }
+
 func stateName(draining bool) string {
 	if draining {
 		return "draining"
