Refuse before it is sent what a stopping router can't finish

Possible here: whether there was time left was decided from the route's mean, with the time left when the header came, so that a body that took up to five seconds, or a wait for a server, went unseen; a route whose durations aren't known counted as one that takes none. It is decided now just before the request is sent for the first time, and for requests that may not be repeated by the longest of their route, or by their deadline.

--- a/router/proc/stop.go
+++ b/router/proc/stop.go
@@ -17,18 +17,19 @@
 	flushTimeout = 300 * time.Millisecond
 )
 
-// drainRemaining returns how long a new request may take and true once the process is stopping; the time is 0 after noticeTime, when the
-// balancer has noticed.
+// drainRemaining returns the time until requests are cut, and true once the process is stopping.
 func (p *Process) drainRemaining() (time.Duration, bool) {
 	at := time.Duration(p.stoppingAt.Load())
 	if at == 0 {
 		return 0, false
 	}
-	passed := p.now() - at
-	if passed > noticeTime {
-		return 0, true
-	}
-	return time.Duration(cutShare*float64(p.settings.Load().Grace)) - passed, true
+	return time.Duration(cutShare*float64(p.settings.Load().Grace)) - (p.now() - at), true
+}
+
+// refusesNew reports whether the process has been stopping for so long that the balancer has noticed.
+func (p *Process) refusesNew() bool {
+	at := time.Duration(p.stoppingAt.Load())
+	return at != 0 && p.now()-at > noticeTime
 }
 
 // stop reports to the balancer that the router is not ready, serves until the balancer has noticed, drains requests in progress,
--- a/router/relay/durations.go
+++ b/router/relay/durations.go
@@ -5,32 +5,45 @@
 	"time"
 )
 
-// meanWeight is the weight of the newest request in the moving average of a route's durations.
-const meanWeight = 0.05
+const (
+	// meanWeight is the weight of the newest request in the moving average of a route's durations.
+	meanWeight = 0.05
+	// longestWeight is the weight of the newest request in the longest duration if it took less, so that a single long one is forgotten after some
+	// hundreds.
+	longestWeight = 0.005
+)
 
-// routeDurations keeps a moving average of the request duration of each route. Its zero value is ready to use.
+// routeDurations keeps how long the requests of each route take. Its zero value is ready to use.
 type routeDurations struct {
-	mutex sync.Mutex
-	means map[string]time.Duration // by route name
+	mutex  sync.Mutex
+	routes map[string]durations // by route name
+}
+
+// durations are those of a route's requests.
+type durations struct {
+	mean, longest time.Duration
 }
 
 func (l *routeDurations) observe(route string, took time.Duration) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.means == nil {
-		l.means = make(map[string]time.Duration)
+	if l.routes == nil {
+		l.routes = make(map[string]durations)
 	}
-	mean, ok := l.means[route]
+	d, ok := l.routes[route]
 	if !ok {
-		l.means[route] = took
+		l.routes[route] = durations{took, took}
 		return
 	}
-	l.means[route] = mean + time.Duration(meanWeight*float64(took-mean))
+	d.mean += time.Duration(meanWeight * float64(took-d.mean))
+	d.longest = max(took, d.longest+time.Duration(longestWeight*float64(took-d.longest)))
+	l.routes[route] = d
 }
 
-// mean returns the mean duration of a route's requests, or 0 if none has ended.
-func (l *routeDurations) mean(route string) time.Duration {
+// of returns the durations of a route's requests, and false if none has ended.
+func (l *routeDurations) of(route string) (durations, bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.means[route]
+	d, ok := l.routes[route]
+	return d, ok
 }
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -23,6 +23,7 @@
 	HeaderCodec        HeaderCodec
 	Clock              func() time.Duration
 	DrainRemaining     func() (time.Duration, bool) // returns the time until requests are cut and whether the process is stopping; nil means that it never stops
+	RefusesNew         func() bool                  // reports whether the process is stopping and callers had time to notice; nil means that it never stops
 	TooManyConnections func() bool                  // reports whether callers have too many open connections and are asked to close theirs; nil means never
 	Overloaded         func(l Load) bool            // reports whether a request must be shed at this load, as the router lacks memory or processor time; nil means never
 	BodyLimit          func() int64                 // returns the limit on the bytes of all callers' bodies held; nil or 0 means no limit
@@ -67,16 +68,15 @@
 	c := &call{relay: s, writer: w, request: r, arrived: s.Clock()}
 	s.count("requests")
 	defer c.release()
-	remaining, draining := s.draining()
-	if draining || s.TooManyConnections != nil && s.TooManyConnections() {
+	if _, draining := s.draining(); draining || s.TooManyConnections != nil && s.TooManyConnections() {
 		w.Header().Set("Connection", "close")
 	}
 	if e := c.prepare(); e != nil {
 		c.refuse(e)
 		return
 	}
-	if draining && (remaining <= 0 || s.durations.mean(c.route.Name) > remaining) {
-		c.refuse(&refusal{reason: fleet.ReasonDraining, status: http.StatusServiceUnavailable, retryAfter: otherRouterRetryAfter, detail: "this router stops"})
+	if s.RefusesNew != nil && s.RefusesNew() {
+		c.refuse(c.stopRefusal("this router stops"))
 		return
 	}
 	ctx, cancel := c.context()
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -339,6 +339,7 @@
 	left := time.Duration(0)
 	leaving := false
 	w.relay.DrainRemaining = func() (time.Duration, bool) { return left, leaving }
+	w.relay.RefusesNew = func() bool { return leaving && left == 0 }
 	w.relay.durations.observe("unsafe", 5*time.Second)
 	tests := []struct {
 		name, path string
--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -27,6 +27,10 @@
 			c.relay.Gate.Ended(v.Run, pool.Result{CallerGone: true})
 			return &refusal{reason: fleet.ReasonCallerGone, status: http.StatusRequestTimeout, detail: "before it was sent", abort: true}
 		}
+		if e := c.tooLate(); e != nil {
+			c.relay.Gate.Ended(v.Run, pool.Result{CallerGone: true})
+			return e
+		}
 		if e := c.resolveAgain(); e != nil || c.service != v.Run.Server.Service {
 			c.relay.Gate.Ended(v.Run, pool.Result{CallerGone: true})
 			if e != nil {
