Send no stream on to a server that ended until its entry is new

A server may come back under its id and address with another software version before its entry tells so. A stream that broke there, or another of the same version, could go on at it. TestPinnedRequestsKeepTheirVersion has the case, red before.

--- a/core/pool/crash.go
+++ b/core/pool/crash.go
@@ -26,6 +26,9 @@
 	answered  []subject     // subjects of those that the server had just begun to answer
 }
 
+// ended reports whether the incarnation of the server is known to have ended.
+func (b *backend) ended() bool { return b.crash != nil && b.crash.confirmed }
+
 // observeBreak records that a run broke off, so that its server may have ended.
 func (p *Pool) observeBreak(now time.Duration, r *Run) {
 	b := r.backend
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -90,6 +90,9 @@
 		if b.Version != s.Version {
 			p.service(b.Service).leaveVersion(now, b.versionID)
 		}
+		if b.ended() {
+			b.crash = nil // an entry without a start time doesn't tell incarnations apart
+		}
 		b.Server, b.lapsesAt = s, 0
 		p.addVersion(p.service(b.Service), b)
 		if s.ColdRemaining > 0 {
--- a/core/pool/version.go
+++ b/core/pool/version.go
@@ -109,10 +109,10 @@
 	}
 }
 
-// excludes reports whether a request must not be sent to a server, whatever that server's state: it has failed the request, or the request goes
-// on with a stream of another software version.
+// excludes reports whether a request must not be sent to a server, whatever that server's load: it has failed the request, or the request goes on
+// with a stream that may not have begun at the server's software version. A server that ended may be back with another version before its entry is.
 func (a *Request) excludes(b *backend) bool {
-	return a.Pinned && a.Version != b.versionID || slices.Contains(a.Tried, b.ID)
+	return a.Pinned && (a.Version != b.versionID || b.ended()) || slices.Contains(a.Tried, b.ID)
 }
 
 // versionGone reports whether no server is left that may go on with the stream of a request.
--- a/core/pool/version_test.go
+++ b/core/pool/version_test.go
@@ -25,6 +25,14 @@
 	return Server{ID: id, Service: "chat", Address: "10.0.0.1:" + id, DataCentre: "d", Slots: 64, Version: version}
 }
 
+// end lets a server end under a request.
+func end(p *Pool, id string) {
+	r := &Run{Server: p.servers[id].Server, backend: p.servers[id], request: &Request{Service: "chat"}}
+	p.observeBreak(0, r)
+	p.UncheckedCrash(r)
+	p.ConfirmCrash(0, r, true)
+}
+
 // TestSoleVersion guards against a router that takes the version it sees for the only one, though another was there when a stream began.
 func TestSoleVersion(t *testing.T) {
 	const window, now = 30 * time.Second, time.Minute
@@ -81,8 +89,15 @@
 			s.Draining = true
 			p.SetServer(0, s)
 		}, nil, nil},
-		"one has another version":   {func(p *Pool) { p.SetServer(0, versionServer(0, "v2")) }, nil, []string{"b"}},
-		"their data centre is out":  {func(p *Pool) { p.Evacuate(0, "d", true) }, nil, nil},
+		"one has another version":  {func(p *Pool) { p.SetServer(0, versionServer(0, "v2")) }, nil, []string{"b"}},
+		"their data centre is out": {func(p *Pool) { p.Evacuate(0, "d", true) }, nil, nil},
+		"one has ended": {func(p *Pool) {
+			end(p, "a")
+		}, nil, []string{"b"}},
+		"one has ended, and its entry is new": {func(p *Pool) {
+			end(p, "a")
+			p.SetServer(0, versionServer(0, "v1"))
+		}, nil, []string{"a", "b"}},
 		"a third server comes back": {func(p *Pool) { p.RemoveServer(0, "b"); p.SetServer(0, versionServer(5, "v1")) }, nil, []string{"a", "f"}},
 	} {
 		t.Run(name, func(t *testing.T) {
