--- a/core/resume/records.go
+++ b/core/resume/records.go
@@ -9,7 +9,7 @@
 	"mangolug.org/core/route"
 )
 
-// maxRecords bounds the streams that a router remembers: those that 100 begin in a second, for two minutes.
+// maxRecords bounds the streams that a router remembers: those of two minutes, at 100 a second.
 const maxRecords = 12000
 
 // records are streams with the software versions at which they began. The zero value is ready to use.
--- a/core/resume/register.go
+++ b/core/resume/register.go
@@ -20,7 +20,7 @@
 	askTimeout, askAgain = 200 * time.Millisecond, 70 * time.Millisecond
 	// maxTold bounds the streams in one message: 12 bytes each.
 	maxTold = 80
-	// toldTTL is how long a router keeps what another one told it, and how long it is kept after the stream could end at most.
+	// toldTTL is how long a router keeps what another one told it, which doesn't say how long the stream may live.
 	toldTTL = 2 * time.Minute
 )
 
@@ -53,7 +53,8 @@
 	}
 }
 
-// TellAll tells other routers of all streams that this one remembers. It is called when a service has a second version.
+// TellAll tells other routers of all streams that this one remembers. It is called when a service has a second version, and once the router knows the
+// others.
 func (r *Register) TellAll() {
 	r.mutex.Lock()
 	list := r.records.all(r.Clock())
--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -232,8 +232,8 @@
 		"reason", e.reason, "status", e.status, "route", route, "team", c.team, "configuration", version,
 		"after", c.relay.Clock() - c.arrived, "sends", c.sends, "mayHaveRun", c.runs > 0, "retryAfter", e.retryAfter, "detail", e.detail,
 	}
-	if c.info.Began != "" {
-		fields = append(fields, "begunBy", c.info.Began)
+	if c.info.BegunBy != "" {
+		fields = append(fields, "begunBy", c.info.BegunBy)
 	}
 	c.log("refused", fields...)
 }
--- a/router/relay/dialect.go
+++ b/router/relay/dialect.go
@@ -18,7 +18,7 @@
 	LengthHint int64          // the caller's estimate of the tokens to be generated; 0 if not given
 	Segments   []pool.Segment // segments of the prompt
 	LastEvent  string         // resume the stream after this event; empty means from its start
-	Began      string         // id of the caller's attempt that brought the first event of that stream; empty if not given
+	BegunBy    string         // id of the caller's attempt that brought the first event of that stream; empty if not given
 }
 
 // Outgoing holds the values that a router sets in the header of a request to a backend server.
--- a/router/relay/resume.go
+++ b/router/relay/resume.go
@@ -66,10 +66,10 @@
 		reason: fleet.ReasonStreamUnknown, status: http.StatusServiceUnavailable, retryAfter: c.streamLifetime(),
 		detail: "the caller names no attempt that brought the first event",
 	}
-	if c.info.Began == "" || c.relay.Streams == nil {
+	if c.info.BegunBy == "" || c.relay.Streams == nil {
 		return e
 	}
-	q := digest.StreamQuestion{Attempt: resume.AttemptID(c.team, c.info.Began), Service: pool.ServiceID(c.service), Window: c.streamLifetime()}
+	q := digest.StreamQuestion{Attempt: resume.AttemptID(c.team, c.info.BegunBy), Service: pool.ServiceID(c.service), Window: c.streamLifetime()}
 	version, err := c.relay.Streams.Version(ctx, q)
 	if err == nil {
 		c.relay.count("resumed.known")
--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -64,8 +64,8 @@
 	if c.progress.resumedAfter != "" {
 		fields = append(fields, "resumedAfter", c.progress.resumedAfter)
 	}
-	if c.info.Began != "" {
-		fields = append(fields, "begunBy", c.info.Began)
+	if c.info.BegunBy != "" {
+		fields = append(fields, "begunBy", c.info.BegunBy)
 	}
 	c.log("sent", fields...)
 }
--- a/router/relay/world_test.go
+++ b/router/relay/world_test.go
@@ -53,7 +53,7 @@
 			if h.Get(testTimeout) != "" && err != nil {
 				return RequestInfo{}, err
 			}
-			return RequestInfo{ID: h.Get(testID), Key: h.Get(testKey), Timeout: time.Duration(left) * time.Millisecond, LastEvent: h.Get(testLastEvent), Began: h.Get(testBegan)}, nil
+			return RequestInfo{ID: h.Get(testID), Key: h.Get(testKey), Timeout: time.Duration(left) * time.Millisecond, LastEvent: h.Get(testLastEvent), BegunBy: h.Get(testBegan)}, nil
 		},
 		WriteRequest: func(h http.Header, s Outgoing) {
 			h.Del(testKey)
