--- a/core/pool/trial.go
+++ b/core/pool/trial.go
@@ -10,8 +10,8 @@
 	// trialDelay is the time from the latest crash under a poisoned subject to the first request that tries it again; each further trial doubles
 	// it, up to maxTrialDelay.
 	trialDelay, maxTrialDelay = 15 * time.Second, 10 * time.Minute
-	// maxRequestTrials is the number of trials of a request, of which callers bear three more sends in all; requestTrialDelay is the time to any
-	// later one.
+	// maxRequestTrials is the number of trials of a poisoned request before requestTrialDelay applies: at most three more sends are allowed in all,
+	// and one may cross the verdict.
 	maxRequestTrials, requestTrialDelay = 2, 24 * time.Hour
 	// trialSlot is the time in which one router may start a trial; in each further slot twice as many may, in case they get no such request.
 	trialSlot = 5 * time.Second
--- a/router/relay/late.go
+++ b/router/relay/late.go
@@ -8,7 +8,7 @@
 )
 
 // tooLate returns a refusal if the process is stopping and will probably cut the request before it ends. It is asked just before the request is sent
-// for the first time: its body may have come slowly, and it may have waited for a server. What has run once is not refused, as it has nothing to lose.
+// for the first time: its body may have come slowly, and it may have waited for a server. A retry is not refused: a refusal of it could not say that the request did not run.
 func (c *call) tooLate() *refusal {
 	left, draining := c.relay.draining()
 	if !draining || c.sends > 0 || c.timeNeeded() <= left {
