--- a/review/fleet/main.go
+++ b/review/fleet/main.go
@@ -39,6 +39,7 @@
 	contact     = 3 * time.Second
 	configApply = 2 * time.Second
 	outer       = 5 * time.Second
+	grace       = 8 * time.Second
 )
 
 const (
@@ -56,7 +57,7 @@
 		return
 	}
 	cases := map[string]func(*play){
-		"cut-answer": cutAnswer, "versions": versions, "rewind": rewind,
+		"cut-answer": cutAnswer, "versions": versions, "rewind": rewind, "compacted": compacted, "rolled": rolled, "paths": paths,
 	}
 	run := cases[os.Args[1]]
 	if run == nil || len(os.Args) < 3 {
@@ -231,6 +232,7 @@
 type router struct {
 	process
 	name, zone, ip, front string
+	settings              string // path of its settings file
 }
 
 var zones = []string{"faisalabad", "lahore", "multan"}
@@ -247,24 +249,56 @@
 		seeds = append(seeds, strconv.Quote(r.ip+":8785"))
 	}
 	for i, r := range p.routers {
-		file := filepath.Join(p.dir, r.name+".toml")
-		need(os.WriteFile(file, []byte(settings(r, strings.Join(seeds, ","), stores[i])), 0o600))
-		r.start(filepath.Join(p.dir, r.name+".log"), []string{"MANGOLUG_NODE_FILE=" + file}, "target/platform")
+		r.settings = filepath.Join(p.dir, r.name+".toml")
+		need(os.WriteFile(r.settings, []byte(settings(r, strings.Join(seeds, ","), stores[i])), 0o600))
+		r.begin(p)
 	}
 	for _, r := range p.routers {
-		p.wait(30*time.Second, r.name+" is ready", func() bool {
-			response, err := http.Get("http://" + r.ip + ":8780/-/readiness")
-			if err != nil {
-				return false
-			}
-			response.Body.Close()
-			return response.StatusCode == http.StatusOK
-		})
+		p.awaitReady(r)
 	}
 	time.Sleep(2 * time.Second)
 	p.note("%d routers are ready", len(p.routers))
 }
 
+// begin starts the program of the deploy file.
+func (r *router) begin(p *play) {
+	r.start(filepath.Join(p.dir, r.name+".log"), []string{"MANGOLUG_NODE_FILE=" + r.settings}, "target/platform")
+}
+
+func (p *play) awaitReady(r *router) {
+	p.wait(30*time.Second, r.name+" is ready", func() bool {
+		response, err := http.Get("http://" + r.ip + ":8780/-/readiness")
+		if err != nil {
+			return false
+		}
+		response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
+// startRouter starts a router again.
+func (p *play) startRouter(r *router) {
+	r.begin(p)
+	p.awaitReady(r)
+	p.note("%s is back and ready", r.name)
+}
+
+// stop stops a router as the platform does: SIGTERM, and SIGKILL after GraceS.
+func (p *play) stop(r *router) {
+	r.mutex.Lock()
+	c, ended := r.command, r.ended
+	r.mutex.Unlock()
+	p.note("SIGTERM to %s", r.name)
+	need(c.Process.Signal(syscall.SIGTERM))
+	select {
+	case <-ended:
+	case <-time.After(grace):
+		_ = c.Process.Kill()
+		<-ended
+	}
+	p.note("%s has ended", r.name)
+}
+
 // wait waits for a condition that the case needs.
 func (p *play) wait(limit time.Duration, what string, done func() bool) {
 	for until := time.Now().Add(limit); !done(); time.Sleep(20 * time.Millisecond) {
@@ -371,6 +405,8 @@
 	mutex    sync.Mutex
 	era      int
 	away     bool
+	deaf     bool  // watches hear nothing
+	oldest   int64 // the history is kept from here on
 	revision int64
 	items    map[string]item
 	history  []item
@@ -449,6 +485,22 @@
 	s.play.note("store: back from a copy that is %.1f s old, era %d, revision %d (was %d)", time.Since(from.at).Seconds(), s.era, s.revision, lost)
 }
 
+// compact lets watches hear nothing for a second while changes are made, and then drops the history and cuts them.
+func (s *store) compact(change func()) {
+	s.mutex.Lock()
+	s.deaf = true
+	s.mutex.Unlock()
+	s.play.note("store: watches hear nothing")
+	change()
+	time.Sleep(time.Second)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.deaf, s.oldest, s.history = false, s.revision, nil
+	close(s.changed)
+	s.changed = make(chan struct{})
+	s.play.note("store: the history up to revision %d is dropped", s.oldest)
+}
+
 // ServeHTTP answers the calls of the store's page.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
@@ -497,7 +549,10 @@
 				p.Events = append(p.Events, i)
 			}
 		}
-		gone := after > s.revision || len(s.history) > 0 && after < s.history[0].Revision-1
+		gone := after > s.revision || after < s.oldest
+		if s.deaf {
+			p.Events, p.StoreRevision, gone = nil, min(after, s.revision), false
+		}
 		s.mutex.Unlock()
 		switch {
 		case away:
@@ -966,9 +1021,9 @@
 	var joined atomic.Int64
 	for i := range streams {
 		clients.Go(func() {
-			parts := p.stream(fmt.Sprintf("/note/%d?kind=stream&n=%d&gap=%d", i, parts, gap), i)
-			if len(parts) > 1 {
-				p.note("BROKEN: ORDER: the stream of client %d holds events of software versions %v", i, parts)
+			r := p.stream(fmt.Sprintf("/note/%d?kind=stream&n=%d&gap=%d", i, parts, gap), i, 0)
+			if len(r.versions) > 1 {
+				p.note("BROKEN: ORDER: the stream of client %d holds events of software versions %v", i, r.versions)
 				joined.Add(1)
 			}
 		})
@@ -989,23 +1044,33 @@
 	}
 }
 
-// stream reads a stream at the first router and takes it up again at the third one, and returns the software versions of its events.
-func (p *play) stream(target string, client int) []string {
-	var versions []string
-	last, first := 0, ""
+// streamed is what a client has of a stream over all its attempts.
+type streamed struct {
+	versions []string // software versions of the engines of its events
+	again    bool     // it was taken up again after its first event
+	wentOn   bool     // an attempt that took it up brought an event, or its end
+	whole    bool
+}
+
+// stream reads a stream at a router and takes it up again at the third one.
+func (p *play) stream(target string, client, first int) streamed {
+	var result streamed
+	last, began := 0, ""
 	until := time.Now().Add(15 * time.Second)
-	for attempt := 0; attempt < 6 && time.Now().Before(until); attempt++ {
-		r := p.routers[0]
+	for attempt := 0; attempt < 6 && time.Until(until) > 100*time.Millisecond; attempt++ {
+		r := p.routers[first]
 		if attempt > 0 {
 			r = p.routers[2]
 		}
 		headers := map[string]string{
 			"Model": "m", "Token-Counts": "300,80", "Prompt-Prefix": fmt.Sprintf("%x:100,%x:200", 0x5c1e0000+client, 0x91bd0000+client),
 		}
-		if last > 0 {
-			headers["Last-Event-Id"], headers["Resumes"] = strconv.Itoa(last), first
+		from := last
+		if from > 0 {
+			headers["Last-Event-Id"], headers["Resumes"] = strconv.Itoa(from), began
+			result.again = true
 		}
-		p.note("client %d: sent to %s after event %d", client, r.name, last)
+		p.note("client %d: sent to %s after event %d", client, r.name, from)
 		g := p.ask(r, http.MethodPost, target, time.Until(until), headers)
 		for event := range strings.SplitSeq(g.body, "\n\n") {
 			id, data, ok := strings.Cut(strings.TrimPrefix(event, "id: "), "\ndata: ")
@@ -1013,15 +1078,20 @@
 				continue
 			}
 			last, _ = strconv.Atoi(id)
-			if first == "" {
-				first = g.id
+			if began == "" {
+				began = g.id
 			}
-			if _, version, ok := strings.Cut(strings.TrimSpace(data), "@"); ok && !slices.Contains(versions, version) {
-				versions = append(versions, version)
+			if _, version, ok := strings.Cut(strings.TrimSpace(data), "@"); ok && !slices.Contains(result.versions, version) {
+				result.versions = append(result.versions, version)
 			}
 		}
-		p.note("client %d: request %s at %s: status %d, signed %q, last event %d, ends as complete %t, error %v", client, g.id, r.name, g.status, g.header.Get("Response-Signature"), last, g.complete, g.err)
-		if g.status == http.StatusOK && g.complete {
+		if g.status != http.StatusOK {
+			last = from // a refusal has no events
+		}
+		result.whole = g.status == http.StatusOK && g.complete
+		result.wentOn = result.wentOn || from > 0 && (last > from || result.whole)
+		p.note("client %d: request %s at %s: status %d, signed %q, Retry-After %q, last event %d, ends as complete %t, error %v", client, g.id, r.name, g.status, g.header.Get("Response-Signature"), g.header.Get("Retry-After"), last, g.complete, g.err)
+		if result.whole {
 			break
 		}
 		pause := 20 * time.Millisecond
@@ -1030,7 +1100,139 @@
 		}
 		time.Sleep(pause)
 	}
-	return versions
+	return result
+}
+
+// longStreams starts a fleet of three routers and four engines of one version, and runs for so long that routers don't tell each other of streams.
+func longStreams(p *play) (config func(version, idle int) map[string]any) {
+	p.startStore()
+	config = func(version, idle int) map[string]any {
+		routes := []map[string]any{route("note", "streaming", "llm", 2, 15000, map[string]any{"Resumable": true, "GapTargetMs": 500, "StickySessions": true})}
+		for i := range idle {
+			routes = append(routes, route(fmt.Sprintf("idle-%d", i), "safe", "llm", 2, 4000, nil))
+		}
+		return configuration(version, routes, []map[string]any{modelService("llm")}, nil)
+	}
+	p.store.write("op/config", config(7, 0))
+	for i := range 4 {
+		e := p.newEngine(fmt.Sprintf("i-llm-%d", i+1), "llm", "v1", true)
+		e.publish(e.run())
+	}
+	p.startRouters(p.store.address, p.store.address, p.store.address)
+	time.Sleep(32 * time.Second)
+	return config
+}
+
+// resumed counts streams that clients take up again, and new streams at the same router.
+type resumed struct {
+	clients                         sync.WaitGroup
+	again, wentOn, fresh, newStarts atomic.Int64
+}
+
+// begin starts streams of 12 s at the first router.
+func (c *resumed) begin(p *play, streams int) {
+	for i := range streams {
+		c.clients.Go(func() {
+			r := p.stream(fmt.Sprintf("/note/%d?kind=stream&n=40&gap=300", i), i, 0)
+			if r.again {
+				c.again.Add(1)
+			}
+			if r.wentOn {
+				c.wentOn.Add(1)
+			}
+		})
+	}
+}
+
+// beginNew starts short streams at the router at which the others are taken up.
+func (c *resumed) beginNew(p *play, streams int) {
+	for i := range streams {
+		c.clients.Go(func() {
+			c.fresh.Add(1)
+			if r := p.stream(fmt.Sprintf("/note/new-%d?kind=stream&n=5&gap=100", i), 1000+i, 2); len(r.versions) > 0 {
+				c.newStarts.Add(1)
+			}
+		})
+	}
+}
+
+// judge waits for all streams and judges LOST.
+func (c *resumed) judge(p *play) {
+	c.clients.Wait()
+	again, wentOn, fresh, newStarts := c.again.Load(), c.wentOn.Load(), c.fresh.Load(), c.newStarts.Load()
+	p.note("%d streams were taken up again at %s, %d of them went on; %d of %d new streams began there", again, p.routers[2].name, wentOn, newStarts, fresh)
+	if again >= 12 && float64(wentOn)/float64(again) < float64(newStarts)/float64(fresh)/2 {
+		p.note("BROKEN: LOST: the share of streams that go on is under half of the share of new streams that begin")
+		p.broken = true
+	}
+	for _, e := range p.engines {
+		for _, line := range e.runs() {
+			p.note("engine %s (%s): %s", e.id, e.version, line)
+		}
+	}
+}
+
+// compacted: the store forgets its history, and some seconds later a router is killed whose streams began before that. TROUBLE=kill leaves the
+// first out.
+func compacted(p *play) {
+	var c resumed
+	config := longStreams(p)
+	c.begin(p, 24)
+	time.Sleep(time.Second)
+	if p.trouble && os.Getenv("TROUBLE") != "kill" {
+		p.store.compact(func() { p.store.write("op/config", config(9, 2)) })
+	} else {
+		p.store.write("op/config", config(9, 2))
+		time.Sleep(time.Second)
+	}
+	time.Sleep(contact + 1500*time.Millisecond)
+	if p.trouble {
+		p.routers[0].kill()
+		p.note("%s is killed", p.routers[0].name)
+	}
+	c.beginNew(p, 24)
+	c.judge(p)
+}
+
+// rolled: the routers are stopped and started in turn, and clients take up the streams that the last one cuts at the end of its grace.
+// TROUBLE=last stops only that one.
+func rolled(p *play) {
+	var c resumed
+	longStreams(p)
+	if p.trouble && os.Getenv("TROUBLE") != "last" {
+		for _, r := range []*router{p.routers[2], p.routers[1]} {
+			p.stop(r)
+			p.startRouter(r)
+			time.Sleep(time.Second)
+		}
+	}
+	c.begin(p, 24)
+	time.Sleep(contact)
+	if p.trouble {
+		p.stop(p.routers[0])
+		p.startRouter(p.routers[0])
+	}
+	c.beginNew(p, 24)
+	c.judge(p)
+}
+
+// paths: clients ask for paths that begin with an empty segment.
+func paths(p *play) {
+	p.startStore()
+	p.store.write("op/config", configuration(7, []map[string]any{route("post", "unsafe", "desk", 1, 4000, map[string]any{"PathPrefix": "/"})}, []map[string]any{plainService("desk")}, nil))
+	e := p.newEngine("i-desk-1", "desk", "v1", false)
+	e.publish(e.run())
+	p.startRouters(p.store.address)
+	for _, target := range []string{"/a/b?kind=whole&n=1", "//a/b?kind=whole&n=1", "/a//b?kind=whole&n=1", "/%2Fa/b?kind=whole&n=1", "/a/../b?kind=whole&n=1", "/a;b?kind=whole&n=1#x"} {
+		c, err := net.Dial("tcp", p.routers[0].front)
+		need(err)
+		fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: id-%d\r\nDeadline-Ms: 4000\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", target, host, attempts.Add(1))
+		text, _ := io.ReadAll(c)
+		c.Close()
+		line, _, _ := strings.Cut(string(text), "\r\n")
+		runs := e.runs()
+		p.note("sent %s: %s; engine: %s", target, line, runs[len(runs)-1])
+	}
 }
 
 // rewind: the store comes back from a copy some seconds old, and the operator goes on.
