--- a/review/fleet/main.go
+++ b/review/fleet/main.go
@@ -666,7 +666,7 @@
 			running.Add(1)
 			defer running.Add(-1)
 			run := fmt.Sprintf("%s.%d.%d@%s", id, born, runs.Add(1), version)
-			fmt.Printf("ran run=%s request=%s method=%s target=%s tenant=%s after=%s\n", run, request, r.Method, r.RequestURI, r.Header.Get("Tenant"), r.Header.Get("Last-Event-Id"))
+			fmt.Printf("ran run=%s request=%s method=%s target=%s host=%s path=%s tenant=%s after=%s\n", run, request, r.Method, r.RequestURI, r.Host, r.URL.Path, r.Header.Get("Tenant"), r.Header.Get("Last-Event-Id"))
 			w.Header().Set("Response-Signature", run)
 			answer(w, r, run)
 		}
@@ -1216,25 +1216,54 @@
 	c.judge(p)
 }
 
-// paths: clients ask for paths that begin with an empty segment.
+// paths: clients without a key use a public route, with paths that begin with an empty segment.
 func paths(p *play) {
 	p.startStore()
-	p.store.write("op/config", configuration(7, []map[string]any{route("post", "unsafe", "desk", 1, 4000, map[string]any{"PathPrefix": "/"})}, []map[string]any{plainService("desk")}, nil))
-	e := p.newEngine("i-desk-1", "desk", "v1", false)
-	e.publish(e.run())
-	p.startRouters(p.store.address)
-	for _, target := range []string{"/a/b?kind=whole&n=1", "//a/b?kind=whole&n=1", "/a//b?kind=whole&n=1", "/%2Fa/b?kind=whole&n=1", "/a/../b?kind=whole&n=1", "/a;b?kind=whole&n=1#x"} {
-		c, err := net.Dial("tcp", p.routers[0].front)
-		need(err)
-		fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: id-%d\r\nDeadline-Ms: 4000\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", target, host, attempts.Add(1))
-		text, _ := io.ReadAll(c)
-		c.Close()
-		line, _, _ := strings.Cut(string(text), "\r\n")
-		runs := e.runs()
-		p.note("sent %s: %s; engine: %s", target, line, runs[len(runs)-1])
+	p.store.write("op/config", configuration(7, []map[string]any{
+		route("labels", "unsafe", "desk", 1, 4000, map[string]any{"PathPrefix": "/", "Public": true}),
+		route("orders", "unsafe", "desk", 1, 4000, map[string]any{"Host": "orders.example", "PathPrefix": "/orders/"}),
+	}, []map[string]any{plainService("desk")}, []tenant{{"ash", []string{"key-ash-1"}}}))
+	for i := range 2 {
+		e := p.newEngine(fmt.Sprintf("i-desk-%d", i+1), "desk", "v1", false)
+		e.publish(e.run())
+	}
+	p.startRouters(p.store.address, p.store.address)
+	for i := range 10 {
+		target := fmt.Sprintf("/labels/%d?kind=whole&n=1", i)
+		if p.trouble && i%2 == 1 {
+			target = fmt.Sprintf("//orders.example/orders/%d?kind=whole&n=1", i)
+		}
+		id := fmt.Sprintf("%016x", uint64(0x9c41d07b00000000)+uint64(attempts.Add(1)))
+		status := p.post(p.routers[i%2], target, id)
+		ran := ""
+		for _, e := range p.engines {
+			for _, line := range e.runs() {
+				if strings.Contains(line, " request="+id+" ") {
+					ran = line
+				}
+			}
+		}
+		p.note("sent POST %s to host %s as request %s; answered: %s; engine: %s", target, host, id, status, ran)
+		if ran != "" && !strings.Contains(ran, " target="+target+" ") {
+			p.note("BROKEN: UNASKED: request %s runs with its path changed", id)
+			p.broken = true
+		}
 	}
 }
 
+// post sends a request without a key, with a target as it stands, and returns the answer's status line.
+func (p *play) post(r *router, target, id string) string {
+	c, err := net.Dial("tcp", r.front)
+	need(err)
+	defer c.Close()
+	need(c.SetDeadline(time.Now().Add(5 * time.Second)))
+	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 4000\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", target, host, id)
+	need(err)
+	text, _ := io.ReadAll(c)
+	line, _, _ := strings.Cut(string(text), "\r\n")
+	return line
+}
+
 // rewind: the store comes back from a copy some seconds old, and the operator goes on.
 func rewind(p *play) {
 	p.startStore()
