--- a/review/fleet/main.go
+++ b/review/fleet/main.go
@@ -45,6 +45,10 @@
 const (
 	host     = "review.example"
 	capacity = 64 // slots of an engine
+	// reportLag is the age of an engine's report, as report_lag_ms in the site file.
+	reportLag = 200 * time.Millisecond
+	// restartDelay is the time from a router's end to its next start.
+	restartDelay = time.Second
 )
 
 func main() {
@@ -57,7 +61,7 @@
 		return
 	}
 	cases := map[string]func(*play){
-		"cut-answer": cutAnswer, "versions": versions, "rewind": rewind, "compacted": compacted, "rolled": rolled, "paths": paths,
+		"cut-answer": cutAnswer, "versions": versions, "rewind": rewind, "compacted": compacted, "rolled": rolled, "all-killed": allKilled, "paths": paths,
 	}
 	run := cases[os.Args[1]]
 	if run == nil || len(os.Args) < 3 {
@@ -276,8 +280,9 @@
 	})
 }
 
-// startRouter starts a router again.
+// startRouter starts a router again after a short delay.
 func (p *play) startRouter(r *router) {
+	time.Sleep(restartDelay)
 	r.begin(p)
 	p.awaitReady(r)
 	p.note("%s is back and ready", r.name)
@@ -637,6 +642,20 @@
 	listen, id, version := args[0], args[1], args[3]
 	born := time.Now().UnixMilli()
 	var running, runs atomic.Int64
+	var open sync.Map // ids of the requests that run
+	var reported atomic.Pointer[[]any]
+	reported.Store(&[]any{})
+	go func() { // reports show the state of some hundred ms ago
+		for {
+			list := []any{}
+			open.Range(func(id, _ any) bool {
+				list = append(list, []any{id, 100, 1, 1})
+				return true
+			})
+			time.Sleep(reportLag)
+			reported.Store(&list)
+		}
+	}()
 	says := func(w http.ResponseWriter, more map[string]any) {
 		w.Header().Set("Content-Type", "application/json")
 		more["born"] = born
@@ -658,13 +677,16 @@
 			w.Header().Set("Instance-Id", id)
 			says(w, map[string]any{})
 		case r.URL.Path == "/-/report":
-			says(w, map[string]any{"Stage": "both", "Running": running.Load(), "Waiting": 0, "Runs": []any{}})
+			list := *reported.Load()
+			says(w, map[string]any{"Stage": "both", "Running": len(list), "Waiting": 0, "Runs": list})
 		case request == "":
 			w.Header().Set("Not-Executed", "1")
 			w.WriteHeader(http.StatusBadRequest)
 		default:
 			running.Add(1)
 			defer running.Add(-1)
+			open.Store(request, true)
+			defer open.Delete(request)
 			run := fmt.Sprintf("%s.%d.%d@%s", id, born, runs.Add(1), version)
 			fmt.Printf("ran run=%s request=%s method=%s target=%s host=%s path=%s tenant=%s after=%s\n", run, request, r.Method, r.RequestURI, r.Host, r.URL.Path, r.Header.Get("Tenant"), r.Header.Get("Last-Event-Id"))
 			w.Header().Set("Response-Signature", run)
@@ -716,10 +738,11 @@
 	}
 	for i := after + 1; i <= n; i++ {
 		if i > after+1 {
-			time.Sleep(time.Duration(gap) * time.Millisecond)
-		}
-		if r.Context().Err() != nil && query.Get("kind") != "unframed" {
-			return
+			select {
+			case <-time.After(time.Duration(gap) * time.Millisecond):
+			case <-r.Context().Done(): // its connection is closed; not seen on one that is taken over
+				return
+			}
 		}
 		if out(part(i)) != nil {
 			return
@@ -1095,6 +1118,9 @@
 			break
 		}
 		pause := 20 * time.Millisecond
+		if g.status == 0 && g.err != nil && from > 0 {
+			pause = time.Second // no router takes connections
+		}
 		if seconds, err := strconv.ParseFloat(g.header.Get("Retry-After"), 64); err == nil {
 			pause = min(time.Duration(seconds*float64(time.Second)), time.Until(until)/3)
 		}
@@ -1194,6 +1220,31 @@
 	c.judge(p)
 }
 
+// allKilled: all routers are killed and come back, and clients take their streams up again.
+func allKilled(p *play) {
+	var c resumed
+	longStreams(p)
+	c.begin(p, 24)
+	time.Sleep(2 * time.Second)
+	if p.trouble {
+		for _, r := range p.routers {
+			r.kill()
+		}
+		p.note("all routers are killed")
+		time.Sleep(500 * time.Millisecond)
+		for _, r := range p.routers {
+			r.begin(p)
+		}
+		for _, r := range p.routers {
+			p.awaitReady(r)
+		}
+		p.note("all routers are back")
+		time.Sleep(contact + 500*time.Millisecond)
+	}
+	c.beginNew(p, 24)
+	c.judge(p)
+}
+
 // rolled: the routers are stopped and started in turn, and clients take up the streams that the last one cuts at the end of its grace.
 // TROUBLE=last stops only that one.
 func rolled(p *play) {
@@ -1210,7 +1261,7 @@
 	time.Sleep(contact)
 	if p.trouble {
 		p.stop(p.routers[0])
-		p.startRouter(p.routers[0])
+		go p.startRouter(p.routers[0])
 	}
 	c.beginNew(p, 24)
 	c.judge(p)
