Let no router take a version for a stream's by itself

Cause: a router asked its own list of servers for the only version before it looked at the records of streams that others had told it, and that list was trusted as long as sums of loads arrived. These show that other routers live, not that their changes came through; after a freeze not even the time of a message's receipt is evidence. Besides, a router that the platform turned away took itself for recovered whenever others had read the platform, and an answer inferred from a sole version was stored like the record of a stream.

Now records decide; a sole version needs an answer from another router, given after the caller came, and none that knows another version. If all others are silent, the platform is read by a call that begins then. A router that hears of a change that it has not applied knows no sole version and is not recovered.

TestOldKnowledgeOfOneVersion and TestRouterThatMissedAChange have the decisions without processes. Ruled out: a lost record (the register had it).

--- a/core/digest/stream.go
+++ b/core/digest/stream.go
@@ -6,6 +6,7 @@
 type StreamVersion struct {
 	Attempt uint64 // hash of the caller and of the id of its attempt that brought the first event
 	Version uint32 // hash of the version's name
+	Sole    bool   // inferred from the only version that the service has had, not recorded when the stream began
 }
 
 // StreamQuestion asks at which software version a stream began.
@@ -20,4 +21,15 @@
 	Told    []StreamVersion
 	Asked   []StreamQuestion
 	Unknown []uint64 // attempts that the receiver asked for and the sender doesn't know
+	Several []uint64 // likewise, where the service has had several versions within the question's window
 }
+
+// VersionCount is the number of software versions that a service has had within some time, as far as a router knows.
+type VersionCount int
+
+// Numbers of software versions.
+const (
+	VersionsUnknown VersionCount = iota // the router may have missed some
+	VersionsOne
+	VersionsSeveral
+)
--- a/core/pool/version.go
+++ b/core/pool/version.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"mangolug.org/core/digest"
 )
 
 const (
@@ -25,22 +27,23 @@
 	p.readAnewAt, p.wasRead = now, true
 }
 
-// SoleVersion returns the only software version that servers of a service have had within the last window, and false if there were several or
-// this router doesn't know all that were there.
-func (p *Pool) SoleVersion(now time.Duration, service uint32, window time.Duration) (uint32, bool) {
+// Versions returns how many software versions the servers of a service have had within the last window, and the version if there was only one.
+func (p *Pool) Versions(now time.Duration, service uint32, window time.Duration) (sole uint32, count digest.VersionCount) {
 	p.init()
-	if !p.wasRead || now-p.readAnewAt < window || p.sourceLost && now-p.peersAt > peerMaxAge {
-		return 0, false
-	}
 	for name, v := range p.services {
 		if nameID(name) == service {
-			return v.soleVersion(now, window)
+			sole, count = v.versions(now, window)
+			break
 		}
 	}
-	return 0, false
+	if count == digest.VersionsOne && (!p.wasRead || now-p.readAnewAt < window || p.sourceLost && now-p.peersAt > peerMaxAge) {
+		return 0, digest.VersionsUnknown
+	}
+	return sole, count
 }
 
-func (v *service) soleVersion(now, window time.Duration) (uint32, bool) {
+// versions returns how many versions the known servers had within the last window, and the version if there was only one.
+func (v *service) versions(now, window time.Duration) (uint32, digest.VersionCount) {
 	var versions []uint32
 	for _, b := range v.servers {
 		if !slices.Contains(versions, b.versionID) {
@@ -52,10 +55,14 @@
 			versions = append(versions, id)
 		}
 	}
-	if len(versions) != 1 {
-		return 0, false
+	switch len(versions) {
+	case 0:
+		return 0, digest.VersionsUnknown
+	case 1:
+		return versions[0], digest.VersionsOne
+	default:
+		return 0, digest.VersionsSeveral
 	}
-	return versions[0], true
 }
 
 // WarmServers returns up to n servers, chosen at random, that are not cold.
--- a/core/pool/version_test.go
+++ b/core/pool/version_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"mangolug.org/core/digest"
 	"mangolug.org/core/fleet"
 	"mangolug.org/core/route"
 )
@@ -64,8 +65,8 @@
 			if d.change != nil {
 				d.change(p)
 			}
-			if _, sole := p.SoleVersion(now, ServiceID("chat"), window); sole != d.sole {
-				t.Errorf("sole %t, want %t", sole, d.sole)
+			if _, count := p.Versions(now, ServiceID("chat"), window); (count == digest.VersionsOne) != d.sole {
+				t.Errorf("number of versions %d, want a sole one: %t", count, d.sole)
 			}
 		})
 	}
--- a/core/resume/register.go
+++ b/core/resume/register.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,8 @@
 	askedHolders = 5
 	// askTimeout bounds the wait for answers, and askAgain is when those that did not answer are asked once more, as datagrams may be lost.
 	askTimeout, askAgain = 200 * time.Millisecond, 70 * time.Millisecond
+	// refreshTimeout bounds the wait for a read of the platform: a call that waits there for changes ends first.
+	refreshTimeout = time.Second
 	// maxTold bounds the streams in one message: 12 bytes each.
 	maxTold = 80
 	// toldTTL is how long a router keeps what another one told it, which doesn't say how long the stream may live.
@@ -27,9 +30,12 @@
 // Register is a router's knowledge of the software versions at which streams began. Clock must be set.
 type Register struct {
 	Clock   func() time.Duration
-	Routers func() []string                                                      // returns the addresses of the other live routers; nil means that there are none
-	Send    func(to string, m digest.Streams)                                    // sends a message that may be lost; must be set if Routers is
-	Sole    func(service uint32, window time.Duration) (version uint32, ok bool) // returns the only version that a service had; nil means that none is known
+	Routers func() []string                   // returns the addresses of the other live routers; nil means that there are none
+	Send    func(to string, m digest.Streams) // sends a message that may be lost; must be set if Routers is
+	// Versions returns how many versions a service has had within a window, and the version if there was only one; nil means that it is not known.
+	Versions func(service uint32, window time.Duration) (sole uint32, count digest.VersionCount)
+	// Refresh waits until this router has read the platform by a call that begins after now, and reports whether it has; nil means that it can't.
+	Refresh func(ctx context.Context) bool
 
 	mutex   sync.Mutex
 	records records
@@ -38,9 +44,12 @@
 
 // question is a wait for answers of other routers.
 type question struct {
-	waits   map[string]bool // routers that have not answered
-	answer  chan digest.StreamVersion
-	unknown chan struct{} // closed when no router that was asked knows the stream
+	asked    int
+	waits    map[string]bool // routers that have not answered
+	recorded chan uint32     // the version, from a router that recorded it
+	answered chan struct{}   // closed when all routers that were asked have answered
+	sole     []uint32        // the service's only version, by each router that knows it
+	several  bool            // a router knows several versions
 }
 
 // Began records the version at which a stream began, for some time. With tell, other routers keep it as well, in case this one ends.
@@ -94,47 +103,100 @@
 	return fmt.Sprintf("of %d routers asked for the version of the stream %d do not know it and %d did not answer", e.Asked, e.Asked-e.Silent, e.Silent)
 }
 
-// Version returns the version at which a stream began, as far as this router or one of its holders knows it. It waits for their answers. The error
-// is an *UnknownError.
-func (r *Register) Version(ctx context.Context, q digest.StreamQuestion) (uint32, error) {
+// Version returns the version at which a stream began. A router that recorded it decides. Otherwise it is the only version that the service has had:
+// what this router knows of that may be old, for example after a freeze, so that at least one other router must have answered since the question
+// came, and none of them may know another version. Where none answers, this router reads the platform anew. The error is an *UnknownError.
+func (r *Register) Version(ctx context.Context, q digest.StreamQuestion) (digest.StreamVersion, error) {
 	r.mutex.Lock()
 	version, ok := r.records.version(r.Clock(), q.Attempt)
 	r.mutex.Unlock()
 	if ok {
-		return version, nil
+		return digest.StreamVersion{Attempt: q.Attempt, Version: version}, nil
 	}
-	if r.Routers == nil {
-		return 0, &UnknownError{}
+	var asked []string
+	if r.Routers != nil {
+		asked = holders(q.Attempt, r.Routers(), askedHolders)
 	}
-	asked := holders(q.Attempt, r.Routers(), askedHolders)
 	if len(asked) == 0 {
-		return 0, &UnknownError{}
+		return r.refreshed(ctx, q, &UnknownError{})
 	}
-	w := &question{waits: make(map[string]bool), answer: make(chan digest.StreamVersion, 1), unknown: make(chan struct{})}
+	w := &question{asked: len(asked), waits: make(map[string]bool), recorded: make(chan uint32, 1), answered: make(chan struct{})}
 	for _, to := range asked {
 		w.waits[to] = true
 	}
 	r.await(q.Attempt, w)
 	defer r.forget(q.Attempt, w)
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	timeout, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	again := time.NewTimer(askAgain)
 	defer again.Stop()
 	r.ask(q, asked)
 	for {
 		select {
-		case s := <-w.answer:
-			return s.Version, nil
-		case <-w.unknown:
-			return 0, &UnknownError{Asked: len(asked)}
+		case version := <-w.recorded:
+			return digest.StreamVersion{Attempt: q.Attempt, Version: version}, nil
+		case <-w.answered:
+			return r.conclude(q, w)
 		case <-again.C:
-			r.ask(q, r.silent(w))
-		case <-ctx.Done():
-			return 0, &UnknownError{Asked: len(asked), Silent: len(r.silent(w))}
+			silent := r.silent(w)
+			if s, err := r.conclude(q, w); err == nil && 2*len(silent) <= len(asked) {
+				return s, nil
+			}
+			r.ask(q, silent)
+		case <-timeout.Done():
+			if silent := len(r.silent(w)); silent == len(asked) {
+				return r.refreshed(ctx, q, &UnknownError{Asked: len(asked), Silent: silent})
+			}
+			return r.conclude(q, w)
 		}
 	}
 }
 
+// conclude returns the version at which a stream began that none of the routers that answered has recorded.
+func (r *Register) conclude(q digest.StreamQuestion, w *question) (digest.StreamVersion, error) {
+	own, count := r.versions(q)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	select {
+	case version := <-w.recorded:
+		return digest.StreamVersion{Attempt: q.Attempt, Version: version}, nil
+	default:
+	}
+	sole := slices.Clone(w.sole)
+	if count == digest.VersionsOne {
+		sole = append(sole, own)
+	}
+	slices.Sort(sole)
+	if w.several || count == digest.VersionsSeveral || len(slices.Compact(sole)) != 1 {
+		return digest.StreamVersion{}, &UnknownError{Asked: w.asked, Silent: len(w.waits)}
+	}
+	return digest.StreamVersion{Attempt: q.Attempt, Version: sole[0], Sole: true}, nil
+}
+
+// refreshed returns the only version that the service has had, as of a read of the platform that begins now, or the given error.
+func (r *Register) refreshed(ctx context.Context, q digest.StreamQuestion, unknown error) (digest.StreamVersion, error) {
+	if _, count := r.versions(q); count != digest.VersionsOne {
+		return digest.StreamVersion{}, unknown
+	}
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	if r.Refresh != nil && !r.Refresh(ctx) {
+		return digest.StreamVersion{}, unknown
+	}
+	sole, count := r.versions(q)
+	if count != digest.VersionsOne {
+		return digest.StreamVersion{}, unknown
+	}
+	return digest.StreamVersion{Attempt: q.Attempt, Version: sole, Sole: true}, nil
+}
+
+func (r *Register) versions(q digest.StreamQuestion) (sole uint32, count digest.VersionCount) {
+	if r.Versions == nil {
+		return 0, digest.VersionsUnknown
+	}
+	return r.Versions(q.Service, q.Window)
+}
+
 func (r *Register) ask(q digest.StreamQuestion, routers []string) {
 	for _, to := range routers {
 		r.Send(to, digest.Streams{Asked: []digest.StreamQuestion{q}})
@@ -180,29 +242,48 @@
 	r.mutex.Lock()
 	now := r.Clock()
 	for _, s := range m.Told {
-		r.records.add(now, s, toldTTL)
+		if !s.Sole {
+			r.records.add(now, s, toldTTL)
+		}
 		for _, w := range r.asking[s.Attempt] {
+			if s.Sole {
+				w.sole = append(w.sole, s.Version)
+				w.answeredBy(from)
+				continue
+			}
 			select {
-			case w.answer <- s:
+			case w.recorded <- s.Version:
 			default: // another router has answered
 			}
 		}
 	}
 	for _, attempt := range m.Unknown {
 		for _, w := range r.asking[attempt] {
-			if w.waits[from] {
-				if delete(w.waits, from); len(w.waits) == 0 {
-					close(w.unknown)
-				}
-			}
+			w.answeredBy(from)
+		}
+	}
+	for _, attempt := range m.Several {
+		for _, w := range r.asking[attempt] {
+			w.several = true
+			w.answeredBy(from)
 		}
 	}
 	r.mutex.Unlock()
-	if answer := r.answer(m.Asked); len(answer.Told)+len(answer.Unknown) > 0 {
+	if answer := r.answer(m.Asked); len(answer.Told)+len(answer.Unknown)+len(answer.Several) > 0 {
 		r.Send(from, answer)
 	}
 }
 
+// answeredBy records that a router has answered.
+func (w *question) answeredBy(router string) {
+	if !w.waits[router] {
+		return
+	}
+	if delete(w.waits, router); len(w.waits) == 0 {
+		close(w.answered)
+	}
+}
+
 // answer returns the answer to another router's questions.
 func (r *Register) answer(asked []digest.StreamQuestion) digest.Streams {
 	var m digest.Streams
@@ -210,12 +291,16 @@
 		r.mutex.Lock()
 		version, ok := r.records.version(r.Clock(), q.Attempt)
 		r.mutex.Unlock()
-		if !ok && r.Sole != nil {
-			version, ok = r.Sole(q.Service, q.Window)
-		}
 		if ok {
 			m.Told = append(m.Told, digest.StreamVersion{Attempt: q.Attempt, Version: version})
-		} else {
+			continue
+		}
+		switch sole, count := r.versions(q); count {
+		case digest.VersionsOne:
+			m.Told = append(m.Told, digest.StreamVersion{Attempt: q.Attempt, Version: sole, Sole: true})
+		case digest.VersionsSeveral:
+			m.Several = append(m.Several, q.Attempt)
+		default:
 			m.Unknown = append(m.Unknown, q.Attempt)
 		}
 	}
--- a/core/resume/register_test.go
+++ b/core/resume/register_test.go
@@ -68,6 +68,16 @@
 
 func (n *network) router(i int) *Register { return n.routers[fmt.Sprintf("10.0.0.%d:7", i+1)] }
 
+// asked returns a router other than the fourth that is asked for a stream but is not told of it.
+func (n *network) asked(t *testing.T, attempt uint64) *Register {
+	t.Helper()
+	list := holders(attempt, n.others("10.0.0.4:7"), askedHolders)
+	return n.routers[list[copies]]
+}
+
+// loseAll loses all further messages.
+func (n *network) loseAll() { n.lose = 1000 }
+
 // ask asks a router for a stream and returns its version, or 0 if it is not known.
 func (n *network) ask(t *testing.T, router int, attempt uint64) uint32 {
 	t.Helper()
@@ -76,7 +86,7 @@
 	if err != nil && !errors.As(err, &unknown) {
 		t.Errorf("error %v", err)
 	}
-	return version // 0 if it is not known
+	return version.Version // 0 if it is not known
 }
 
 // TestVersionIsKnownAtOtherRouters guards against a caller whose stream can't go on since the router to which it comes back did not begin it (LOST).
@@ -99,9 +109,8 @@
 		}},
 		"a router that knows a sole version": {routers: 9, want: 7, change: func(n *network) {
 			n.start("10.0.0.1:7")
-			n.router(4).Sole = func(uint32, time.Duration) (uint32, bool) { return 7, true }
 			for i := range 9 {
-				n.router(i).Sole = n.router(4).Sole
+				n.router(i).Versions = versions(digest.VersionsOne, 7)
 			}
 		}},
 		"all routers were restarted": {routers: 9, tell: true, want: 0, change: func(n *network) {
@@ -129,6 +138,65 @@
 	}
 }
 
+// versions returns a router's knowledge of a service's versions.
+func versions(count digest.VersionCount, sole uint32) func(uint32, time.Duration) (uint32, digest.VersionCount) {
+	return func(uint32, time.Duration) (uint32, digest.VersionCount) { return sole, count }
+}
+
+// TestOldKnowledgeOfOneVersion guards against a stream that goes on at another version since a router took the only one that it knew for the one at which
+// the stream began, though it was frozen or cut off when others learned of a second one (ORDER); and against one that is refused though nobody
+// knows of a second one (LOST).
+func TestOldKnowledgeOfOneVersion(t *testing.T) {
+	one, two, none := versions(digest.VersionsOne, 5), versions(digest.VersionsSeveral, 0), versions(digest.VersionsUnknown, 0)
+	const refused = 0
+	for name, d := range map[string]struct {
+		others  func(uint32, time.Duration) (uint32, digest.VersionCount)
+		change  func(n *network)
+		refresh func(asker *Register) bool // nil if the platform is not read
+		want    uint32
+	}{
+		"others recorded the stream": {others: two, want: 6, change: func(n *network) {
+			n.router(7).Began(digest.StreamVersion{Attempt: 99, Version: 6}, time.Minute, true)
+		}},
+		"others know several":           {others: two, want: refused},
+		"one other knows several":       {others: one, want: refused, change: func(n *network) { n.asked(t, 99).Versions = two }},
+		"others know one, another one":  {others: versions(digest.VersionsOne, 6), want: refused},
+		"others know the same one":      {others: one, want: 5},
+		"others have just started":      {others: none, want: 5},
+		"others are silent":             {others: two, want: refused, change: (*network).loseAll, refresh: func(*Register) bool { return false }},
+		"silent, and there is only one": {others: one, want: 5, change: (*network).loseAll, refresh: func(*Register) bool { return true }},
+		"silent, and there are several": {others: two, want: refused, change: (*network).loseAll, refresh: func(r *Register) bool {
+			r.Versions = two
+			return true
+		}},
+		"alone, and there are several": {others: two, want: refused, refresh: func(r *Register) bool {
+			r.Versions = two
+			return true
+		}, change: func(n *network) { n.router(3).Routers = func() []string { return nil } }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newNetwork(9)
+			for i := range 9 {
+				n.router(i).Versions = d.others
+			}
+			asker := n.router(3)
+			asker.Versions = one
+			if d.refresh != nil {
+				asker.Refresh = func(context.Context) bool { return d.refresh(asker) }
+			}
+			if d.change != nil {
+				d.change(n)
+			}
+			if got := n.ask(t, 3, 99); got != d.want {
+				t.Errorf("version %d, want %d", got, d.want)
+			}
+			if _, known := asker.records.version(time.Minute, 99); known && d.want != 6 {
+				t.Error("a version that nobody recorded is recorded")
+			}
+		})
+	}
+}
+
 // TestReportedStreams guards against a stream that a server reported, without its caller, and that is found for no caller or at no other router.
 func TestReportedStreams(t *testing.T) {
 	n := newNetwork(9)
--- a/router/proc/follow.go
+++ b/router/proc/follow.go
@@ -95,19 +95,19 @@
 	switch {
 	case turn.FromPeer:
 		return turn, 0
+	case p.reads.wanted() && (f.lastRead == 0 || now-f.lastRead >= readPause):
+		return f.call(now, turn)
 	case reader:
 		if left := f.lastRead + readPause - now; left > 0 && f.lastRead > 0 {
 			return turn, left
 		}
-		f.lastRead = now
 		if !lost {
 			turn.Wait = readWait
 		}
-		return turn, 0
+		return f.call(now, turn)
 	case late && (f.lastRead == 0 || now-f.lastRead >= minCallInterval), !fresh && f.due(now, pause):
-		f.lastRead = now
-		return turn, 0
-	case fresh && lost:
+		return f.call(now, turn)
+	case fresh && lost && f.announced == 0:
 		turn.FromPeer = true
 		return turn, 0
 	case !fresh && !lost && age > lostAge:
@@ -119,6 +119,13 @@
 	return turn, checkPeriod
 }
 
+// call returns a turn that reads the platform now.
+func (f *follower) call(now time.Duration, turn Turn) (Turn, time.Duration) {
+	f.lastRead = now
+	f.process.reads.begin()
+	return turn, 0
+}
+
 // unreachableError means that no router has read the platform for some time.
 type unreachableError struct{ age time.Duration }
 
@@ -157,6 +164,7 @@
 // recordRead stores the changes that were read, to be sent to the other routers.
 func (p *Process) recordRead(from, to int64, changes []digest.Change) {
 	p.count("platform.read")
+	p.reads.succeed()
 	if p.exchanger == nil {
 		return
 	}
--- a/router/proc/outage_test.go
+++ b/router/proc/outage_test.go
@@ -66,6 +66,43 @@
 	}
 }
 
+// TestRouterThatMissedAChange guards against a router that the platform turns away and that takes itself for up to date since others reach it, though a
+// change did not come through: it would take an old version for the only one (ORDER).
+func TestRouterThatMissedAChange(t *testing.T) {
+	for name, tt := range map[string]struct {
+		announced int64
+		recovers  bool
+		count     digest.VersionCount
+	}{
+		"others have the same":  {announced: 5, recovers: true, count: digest.VersionsOne},
+		"others have a new one": {announced: 7, count: digest.VersionsUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := &Process{began: time.Now().Add(-time.Hour), registry: metrics.NewRegistry(), log: log.New(io.Discard)}
+			p.gate = &relay.Gate{Clock: p.now, Pool: &pool.Pool{}}
+			p.gate.With(func(now time.Duration, q *pool.Pool) {
+				q.SetServer(0, pool.Server{ID: "a", Service: "chat", Address: "10.0.1.1:80", Version: "v1"})
+				q.ReadAnew(0)
+				q.SetPeers(now, digest.Sum{}, true, []string{"10.0.0.2:1"})
+			})
+			p.exchanger = &share.Exchanger{Fleet: &digest.Fleet{Address: "10.0.0.1:1", DataCentre: "d", FirstBeat: 1}, Clock: p.now}
+			p.recordRead(0, 5, nil)
+			p.platformRecovered(5)
+			p.platformLost(io.EOF)
+			p.exchanger.WithFleet(func(now time.Duration, f *digest.Fleet) {
+				f.Receive(now, digest.Message{From: "10.0.0.2:1", Revision: tt.announced, Update: &digest.Update{Revision: tt.announced}})
+			})
+			f := follower{process: p, maxAge: maxStateAge, lastRead: p.now()}
+			if turn, wait := f.decide(5); (wait == 0 && turn.FromPeer) != tt.recovers {
+				t.Errorf("turn %+v after %v, want one that recovers: %t", turn, wait, tt.recovers)
+			}
+			if _, count := p.serviceVersions(pool.ServiceID("chat"), time.Minute); count != tt.count {
+				t.Errorf("number of versions %d, want %d", count, tt.count)
+			}
+		})
+	}
+}
+
 // members returns n members in another data centre, whose heartbeat counters grow with time.
 func members(n int, at time.Duration) []digest.Member {
 	list := make([]digest.Member, n)
--- a/router/proc/peers.go
+++ b/router/proc/peers.go
@@ -41,15 +41,18 @@
 			})
 		},
 		Streams: p.streams,
-		OnNewer: func() {
-			select {
-			case p.newerState <- struct{}{}:
-			default: // an earlier notification is still pending
-			}
-		},
+		OnNewer: p.wakeSource,
 		OnError: func(err error) {
 			p.count("peers.failed")
 			p.log.Debug("peers", "error", err)
 		},
 	}
 }
+
+// wakeSource lets the source decide anew whether to read the platform.
+func (p *Process) wakeSource() {
+	select {
+	case p.newerState <- struct{}{}:
+	default: // an earlier notification is still pending
+	}
+}
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -72,7 +72,9 @@
 	failedProbes   atomic.Int32     // consecutive readiness probes that were answered as not ready
 	stoppingAt     atomic.Int64     // time of the signal to stop, on the clock of now; 0 before it
 	sourceLost     atomic.Bool
-	newerState     chan struct{} // signals that another router has a newer state of the platform
+	newerState     chan struct{} // signals the source that another router has a newer state of the platform, or that a read is wanted
+	applied        atomic.Int64  // revision up to which all changes of the platform's state are applied
+	reads          reads
 	cancelRequests context.CancelFunc
 }
 
@@ -100,10 +102,10 @@
 	}
 	_, requests := s.room()
 	p.limit.valve.InitialLimit = int(initialShare * float64(requests))
-	p.streams = &resume.Register{Clock: p.now, Sole: p.soleVersion}
+	p.streams = &resume.Register{Clock: p.now, Versions: p.serviceVersions}
 	if p.peers != nil {
 		p.exchanger = p.newExchanger()
-		p.streams.Routers, p.streams.Send = p.liveRouters, p.exchanger.SendStreams
+		p.streams.Routers, p.streams.Send, p.streams.Refresh = p.liveRouters, p.exchanger.SendStreams, p.refresh
 	}
 	stopping, cut := context.WithCancel(context.Background())
 	p.cancelRequests = cut
--- a/router/proc/source.go
+++ b/router/proc/source.go
@@ -104,6 +104,8 @@
 
 // platformRecovered records that the platform was read at a revision.
 func (p *Process) platformRecovered(revision int64) {
+	p.applied.Store(revision)
+	p.reads.apply()
 	p.gate.With(func(now time.Duration, q *pool.Pool) { q.SourceBack(now) })
 	if p.sourceLost.Swap(false) {
 		p.log.Info("platform back", "revision", revision)
--- a/router/proc/streams.go
+++ b/router/proc/streams.go
@@ -14,10 +14,23 @@
 	return live
 }
 
-// soleVersion returns the only software version that servers of a service have had within a window, as far as this router knows.
-func (p *Process) soleVersion(service uint32, window time.Duration) (version uint32, ok bool) {
-	p.gate.With(func(now time.Duration, q *pool.Pool) { version, ok = q.SoleVersion(now, service, window) })
-	return version, ok
+// serviceVersions returns how many software versions a service has had within a window, as far as this router knows, and the version if there was
+// only one. A router that knows it has missed a change knows no sole version.
+func (p *Process) serviceVersions(service uint32, window time.Duration) (sole uint32, count digest.VersionCount) {
+	p.gate.With(func(now time.Duration, q *pool.Pool) { sole, count = q.Versions(now, service, window) })
+	if count == digest.VersionsOne && p.behind() {
+		return 0, digest.VersionsUnknown
+	}
+	return sole, count
+}
+
+// behind reports whether another router knows of changes of the platform's state that this one has not applied.
+func (p *Process) behind() (behind bool) {
+	if p.exchanger != nil {
+		applied := p.applied.Load()
+		p.exchanger.WithFleet(func(_ time.Duration, fleet *digest.Fleet) { behind = fleet.Revision > applied })
+	}
+	return behind
 }
 
 // tellDelay is the time from the start of a router until it tells others what it learned from servers: by then it knows most of them.
--- a/router/relay/resume.go
+++ b/router/relay/resume.go
@@ -38,16 +38,19 @@
 	if c.relay.Streams == nil {
 		return
 	}
-	_, sole := c.soleVersion()
-	c.relay.Streams.Began(digest.StreamVersion{Attempt: resume.AttemptID(c.team, c.info.ID), Version: version}, c.streamLifetime(), !sole)
+	_, count := c.serviceVersions()
+	c.relay.Streams.Began(digest.StreamVersion{Attempt: resume.AttemptID(c.team, c.info.ID), Version: version}, c.streamLifetime(), count != digest.VersionsOne)
 }
 
-// soleVersion returns the only version at which the caller's stream can have begun, and false if there are several.
-func (c *call) soleVersion() (version uint32, ok bool) {
+// serviceVersions returns how many versions the service has had since the caller's stream may have begun, and the version if there was only one.
+func (c *call) serviceVersions() (sole uint32, count digest.VersionCount) {
+	if s := c.relay.Streams; s != nil && s.Versions != nil {
+		return s.Versions(pool.ServiceID(c.service), c.streamLifetime())
+	}
 	c.relay.Gate.With(func(now time.Duration, p *pool.Pool) {
-		version, ok = p.SoleVersion(now, pool.ServiceID(c.service), c.streamLifetime())
+		sole, count = p.Versions(now, pool.ServiceID(c.service), c.streamLifetime())
 	})
-	return version, ok
+	return sole, count
 }
 
 // resumeStream pins a request that goes on with a stream to the version at which that began. It returns a refusal if no router knows the version:
@@ -56,28 +59,24 @@
 	if last, err := strconv.ParseUint(c.order.last, 10, 64); err != nil || last == 0 {
 		return nil // the caller has no event of a stream yet
 	}
-	if version, ok := c.soleVersion(); ok {
-		c.relay.count("resumed.soleVersion")
-		c.pin(version)
+	began, err := c.beganAt(ctx)
+	if err == nil {
+		if began.Sole {
+			c.relay.count("resumed.soleVersion")
+		} else {
+			c.relay.count("resumed.known")
+		}
+		c.pin(began.Version)
 		c.resumed = true
 		return nil
 	}
 	e := &refusal{
-		reason: fleet.ReasonStreamUnknown, status: http.StatusServiceUnavailable, retryAfter: c.streamLifetime(),
-		detail: "the caller names no attempt that brought the first event",
+		reason: fleet.ReasonStreamUnknown, status: http.StatusServiceUnavailable, retryAfter: c.streamLifetime(), detail: err.Error(),
 	}
-	if c.info.BegunBy == "" || c.relay.Streams == nil {
+	if c.info.BegunBy == "" {
+		e.detail = "the caller names no attempt that brought the first event"
 		return e
 	}
-	q := digest.StreamQuestion{Attempt: resume.AttemptID(c.team, c.info.BegunBy), Service: pool.ServiceID(c.service), Window: c.streamLifetime()}
-	version, err := c.relay.Streams.Version(ctx, q)
-	if err == nil {
-		c.relay.count("resumed.known")
-		c.pin(version)
-		c.resumed = true
-		return nil
-	}
-	e.detail = err.Error()
 	var unknown *resume.UnknownError
 	if errors.As(err, &unknown) && (unknown.Asked == 0 || unknown.Silent > 0) {
 		e.retryAfter = unknownRetryAfter
@@ -85,6 +84,22 @@
 	return e
 }
 
+// beganAt returns the version at which the caller's stream began.
+func (c *call) beganAt(ctx context.Context) (digest.StreamVersion, error) {
+	q := digest.StreamQuestion{Service: pool.ServiceID(c.service), Window: c.streamLifetime()}
+	if c.info.BegunBy != "" {
+		q.Attempt = resume.AttemptID(c.team, c.info.BegunBy)
+	}
+	if c.relay.Streams != nil {
+		return c.relay.Streams.Version(ctx, q)
+	}
+	sole, count := c.serviceVersions()
+	if count != digest.VersionsOne {
+		return digest.StreamVersion{}, &resume.UnknownError{}
+	}
+	return digest.StreamVersion{Version: sole, Sole: true}, nil
+}
+
 // unknownRetryAfter is the Retry-After for a stream whose version is not known while some routers could not be asked. One that all routers don't
 // know is not worth coming back for.
 const unknownRetryAfter = time.Second
