Pass on changes that are larger than a message to routers without the platform

Callers at a router that the platform's store turned away got 404 on new routes for as long as that lasted, and nothing that changed afterwards reached it: no new server, no leaving one, no evacuation.

Cause: changes are passed between routers without gaps, and one that does not fit a datagram (24 KB, such as a configuration with 350 routes) was left out with all that come after it. It is announced by its revision, so that each router reads it from the platform, which this router can't.

Now a router that can't read the platform asks one that is ahead. It gets the value in parts, each asked for when the one before has arrived, and then the later changes. Routers that reach the platform read the change there, as before, so that nothing is sent to them.

TestLargeChangesReachRoutersWithoutPlatform: 9 to 295 routers, a fifth of the messages lost.

--- a/core/digest/fleet.go
+++ b/core/digest/fleet.go
@@ -37,6 +37,7 @@
 	Limits   []RateLimit // news of the servers' rate limits
 	Streams  *Streams    // what is told or asked of callers' streams; nil for nothing
 	Update   *Update     // update of the platform's state; nil if the sender does not know the state
+	Want     *Want       // changes of the platform's state that the receiver is asked for; nil for none
 }
 
 // Outgoing is a message to be sent.
@@ -52,6 +53,7 @@
 	Seeds      []string // addresses of routers to contact first
 	FirstBeat  uint64   // initial value of the heartbeat counter, higher with each start of the process
 	Revision   int64    // newest revision of the platform's state that this router knows to exist
+	SourceLost bool     // this router can't read the platform, and asks others for changes that are too large for one message
 	Random     *rand.Rand
 
 	counter        uint64
@@ -70,6 +72,8 @@
 	platformReadAt time.Duration    // when some router last read the platform, as far as known; 0 for never
 	peerRevisions  map[string]int64 // revision up to which each other router knows all changes
 	memberAdded    bool             // a member was discovered since the last gossip round
+	partial        partial          // of the change after the log's revision
+	wantedAt       time.Duration    // when this router last asked for changes; 0 for never
 	receivedAt     time.Duration    // when the last message of another router arrived; 0 for never
 }
 
@@ -133,12 +137,18 @@
 	f.receivedAt = max(1, now)
 	f.mergeMembers(now, m.Members)
 	f.Revision = max(f.Revision, m.Revision)
+	var out []Outgoing
 	if m.Update != nil {
-		f.receiveUpdate(now, m.From, m.Update)
+		out = f.receiveUpdate(now, m.From, m.Update)
+	}
+	if m.Want != nil {
+		if n := f.answerWant(now, m.Want); n != nil {
+			out = append(out, Outgoing{m.From, Message{From: f.Address, Revision: f.Revision, Update: n}})
+		}
 	}
 	f.receiveSums(now, m)
 	if len(m.Members) == 0 {
-		return nil
+		return out
 	}
 	// A sender that restarted with its clock set back continues from the counter in this answer.
 	if known := f.members[m.From]; known != nil && known.Beat > m.Members[0].Beat && m.Members[0].Address == m.From {
@@ -155,13 +165,14 @@
 func (f *Fleet) Tick(now time.Duration, own Sum) []Outgoing {
 	f.init()
 	out := f.dueMessages(now, own)
+	wants := f.want(now)
 	for i := range out {
 		out[i].Message.Revision = f.Revision
 		if out[i].Message.Members == nil {
 			out[i].Message.Update = f.updateFor(now, out[i].To)
 		}
 	}
-	return out
+	return append(out, wants...)
 }
 
 func (f *Fleet) dueMessages(now time.Duration, own Sum) []Outgoing {
--- a/core/digest/news.go
+++ b/core/digest/news.go
@@ -35,6 +35,7 @@
 	Age      time.Duration // time since some router last read the platform, as far as the sender knows
 	From, To int64         // Changes holds all changes after From up to To; both are 0 if there are none
 	Changes  []Change
+	Part     *Part // a part of the first change after From, if that is too large for one message; nil if there is none
 }
 
 // Log keeps the newest changes of the platform's state. The zero value is an empty log.
@@ -127,14 +128,18 @@
 	return n
 }
 
-// receiveUpdate handles an update from another router.
-func (f *Fleet) receiveUpdate(now time.Duration, from string, n *Update) {
+// receiveUpdate handles an update from another router, and returns the request for the next part if this was one.
+func (f *Fleet) receiveUpdate(now time.Duration, from string, n *Update) []Outgoing {
 	f.peerRevisions[from] = n.Revision
 	f.platformReadAt = max(f.platformReadAt, now-n.Age)
 	f.Revision = max(f.Revision, n.Revision)
 	if n.To > 0 {
 		f.log.Add(n.From, n.To, n.Changes)
 	}
+	if n.Part != nil && f.receivePart(n.From, n.Part) && f.log.revision < f.Revision {
+		return []Outgoing{f.wantFrom(now, from)}
+	}
+	return nil
 }
 
 // Reader reports whether this router reads the platform for all: it has been the head of one of the first data centres,
--- a/core/digest/news_test.go
+++ b/core/digest/news_test.go
@@ -146,3 +146,42 @@
 		}
 	}
 }
+
+// TestLargeChangesReachRoutersWithoutPlatform guards against a router that the platform turns away and that learns neither of a change that does not fit a
+// datagram nor of any that follows it (CONFIG, DRAIN, EVAC).
+func TestLargeChangesReachRoutersWithoutPlatform(t *testing.T) {
+	const large = 5*updateBytes + 7
+	for name, d := range map[string]struct {
+		near, centres int
+		loss          float64
+		within        time.Duration
+	}{
+		"nine":             {near: 3, centres: 3, within: time.Second},
+		"a fifth is lost":  {near: 3, centres: 3, loss: 0.2, within: 3 * time.Second},
+		"88":               {near: 22, centres: 4, within: 2 * time.Second},
+		"large, 295":       {near: 59, centres: 5, within: 4 * time.Second},
+		"in a data centre": {near: 9, centres: 1, within: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newNet(d.near, d.centres, 9)
+			n.loss = d.loss
+			for _, f := range n.fleets {
+				f.ObservePlatform(time.Millisecond, 0, 1, nil)
+			}
+			at := 5 * time.Second
+			n.run(0, at)
+			turnedAway := n.fleets[fmt.Sprintf("c%d-%d", d.centres-1, d.near-1)]
+			turnedAway.SourceLost = true
+			for _, f := range n.fleets {
+				if f != turnedAway { // the others read the large change by themselves
+					f.ObservePlatform(at, 1, 4, []Change{change(2, 10), change(3, large), change(4, 10)})
+				}
+			}
+			n.run(at, at+d.within)
+			changes, to, _ := turnedAway.Since(1)
+			if to != 4 || len(changes) != 3 || len(changes[1].Value) != large {
+				t.Fatalf("%d changes up to %d after %v, want 3 up to 4", len(changes), to, d.within)
+			}
+		})
+	}
+}
--- a/router/proc/source.go
+++ b/router/proc/source.go
@@ -96,6 +96,7 @@
 // platformLost records that the platform can't be read.
 func (p *Process) platformLost(err error) {
 	p.gate.With(func(now time.Duration, q *pool.Pool) { q.SourceLost(now) })
+	p.setSourceLost(true)
 	if !p.sourceLost.Swap(true) {
 		p.log.Warn("platform lost", "error", err)
 	}
@@ -107,7 +108,15 @@
 	p.applied.Store(revision)
 	p.reads.apply()
 	p.gate.With(func(now time.Duration, q *pool.Pool) { q.SourceBack(now) })
+	p.setSourceLost(false)
 	if p.sourceLost.Swap(false) {
 		p.log.Info("platform back", "revision", revision)
 	}
 }
+
+// setSourceLost sets whether this router asks others for changes that are too large for one message.
+func (p *Process) setSourceLost(lost bool) {
+	if p.exchanger != nil {
+		p.exchanger.WithFleet(func(_ time.Duration, f *digest.Fleet) { f.SourceLost = lost })
+	}
+}
--- a/router/share/codec_test.go
+++ b/router/share/codec_test.go
@@ -28,7 +28,9 @@
 	want.Update = &digest.Update{
 		Revision: 9, Age: 120 * time.Millisecond, From: 3, To: 8,
 		Changes: []digest.Change{{Key: "a", Value: []byte("x"), Revision: 4}, {Key: "b", Revision: 8, Deleted: true}},
+		Part:    &digest.Part{Key: "c", Revision: 9, Offset: 2, Size: 5, Bytes: []byte("yz")},
 	}
+	want.Want = &digest.Want{After: 9, Offset: 7}
 	want.Members = []digest.Member{{Address: "10.0.0.1:7000", DataCentre: "east", Beat: 1 << 40}, {Address: "[::1]:9", DataCentre: "west", Beat: 3}}
 	want.Suspects = []digest.Suspect{{
 		Service: 7, ID: 1 << 60, Crashes: []digest.Crash{{Server: 9, Age: 1500 * time.Millisecond, Answered: true}, {Server: 8, Age: time.Millisecond}},
--- a/router/share/news.go
+++ b/router/share/news.go
@@ -16,6 +16,9 @@
 	for _, c := range n.Changes {
 		w.Changes = append(w.Changes, &Change{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted})
 	}
+	if p := n.Part; p != nil {
+		w.Part = &Part{Key: p.Key, Revision: p.Revision, Offset: uint32(p.Offset), Size: uint32(p.Size), Bytes: p.Bytes}
+	}
 	return w
 }
 
@@ -31,5 +34,22 @@
 	for _, c := range w.Changes {
 		n.Changes = append(n.Changes, digest.Change{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted})
 	}
+	if p := w.Part; p != nil {
+		n.Part = &digest.Part{Key: p.Key, Revision: p.Revision, Offset: int(p.Offset), Size: int(p.Size), Bytes: p.Bytes}
+	}
 	return n
 }
+
+func encodeWant(n *digest.Want) *Want {
+	if n == nil {
+		return nil
+	}
+	return &Want{After: n.After, Offset: uint32(n.Offset)}
+}
+
+func decodeWant(w *Want) *digest.Want {
+	if w == nil {
+		return nil
+	}
+	return &digest.Want{After: w.After, Offset: int(w.Offset)}
+}
