Compare positions of the platform's state by era and revision

Cause: a copy gives revisions out again, and revisions of both histories were compared. The adapter rejected each answer below the highest revision that it had read. The logs of changes between routers, their announcements and the follower compared the same numbers, so that a check in the adapter alone would have moved the fault there. Store-Era, which tells the histories apart, was not read. Ruled out: the operator's versions, and the store's 410.

A position is now an era and a revision, compared in one place. A later era, from the store or announced by a router, makes a router read everything anew, and changes of two eras are never joined.

--- a/core/digest/fleet.go
+++ b/core/digest/fleet.go
@@ -25,9 +25,9 @@
 // Message is a message between routers.
 type Message struct {
 	From string
-	// Revision is the newest revision of the platform's state that the sender knows to exist, even if it lacks the
+	// Position is the newest position of the platform's state that the sender knows to exist, even if it lacks the
 	// changes up to it.
-	Revision int64
+	Position Position
 	Members  []Member    // gossip; nil if none
 	Part     *Sum        // usage of a router and of those that report to it, sent to its relay; empty when a router only probes a candidate
 	Centre   *Sum        // usage of a head and of all that report to it, sent to the heads of the other data centres
@@ -52,7 +52,7 @@
 	DataCentre string
 	Seeds      []string // addresses of routers to contact first
 	FirstBeat  uint64   // initial value of the heartbeat counter, higher with each start of the process
-	Revision   int64    // newest revision of the platform's state that this router knows to exist
+	Position   Position // newest position of the platform's state that this router knows to exist
 	SourceLost bool     // this router can't read the platform, and asks others for changes that are too large for one message
 	Random     *rand.Rand
 
@@ -69,12 +69,12 @@
 	candidate      relayProbe               // possible better relay, used once it answers
 	gossipedAt     time.Duration
 	log            Log
-	platformReadAt time.Duration    // when some router last read the platform, as far as known; 0 for never
-	peerRevisions  map[string]int64 // revision up to which each other router knows all changes
-	memberAdded    bool             // a member was discovered since the last gossip round
-	partial        partial          // of the change after the log's revision
-	wantedAt       time.Duration    // when this router last asked for changes; 0 for never
-	receivedAt     time.Duration    // when the last message of another router arrived; 0 for never
+	platformReadAt time.Duration       // when some router last read the platform, as far as known; 0 for never
+	peerPositions  map[string]Position // up to which each other router knows all changes
+	memberAdded    bool                // a member was discovered since the last gossip round
+	partial        partial             // of the change after the log's revision
+	wantedAt       time.Duration       // when this router last asked for changes; 0 for never
+	receivedAt     time.Duration       // when the last message of another router arrived; 0 for never
 }
 
 // relayProbe is a router whose answer is awaited.
@@ -99,7 +99,7 @@
 	f.headProbes = make(map[string]relayProbe)
 	f.parts = make(map[string]receivedSum)
 	f.centres = make(map[string]receivedSum)
-	f.peerRevisions = make(map[string]int64)
+	f.peerPositions = make(map[string]Position)
 	f.counter = f.FirstBeat
 	if f.Random == nil {
 		f.Random = rand.New(rand.NewPCG(f.FirstBeat, 0))
@@ -136,14 +136,14 @@
 	f.init()
 	f.receivedAt = max(1, now)
 	f.mergeMembers(now, m.Members)
-	f.Revision = max(f.Revision, m.Revision)
+	f.Position = latest(f.Position, f.withEra(m.Position))
 	var out []Outgoing
 	if m.Update != nil {
 		out = f.receiveUpdate(now, m.From, m.Update)
 	}
 	if m.Want != nil {
 		if n := f.answerWant(now, m.Want); n != nil {
-			out = append(out, Outgoing{m.From, Message{From: f.Address, Revision: f.Revision, Update: n}})
+			out = append(out, Outgoing{m.From, Message{From: f.Address, Position: f.Position, Update: n}})
 		}
 	}
 	f.receiveSums(now, m)
@@ -167,7 +167,7 @@
 	out := f.dueMessages(now, own)
 	wants := f.want(now)
 	for i := range out {
-		out[i].Message.Revision = f.Revision
+		out[i].Message.Position = f.Position
 		if out[i].Message.Members == nil {
 			out[i].Message.Update = f.updateFor(now, out[i].To)
 		}
--- a/core/digest/late_test.go
+++ b/core/digest/late_test.go
@@ -56,46 +56,58 @@
 }
 
 // TestLateUpdates guards against an update that arrives late, twice or before an earlier one, and makes a router skip a change,
-// apply one again or go back to an older revision.
+// apply one again or go back to an older revision, also where the platform gives revisions out again.
 func TestLateUpdates(t *testing.T) {
 	for seed := range uint64(4) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			n := &lateNet{net: newNet(3, 2, seed)}
 			random := rand.New(rand.NewPCG(seed, 2))
-			var history []Change
-			between := func(from, to int64) (list []Change) {
+			var history []Change // of the era in force
+			between := func(from, to Position) (list []Change) {
 				for _, c := range history {
-					if c.Revision > from && c.Revision <= to {
+					if c.Revision > from.Revision && c.Revision <= to.Revision {
 						list = append(list, c)
 					}
 				}
 				return list
 			}
-			revision := int64(1)
-			position := map[string]int64{} // revision of each router's view; 0 if it has read nothing
+			platform := Position{Era: 1, Revision: 1}
+			position := map[string]Position{} // of each router's view; zero if it has read nothing
 			addresses := slices.Sorted(maps.Keys(n.fleets))
 			fromPeers := 0
 			for now := 5 * time.Millisecond; now < 6*time.Second; now += 5 * time.Millisecond {
 				if random.IntN(20) == 0 {
-					revision += 1 + random.Int64N(3)
-					history = append(history, Change{Key: fmt.Sprint("k", random.IntN(4)), Value: make([]byte, random.IntN(9000)), Revision: revision})
+					platform.Revision += 1 + random.Int64N(3)
+					history = append(history, Change{Key: fmt.Sprint("k", random.IntN(4)), Value: make([]byte, random.IntN(9000)), Revision: platform.Revision})
+				}
+				if random.IntN(300) == 0 { // the platform comes back from a copy, and gives its revisions out again
+					platform, history = Position{platform.Era + 1, max(1, platform.Revision-1-random.Int64N(8))}, nil
 				}
 				n.step(now)
 				address := addresses[random.IntN(len(addresses))]
-				f, at := n.fleets[address], position[address]
-				switch changes, to, ok := f.Since(at); {
-				case at == 0, random.IntN(500) == 0: // at the start, and after lost history
-					f.ObservePlatform(now, 0, revision, nil)
-					position[address] = revision
-				case ok && to > at:
-					if want, got := revisions(between(at, to)), revisions(changes); !slices.Equal(want, got) || to > revision {
-						t.Fatalf("%v: %s goes from %d to %d of %d by %v, want %v", now, address, at, to, revision, got, want)
+				f, from := n.fleets[address], position[address]
+				switch changes, to, ok := f.Since(from); {
+				case from == Position{}, random.IntN(500) == 0: // at the start, and after lost history
+					f.ObservePlatform(now, Position{}, platform, nil)
+					position[address] = platform
+				case ok && from.Before(to):
+					if to.Era != from.Era || platform.Before(to) {
+						t.Fatalf("%v: %s goes from %v to %v of %v", now, address, from, to, platform)
+					}
+					if want, got := revisions(between(from, to)), revisions(changes); to.Era == platform.Era && !slices.Equal(want, got) {
+						t.Fatalf("%v: %s goes from %v to %v of %v by %v, want %v", now, address, from, to, platform, got, want)
 					}
 					position[address] = to
 					fromPeers += len(changes)
-				case random.IntN(50) == 0:
-					f.ObservePlatform(now, at, revision, between(at, revision))
-					position[address] = revision
+				case from.Era < f.Position.Era:
+					f.ObservePlatform(now, Position{}, platform, nil)
+					position[address] = platform
+				case from.Era == platform.Era && random.IntN(50) == 0:
+					f.ObservePlatform(now, from, platform, between(from, platform))
+					position[address] = platform
+				case from.Era < platform.Era && random.IntN(50) == 0:
+					f.ObservePlatform(now, Position{}, platform, nil)
+					position[address] = platform
 				}
 			}
 			if fromPeers < 50 {
--- a/core/digest/member.go
+++ b/core/digest/member.go
@@ -74,7 +74,7 @@
 	for address, m := range f.members {
 		if now-m.seenAt > forgetFactor*f.lostAfter() {
 			delete(f.members, address)
-			delete(f.peerRevisions, address)
+			delete(f.peerPositions, address)
 		}
 	}
 }
--- a/core/digest/news.go
+++ b/core/digest/news.go
@@ -31,36 +31,36 @@
 
 // Update is what a router knows of the platform's state.
 type Update struct {
-	Revision int64         // revision up to which the sender knows all changes
+	Position Position      // up to which the sender knows all changes
 	Age      time.Duration // time since some router last read the platform, as far as the sender knows
-	From, To int64         // Changes holds all changes after From up to To; both are 0 if there are none
+	From, To Position      // Changes holds all changes after From up to To; To is zero if there are none
 	Changes  []Change
 	Part     *Part // a part of the first change after From, if that is too large for one message; nil if there is none
 }
 
-// Log keeps the newest changes of the platform's state. The zero value is an empty log.
+// Log keeps the newest changes of the platform's state, all of one era. The zero value is an empty log.
 type Log struct {
 	changes  []Change // ordered by revision
 	bytes    int
-	oldest   int64 // all changes after this revision are kept
-	revision int64 // revision up to which all changes are known
+	oldest   int64    // all changes after this revision are kept
+	position Position // up to which all changes are known; zero if the log is empty
 }
 
-// Reset empties the log and sets its revision, after the complete state was read.
-func (l *Log) Reset(revision int64) { *l = Log{oldest: revision, revision: revision} }
+// Reset empties the log and sets its position, after the complete state was read.
+func (l *Log) Reset(p Position) { *l = Log{oldest: p.Revision, position: p} }
 
-// Add appends all changes after revision from up to revision to. It reports whether they are contiguous with the known changes.
-func (l *Log) Add(from, to int64, changes []Change) bool {
-	if l.revision == 0 || from > l.revision {
+// Add appends all changes after one position up to another. It reports whether they are contiguous with the known changes, and of the same era.
+func (l *Log) Add(from, to Position, changes []Change) bool {
+	if !l.continues(from) || to.Era != from.Era {
 		return false
 	}
 	for _, c := range changes {
-		if c.Revision > l.revision {
+		if c.Revision > l.position.Revision {
 			l.changes = append(l.changes, c)
 			l.bytes += c.size()
 		}
 	}
-	l.revision = max(l.revision, to)
+	l.position = latest(l.position, to)
 	drop := 0
 	for ; drop < len(l.changes) && l.bytes > logBytes; drop++ {
 		l.bytes -= l.changes[drop].size()
@@ -70,42 +70,46 @@
 	return true
 }
 
-// Since returns the changes after a revision and the revision up to which they are complete, and false if some of them are
-// no longer kept. It returns at most limit bytes of changes; 0 is no limit.
-func (l *Log) Since(revision int64, limit int) ([]Change, int64, bool) {
-	if l.revision == 0 || revision < l.oldest {
-		return nil, 0, false
+// continues reports whether all changes of a position's era up to it are known.
+func (l *Log) continues(p Position) bool {
+	return l.position != Position{} && p.Era == l.position.Era && !l.position.Before(p)
+}
+
+// Since returns the changes after a position and the position up to which they are complete, and false if some of them are no longer kept or the
+// position is of another era. It returns at most limit bytes of changes; 0 is no limit.
+func (l *Log) Since(p Position, limit int) ([]Change, Position, bool) {
+	if l.position == (Position{}) || p.Era != l.position.Era || p.Revision < l.oldest {
+		return nil, Position{}, false
 	}
 	var changes []Change
-	to, bytes := revision, 0
+	to, bytes := p, 0
 	for _, c := range l.changes {
-		if c.Revision <= revision {
+		if c.Revision <= p.Revision {
 			continue
 		}
 		if bytes += c.size(); limit > 0 && bytes > limit {
 			return changes, to, true
 		}
-		changes, to = append(changes, c), c.Revision
+		changes, to = append(changes, c), p.At(c.Revision)
 	}
-	return changes, max(revision, l.revision), true
+	return changes, latest(p, l.position), true
 }
 
-// ObservePlatform records what this router read from the platform: all changes after revision from up to revision to, or the complete
-// state if from is 0.
-func (f *Fleet) ObservePlatform(now time.Duration, from, to int64, changes []Change) {
+// ObservePlatform records what this router read from the platform: all changes after one position up to another, or the complete state if from is
+// zero.
+func (f *Fleet) ObservePlatform(now time.Duration, from, to Position, changes []Change) {
 	f.init()
-	f.platformReadAt, f.Revision = max(1, now), max(f.Revision, to)
-	if from == 0 || !f.log.Add(from, to, changes) {
+	f.platformReadAt, f.Position = max(1, now), latest(f.Position, to)
+	if from == (Position{}) || !f.log.Add(from, to, changes) {
 		f.log.Reset(to)
 	}
 }
 
-// Since returns the known changes after a revision and the revision up to which they are complete, and false if some of them
-// are not known.
-func (f *Fleet) Since(revision int64) ([]Change, int64, bool) { return f.log.Since(revision, 0) }
+// Since returns the known changes after a position and the position up to which they are complete, and false if some of them are not known.
+func (f *Fleet) Since(p Position) ([]Change, Position, bool) { return f.log.Since(p, 0) }
 
-// KnownRevision returns the revision up to which this router knows all changes.
-func (f *Fleet) KnownRevision() int64 { return f.log.revision }
+// Known returns the position up to which this router knows all changes.
+func (f *Fleet) Known() Position { return f.log.position }
 
 // PlatformAge returns the time since some router last read the platform, and false if it is not known.
 func (f *Fleet) PlatformAge(now time.Duration) (time.Duration, bool) {
@@ -114,15 +118,15 @@
 
 // updateFor returns the update for another router, with the changes that it lacks.
 func (f *Fleet) updateFor(now time.Duration, to string) *Update {
-	if f.log.revision == 0 {
+	if f.log.position == (Position{}) {
 		return nil
 	}
-	n := &Update{Revision: f.log.revision, Age: now - f.platformReadAt}
-	has, ok := f.peerRevisions[to]
-	if !ok || has >= f.log.revision {
+	n := &Update{Position: f.log.position, Age: now - f.platformReadAt}
+	has, ok := f.peerPositions[to]
+	if !ok || !has.Before(f.log.position) {
 		return n
 	}
-	if changes, last, ok := f.log.Since(has, updateBytes); ok && last > has {
+	if changes, last, ok := f.log.Since(has, updateBytes); ok && has.Before(last) {
 		n.From, n.To, n.Changes = has, last, changes
 	}
 	return n
@@ -130,18 +134,27 @@
 
 // receiveUpdate handles an update from another router, and returns the request for the next part if this was one.
 func (f *Fleet) receiveUpdate(now time.Duration, from string, n *Update) []Outgoing {
-	f.peerRevisions[from] = n.Revision
+	position := f.withEra(n.Position)
+	f.peerPositions[from] = position
 	f.platformReadAt = max(f.platformReadAt, now-n.Age)
-	f.Revision = max(f.Revision, n.Revision)
-	if n.To > 0 {
-		f.log.Add(n.From, n.To, n.Changes)
+	f.Position = latest(f.Position, position)
+	if n.To != (Position{}) {
+		f.log.Add(f.withEra(n.From), f.withEra(n.To), n.Changes)
 	}
-	if n.Part != nil && f.receivePart(n.From, n.Part) && f.log.revision < f.Revision {
+	if n.Part != nil && f.receivePart(f.withEra(n.From), n.Part) && f.log.position.Before(f.Position) {
 		return []Outgoing{f.wantFrom(now, from)}
 	}
 	return nil
 }
 
+// withEra returns a position of another router. Routers of the version before tell no era, and follow the same platform.
+func (f *Fleet) withEra(p Position) Position {
+	if p.Era == 0 {
+		p.Era = f.log.position.Era
+	}
+	return p
+}
+
 // Reader reports whether this router reads the platform for all: it has been the head of one of the first data centres,
 // by name, for at least readerDelay.
 func (f *Fleet) Reader(now time.Duration) bool {
--- a/core/digest/news_test.go
+++ b/core/digest/news_test.go
@@ -12,6 +12,9 @@
 	return Change{Key: fmt.Sprint("k", revision), Value: make([]byte, bytes), Revision: revision}
 }
 
+// rev returns a position of the first era.
+func rev(revision int64) Position { return Position{Revision: revision} }
+
 func TestLog(t *testing.T) {
 	tests := map[string]struct {
 		build func(l *Log)
@@ -22,29 +25,29 @@
 		known bool
 	}{
 		"nothing read":         {build: func(*Log) {}},
-		"nothing new":          {build: func(l *Log) { l.Reset(5) }, since: 5, to: 5, known: true},
-		"older than the start": {build: func(l *Log) { l.Reset(5) }, since: 4},
-		"changes":              {build: func(l *Log) { l.Reset(5); l.Add(5, 9, []Change{change(6, 1), change(8, 1)}) }, since: 5, want: []int64{6, 8}, to: 9, known: true},
-		"some of the changes":  {build: func(l *Log) { l.Reset(5); l.Add(5, 9, []Change{change(6, 1), change(8, 1)}) }, since: 6, want: []int64{8}, to: 9, known: true},
+		"nothing new":          {build: func(l *Log) { l.Reset(rev(5)) }, since: 5, to: 5, known: true},
+		"older than the start": {build: func(l *Log) { l.Reset(rev(5)) }, since: 4},
+		"changes":              {build: func(l *Log) { l.Reset(rev(5)); l.Add(rev(5), rev(9), []Change{change(6, 1), change(8, 1)}) }, since: 5, want: []int64{6, 8}, to: 9, known: true},
+		"some of the changes":  {build: func(l *Log) { l.Reset(rev(5)); l.Add(rev(5), rev(9), []Change{change(6, 1), change(8, 1)}) }, since: 6, want: []int64{8}, to: 9, known: true},
 		"repeated changes": {
 			build: func(l *Log) {
-				l.Reset(5)
-				l.Add(5, 8, []Change{change(6, 1), change(8, 1)})
-				l.Add(5, 9, []Change{change(6, 1), change(8, 1), change(9, 1)})
+				l.Reset(rev(5))
+				l.Add(rev(5), rev(8), []Change{change(6, 1), change(8, 1)})
+				l.Add(rev(5), rev(9), []Change{change(6, 1), change(8, 1), change(9, 1)})
 			},
 			since: 5, want: []int64{6, 8, 9}, to: 9, known: true,
 		},
-		"a gap": {build: func(l *Log) { l.Reset(5); l.Add(7, 9, []Change{change(8, 1)}) }, since: 5, to: 5, known: true},
+		"a gap": {build: func(l *Log) { l.Reset(rev(5)); l.Add(rev(7), rev(9), []Change{change(8, 1)}) }, since: 5, to: 5, known: true},
 		"more than a message": {
-			build: func(l *Log) { l.Reset(5); l.Add(5, 9, []Change{change(6, 50), change(8, 500)}) },
+			build: func(l *Log) { l.Reset(rev(5)); l.Add(rev(5), rev(9), []Change{change(6, 50), change(8, 500)}) },
 			since: 5, limit: 200, want: []int64{6}, to: 6, known: true,
 		},
 		"more than is kept": {
-			build: func(l *Log) { l.Reset(5); l.Add(5, 9, []Change{change(6, logBytes), change(8, 1)}) },
+			build: func(l *Log) { l.Reset(rev(5)); l.Add(rev(5), rev(9), []Change{change(6, logBytes), change(8, 1)}) },
 			since: 5,
 		},
 		"the kept part": {
-			build: func(l *Log) { l.Reset(5); l.Add(5, 9, []Change{change(6, logBytes), change(8, 1)}) },
+			build: func(l *Log) { l.Reset(rev(5)); l.Add(rev(5), rev(9), []Change{change(6, logBytes), change(8, 1)}) },
 			since: 6, want: []int64{8}, to: 9, known: true,
 		},
 	}
@@ -52,13 +55,13 @@
 		t.Run(name, func(t *testing.T) {
 			var l Log
 			c.build(&l)
-			changes, to, known := l.Since(c.since, c.limit)
+			changes, to, known := l.Since(rev(c.since), c.limit)
 			var got []int64
 			for _, e := range changes {
 				got = append(got, e.Revision)
 			}
-			if d := cmp.Diff(c.want, got); d != "" || to != c.to || known != c.known {
-				t.Errorf("%v up to %d, known %t; want %v up to %d, %t", got, to, known, c.want, c.to, c.known)
+			if d := cmp.Diff(c.want, got); d != "" || to != rev(c.to) || known != c.known {
+				t.Errorf("%v up to %v, known %t; want %v up to %d, %t", got, to, known, c.want, c.to, c.known)
 			}
 		})
 	}
@@ -83,8 +86,8 @@
 		if n.down[address] {
 			continue
 		}
-		if _, to, known := f.Since(1); !known || to != revision {
-			t.Errorf("%s knows changes up to %d at %v, want %d", address, to, at, revision)
+		if _, to, known := f.Since(rev(1)); !known || to != rev(revision) {
+			t.Errorf("%s knows changes up to %v at %v, want %d", address, to, at, revision)
 		}
 		if age, known := f.PlatformAge(at); !known || age > time.Second {
 			t.Errorf("%s: the platform was read %v ago, known %t", address, age, known)
@@ -112,7 +115,7 @@
 			n := newNet(c.near, c.centres, 8)
 			n.loss = c.loss
 			for _, f := range n.fleets {
-				f.ObservePlatform(time.Millisecond, 0, 1, nil)
+				f.ObservePlatform(time.Millisecond, Position{}, rev(1), nil)
 			}
 			at := 10 * time.Second
 			n.run(0, at)
@@ -124,7 +127,7 @@
 			if got := n.readers(at); got > 2*readerCentres {
 				t.Errorf("%d routers read for all", got)
 			}
-			n.fleets[c.reads].ObservePlatform(at, 1, 7, []Change{change(4, 100), change(7, 12000)})
+			n.fleets[c.reads].ObservePlatform(at, rev(1), rev(7), []Change{change(4, 100), change(7, 12000)})
 			n.run(at, at+900*time.Millisecond)
 			n.checkRevision(t, at+900*time.Millisecond, 7)
 		})
@@ -135,14 +138,14 @@
 func TestLargeChangesAreAnnounced(t *testing.T) {
 	n := newNet(3, 3, 9)
 	for _, f := range n.fleets {
-		f.ObservePlatform(time.Millisecond, 0, 1, nil)
+		f.ObservePlatform(time.Millisecond, Position{}, rev(1), nil)
 	}
 	n.run(0, 5*time.Second)
-	n.fleets["c0-0"].ObservePlatform(5*time.Second, 1, 3, []Change{change(2, 10), change(3, updateBytes)})
+	n.fleets["c0-0"].ObservePlatform(5*time.Second, rev(1), rev(3), []Change{change(2, 10), change(3, updateBytes)})
 	n.run(5*time.Second, 6*time.Second)
 	for address, f := range n.fleets {
-		if _, to, _ := f.Since(1); address != "c0-0" && (to != 2 || f.Revision != 3) {
-			t.Errorf("%s knows changes up to %d and of revision %d, want 2 and 3", address, to, f.Revision)
+		if _, to, _ := f.Since(rev(1)); address != "c0-0" && (to != rev(2) || f.Position != rev(3)) {
+			t.Errorf("%s knows changes up to %v and of %v, want 2 and 3", address, to, f.Position)
 		}
 	}
 }
@@ -166,7 +169,7 @@
 			n := newNet(d.near, d.centres, 9)
 			n.loss = d.loss
 			for _, f := range n.fleets {
-				f.ObservePlatform(time.Millisecond, 0, 1, nil)
+				f.ObservePlatform(time.Millisecond, Position{}, rev(1), nil)
 			}
 			at := 5 * time.Second
 			n.run(0, at)
@@ -174,13 +177,13 @@
 			turnedAway.SourceLost = true
 			for _, f := range n.fleets {
 				if f != turnedAway { // the others read the large change by themselves
-					f.ObservePlatform(at, 1, 4, []Change{change(2, 10), change(3, large), change(4, 10)})
+					f.ObservePlatform(at, rev(1), rev(4), []Change{change(2, 10), change(3, large), change(4, 10)})
 				}
 			}
 			n.run(at, at+d.within)
-			changes, to, _ := turnedAway.Since(1)
-			if to != 4 || len(changes) != 3 || len(changes[1].Value) != large {
-				t.Fatalf("%d changes up to %d after %v, want 3 up to 4", len(changes), to, d.within)
+			changes, to, _ := turnedAway.Since(rev(1))
+			if to != rev(4) || len(changes) != 3 || len(changes[1].Value) != large {
+				t.Fatalf("%d changes up to %v after %v, want 3 up to 4", len(changes), to, d.within)
 			}
 		})
 	}
--- a/core/digest/part.go
+++ b/core/digest/part.go
@@ -10,22 +10,22 @@
 
 // Want asks another router for the changes after a revision, of which the first may be too large for one message.
 type Want struct {
-	After  int64
+	After  Position
 	Offset int // number of bytes of the first change's value that the sender already has
 }
 
 // Part is a part of the value of a change that is too large for one message. The change is the first after the From of its update.
 type Part struct {
 	Key      string
-	Revision int64
-	Offset   int // of Bytes in the value
-	Size     int // of the whole value
+	Revision int64 // of the era of From
+	Offset   int   // of Bytes in the value
+	Size     int   // of the whole value
 	Bytes    []byte
 }
 
 // partial is the part of a change that has arrived so far.
 type partial struct {
-	after    int64 // the change is the first after this revision
+	after    Position // the change is the first after this position
 	revision int64
 	size     int
 	value    []byte
@@ -33,12 +33,12 @@
 
 // want returns the request for changes that this router lacks and can't read from the platform, if one is due.
 func (f *Fleet) want(now time.Duration) []Outgoing {
-	if !f.SourceLost || f.log.revision == 0 || f.log.revision >= f.Revision || f.wantedAt > 0 && now-f.wantedAt < wantTimeout {
+	if !f.SourceLost || f.log.position == (Position{}) || !f.log.position.Before(f.Position) || f.wantedAt > 0 && now-f.wantedAt < wantTimeout {
 		return nil
 	}
 	var ahead []string
 	for _, address := range f.Live(now) {
-		if f.peerRevisions[address] > f.log.revision {
+		if f.log.position.Before(f.peerPositions[address]) {
 			ahead = append(ahead, address)
 		}
 	}
@@ -54,30 +54,31 @@
 // wantFrom returns the request for changes to one router.
 func (f *Fleet) wantFrom(now time.Duration, to string) Outgoing {
 	f.wantedAt = max(1, now)
-	w := Want{After: f.log.revision}
+	w := Want{After: f.log.position}
 	if f.partial.after == w.After {
 		w.Offset = len(f.partial.value)
 	}
-	return Outgoing{to, Message{From: f.Address, Revision: f.Revision, Want: &w}}
+	return Outgoing{to, Message{From: f.Address, Position: f.Position, Want: &w}}
 }
 
 // answerWant returns the changes that another router asked for, or a part of the first one; nil if this router no longer keeps them.
 func (f *Fleet) answerWant(now time.Duration, w *Want) *Update {
-	changes, to, ok := f.log.Since(w.After, updateBytes)
+	after := f.withEra(w.After)
+	changes, to, ok := f.log.Since(after, updateBytes)
 	if !ok {
 		return nil
 	}
-	n := &Update{Revision: f.log.revision, Age: now - f.platformReadAt}
-	if to > w.After {
-		n.From, n.To, n.Changes = w.After, to, changes
+	n := &Update{Position: f.log.position, Age: now - f.platformReadAt}
+	if after.Before(to) {
+		n.From, n.To, n.Changes = after, to, changes
 		return n
 	}
-	c, ok := f.log.first(w.After)
+	c, ok := f.log.first(after.Revision)
 	if !ok || w.Offset < 0 || w.Offset >= len(c.Value) {
 		return nil
 	}
 	end := min(len(c.Value), w.Offset+updateBytes)
-	n.From, n.Part = w.After, &Part{Key: c.Key, Revision: c.Revision, Offset: w.Offset, Size: len(c.Value), Bytes: c.Value[w.Offset:end]}
+	n.From, n.Part = after, &Part{Key: c.Key, Revision: c.Revision, Offset: w.Offset, Size: len(c.Value), Bytes: c.Value[w.Offset:end]}
 	return n
 }
 
@@ -91,8 +92,8 @@
 }
 
 // receivePart adds a part to what has arrived of a change, and the change to the log once it is whole. It reports whether the part was the next one.
-func (f *Fleet) receivePart(after int64, p *Part) bool {
-	if after != f.log.revision || p.Revision <= after || p.Size > logBytes {
+func (f *Fleet) receivePart(after Position, p *Part) bool {
+	if after != f.log.position || p.Revision <= after.Revision || p.Size > logBytes {
 		return false
 	}
 	if f.partial.after != after || f.partial.revision != p.Revision || f.partial.size != p.Size {
@@ -103,7 +104,7 @@
 	}
 	f.partial.value = append(f.partial.value, p.Bytes...)
 	if len(f.partial.value) == p.Size {
-		f.log.Add(after, p.Revision, []Change{{Key: p.Key, Value: f.partial.value, Revision: p.Revision}})
+		f.log.Add(after, after.At(p.Revision), []Change{{Key: p.Key, Value: f.partial.value, Revision: p.Revision}})
 		f.partial = partial{}
 	}
 	return true
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -17,15 +17,21 @@
 	Random     *rand.Rand
 	OnVersion  func(service string) // called when a service has a software version beside others; may be nil
 	OnEvent    func(Event)          // called on each change in the view of a server or a subject; may be nil
+	// OnEvacuation is called when a data centre is taken out of service or put back; may be nil.
+	OnEvacuation func(dataCentre string, out bool)
 
-	table      *route.Table
-	servers    map[string]*backend
-	services   map[string]*service
-	addresses  map[string]string        // ID of the newest server at an address
-	evacuated  map[string]bool          // data centres that get no new work
-	restoredAt map[string]time.Duration // when a data centre was put back in service
-	shares     shares
-	advertised map[incarnation]*advertised // what servers advertised about themselves
+	table        *route.Table
+	servers      map[string]*backend
+	services     map[string]*service
+	addresses    map[string]string             // ID of the newest server at an address
+	evacuated    map[string]bool               // data centres that get no new work
+	restoredAt   map[string]time.Duration      // when a data centre was put back in service
+	outOfService map[string]bool               // data centres that the platform lists as out of service
+	outLapses    map[string]time.Duration      // until when a data centre stays out of service that the platform no longer lists
+	left         map[incarnation]time.Duration // when servers went whose entries an older copy of the platform may still have
+	rewinding    bool                          // the platform came back from a copy, and is being read anew
+	shares       shares
+	advertised   map[incarnation]*advertised // what servers advertised about themselves
 
 	peersVersion uint64 // number of changes of Peers
 
@@ -68,6 +74,8 @@
 	p.evacuated = make(map[string]bool)
 	p.restoredAt = make(map[string]time.Duration)
 	p.advertised = make(map[incarnation]*advertised)
+	p.left = make(map[incarnation]time.Duration)
+	p.outLapses = make(map[string]time.Duration)
 	if p.Random == nil {
 		p.Random = rand.New(rand.NewPCG(hash64(p.Self), 0))
 	}
@@ -93,6 +101,11 @@
 		if b.ended() {
 			b.crash = nil // an entry without a start time doesn't tell incarnations apart
 		}
+		if p.rewinding && b.Draining && !s.Draining {
+			b.heldUntil = now + heldGrace
+		} else {
+			b.heldUntil = 0
+		}
 		b.Server, b.lapsesAt = s, 0
 		p.addVersion(p.service(b.Service), b)
 		if s.ColdRemaining > 0 {
@@ -111,6 +124,9 @@
 		p.emit(o, "gone", "server "+s.ID+" has its address")
 	}
 	b = &backend{Server: s, runs: make(map[*Run]bool), hash: hash64(s.ID), incarnationID: s.incarnation().hash(), coldUntil: now + s.ColdRemaining, advertised: p.advertised[s.incarnation()]}
+	if at, ok := p.left[s.incarnation()]; ok && p.rewinding && now-at < leftTTL {
+		b.heldUntil = now + heldGrace
+	}
 	p.servers[s.ID] = b
 	v := p.service(s.Service)
 	at := len(v.servers)
@@ -144,6 +160,11 @@
 	if b == nil {
 		return
 	}
+	if p.rewinding {
+		b.lapsesAt = now + lapseGrace
+		p.emit(b, "lapsed", "the platform came back from a copy without its entry")
+		return
+	}
 	if p.sourceLost {
 		if b.lapsesAt == 0 {
 			b.lapsesAt = now + lapseGrace
@@ -172,16 +193,26 @@
 			}
 		}
 	}
+	p.expire(now)
+}
+
+// expire ends the grace periods that are over.
+func (p *Pool) expire(now time.Duration) {
 	for _, b := range p.servers {
 		if b.lapsesAt > 0 && now >= b.lapsesAt {
 			p.drop(now, b)
 			p.emit(b, "gone", "its entry did not come back")
+		} else if b.heldUntil > 0 && now >= b.heldUntil {
+			b.heldUntil = 0
+			p.emit(b, "state", "its entry is still there")
 		}
 	}
+	p.expireEvacuations(now)
 }
 
 func (p *Pool) drop(now time.Duration, b *backend) {
 	b.gone = true
+	p.recordLeft(now, b)
 	delete(p.servers, b.ID)
 	v := p.service(b.Service)
 	v.leaveVersion(now, b.versionID)
@@ -212,6 +243,9 @@
 	if !out {
 		p.restoredAt[dataCentre] = now
 	}
+	if p.OnEvacuation != nil {
+		p.OnEvacuation(dataCentre, out)
+	}
 	return true
 }
 
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -34,6 +34,7 @@
 	coldUntil     time.Duration
 	lapsesAt      time.Duration // when to remove the server, whose entry was lost during an outage; 0 for never
 	advertised    *advertised   // what the server advertised; nil if nothing
+	heldUntil     time.Duration // until when it gets no work, as its entry may be older than its leaving; 0 for never
 	gone          bool          // no longer listed by the platform, or its address belongs to another server
 
 	runs        map[*Run]bool // this router's open requests
--- a/core/pool/summary.go
+++ b/core/pool/summary.go
@@ -32,6 +32,7 @@
 	if !slices.Equal(p.Peers, routers) {
 		p.peersVersion++
 	}
+	p.expire(now)
 	p.Peers, p.Joined = routers, len(routers) > 0 && now > joinDelay || now > aloneDelay
 	switch {
 	case known:
--- a/core/pool/version.go
+++ b/core/pool/version.go
@@ -24,7 +24,7 @@
 // ReadAnew records that all servers were just read from the platform. Servers that came and went before may have been missed.
 func (p *Pool) ReadAnew(now time.Duration) {
 	p.init()
-	p.readAnewAt, p.wasRead = now, true
+	p.readAnewAt, p.wasRead, p.rewinding = now, true, false
 }
 
 // Versions returns how many software versions the servers of a service have had within the last window, and the version if there was only one.
--- a/router/proc/follow.go
+++ b/router/proc/follow.go
@@ -29,6 +29,8 @@
 	lostAge = 3 * time.Second
 	// announceTimeout is how long an announced change may take to arrive from another router.
 	announceTimeout = 400 * time.Millisecond
+	// eraSpread times the number of routers is the time over which they read the state of a new era.
+	eraSpread = 2 * time.Millisecond
 	// checkPeriod is how often a waiting router checks the age of its state.
 	checkPeriod = 100 * time.Millisecond
 )
@@ -36,25 +38,26 @@
 // Turn is the next step of a source.
 type Turn struct {
 	FromPeer bool            // apply Changes, which another router read; otherwise read the platform
-	Changes  []digest.Change // all after the source's revision up to At
-	Revision int64
+	Changes  []digest.Change // all after the source's position up to Position
+	Position digest.Position
 	Wait     time.Duration // how long the platform may hold the call while there is no change
 }
 
 // follower decides when a router reads the platform and when it applies what other routers read.
 type follower struct {
 	process     *Process
-	maxAge      time.Duration // age of the fleet's last read above which this router reads
-	lastRead    time.Duration // time of this router's last call
-	announced   int64         // a revision whose changes have not arrived yet; 0 if none
-	announcedAt time.Duration // when it was first announced
-	nextTry     time.Duration // time of the next call while no router reaches the platform; 0 while one does
+	maxAge      time.Duration   // age of the fleet's last read above which this router reads
+	lastRead    time.Duration   // time of this router's last call
+	announced   digest.Position // one whose changes have not arrived yet; zero if none
+	announcedAt time.Duration   // when it was first announced
+	spread      time.Duration   // random delay before this router reads the state of a new era
+	nextTry     time.Duration   // time of the next call while no router reaches the platform; 0 while one does
 }
 
-// next waits for the next turn of a source that has all changes up to a revision.
-func (f *follower) next(ctx context.Context, revision int64) Turn {
+// next waits for the next turn of a source that has all changes up to a position.
+func (f *follower) next(ctx context.Context, known digest.Position) Turn {
 	for ctx.Err() == nil {
-		turn, wait := f.decide(revision)
+		turn, wait := f.decide(known)
 		if wait <= 0 {
 			return turn
 		}
@@ -66,21 +69,21 @@
 		}
 		timer.Stop()
 	}
-	return Turn{FromPeer: true, Revision: revision}
+	return Turn{FromPeer: true, Position: known}
 }
 
 // decide returns the next turn, or how long to wait before deciding again.
-func (f *follower) decide(revision int64) (Turn, time.Duration) {
+func (f *follower) decide(applied digest.Position) (Turn, time.Duration) {
 	p := f.process
 	now := p.now()
 	lost := p.sourceLost.Load()
 	reader, fresh, late := true, false, false
 	pause, age := minCallInterval, time.Duration(0)
-	turn := Turn{Revision: revision}
+	turn := Turn{Position: applied}
 	if p.exchanger != nil {
 		p.exchanger.WithFleet(func(now time.Duration, fleet *digest.Fleet) {
-			if changes, to, ok := fleet.Since(revision); ok && to > revision {
-				turn = Turn{FromPeer: true, Changes: changes, Revision: to}
+			if changes, to, ok := fleet.Since(applied); ok && applied.Before(to) {
+				turn = Turn{FromPeer: true, Changes: changes, Position: to}
 			}
 			known := false
 			age, known = fleet.PlatformAge(now)
@@ -88,7 +91,7 @@
 			if fleet.Connected(now) {
 				pause = max(pause, time.Duration(fleet.Size(now))*time.Second/fleetCallRate)
 			}
-			late = f.overdue(now, revision, fleet.Revision)
+			late = f.overdue(now, applied, fleet)
 			reader = fleet.Reader(now)
 		})
 	}
@@ -107,7 +110,7 @@
 		return f.call(now, turn)
 	case late && (f.lastRead == 0 || now-f.lastRead >= minCallInterval), !fresh && f.due(now, pause):
 		return f.call(now, turn)
-	case fresh && lost && f.announced == 0:
+	case fresh && lost && f.announced == digest.Position{}:
 		turn.FromPeer = true
 		return turn, 0
 	case !fresh && !lost && age > lostAge:
@@ -149,20 +152,25 @@
 	return true
 }
 
-// overdue reports whether an announced change has not arrived within announceTimeout, as happens if it is too large for a message.
-func (f *follower) overdue(now time.Duration, revision, announced int64) bool {
-	if announced <= revision {
-		f.announced = 0
+// overdue reports whether an announced change has not arrived within announceTimeout, as happens if it is too large for a message. The state of a new
+// era never arrives, so that each router reads it, and they spread their calls.
+func (f *follower) overdue(now time.Duration, applied digest.Position, fleet *digest.Fleet) bool {
+	if !applied.Before(fleet.Position) {
+		f.announced = digest.Position{}
 		return false
 	}
-	if f.announced == 0 {
-		f.announced, f.announcedAt = announced, now
+	if f.announced == (digest.Position{}) || f.announced.Era != fleet.Position.Era {
+		f.announced, f.announcedAt = fleet.Position, now
+		f.spread = time.Duration(rand.Float64() * float64(fleet.Size(now)) * float64(eraSpread))
+	}
+	if applied.Era < f.announced.Era {
+		return now-f.announcedAt >= f.spread
 	}
 	return now-f.announcedAt > announceTimeout
 }
 
 // recordRead stores the changes that were read, to be sent to the other routers.
-func (p *Process) recordRead(from, to int64, changes []digest.Change) {
+func (p *Process) recordRead(from, to digest.Position, changes []digest.Change) {
 	p.count("platform.read")
 	p.reads.succeed()
 	if p.exchanger == nil {
--- a/router/proc/follow_test.go
+++ b/router/proc/follow_test.go
@@ -38,30 +38,30 @@
 	for ctx.Err() == nil {
 		turn := Turn{}
 		if known > 0 {
-			turn = t.Next(ctx, known)
+			turn = t.Next(ctx, at(known))
 		}
 		if turn.FromPeer {
-			known = turn.Revision
-			t.Recovered(known)
+			known = turn.Position.Revision
+			t.Recovered(at(known))
 			continue
 		}
-		at, ok := p.read()
+		newest, ok := p.read()
 		if !ok {
 			t.Lost(fmt.Errorf("platform is down"))
 			time.Sleep(20 * time.Millisecond)
 			continue
 		}
-		if at == known {
+		if newest == known {
 			time.Sleep(turn.Wait)
-			at, _ = p.read()
+			newest, _ = p.read()
 		}
 		var changes []digest.Change
-		for r := known + 1; known > 0 && r <= at; r++ {
+		for r := known + 1; known > 0 && r <= newest; r++ {
 			changes = append(changes, digest.Change{Key: "k", Revision: r})
 		}
-		t.RecordRead(known, at, changes)
-		known = at
-		t.Recovered(known)
+		t.RecordRead(at(known), at(newest), changes)
+		known = newest
+		t.Recovered(at(known))
 		if known > 1 {
 			t.Configure(route.Config{Version: known})
 		}
@@ -94,7 +94,7 @@
 	}
 	known := func(s *Process) int64 {
 		var revision int64
-		s.exchanger.WithFleet(func(_ time.Duration, f *digest.Fleet) { revision = f.KnownRevision() })
+		s.exchanger.WithFleet(func(_ time.Duration, f *digest.Fleet) { revision = f.Known().Revision })
 		return revision
 	}
 	waitForRevision := func(of []*Process, revision int64) {
--- a/router/proc/outage_test.go
+++ b/router/proc/outage_test.go
@@ -15,6 +15,8 @@
 	"mangolug.org/router/share"
 )
 
+func at(revision int64) digest.Position { return digest.Position{Revision: revision} }
+
 // TestPlatformOutage guards against many routers that all call a platform that none of them reaches, although each call is charged
 // for. A router that hears no other router still calls for itself.
 func TestPlatformOutage(t *testing.T) {
@@ -41,7 +43,7 @@
 			for i := range followers {
 				followers[i] = follower{process: p, maxAge: maxStateAge}
 			}
-			p.exchanger.WithFleet(func(now time.Duration, f *digest.Fleet) { f.ObservePlatform(now, 0, 5, nil) })
+			p.exchanger.WithFleet(func(now time.Duration, f *digest.Fleet) { f.ObservePlatform(now, digest.Position{}, at(5), nil) })
 			calls := 0
 			for end := p.now() + length; p.now() < end; {
 				p.began = p.began.Add(-step) // advance the clock
@@ -51,7 +53,7 @@
 					}
 				})
 				for i := range followers {
-					if turn, wait := followers[i].decide(5); wait == 0 && !turn.FromPeer {
+					if turn, wait := followers[i].decide(at(5)); wait == 0 && !turn.FromPeer {
 						calls++
 					}
 				}
@@ -86,14 +88,14 @@
 				q.SetPeers(now, digest.Sum{}, true, []string{"10.0.0.2:1"})
 			})
 			p.exchanger = &share.Exchanger{Fleet: &digest.Fleet{Address: "10.0.0.1:1", DataCentre: "d", FirstBeat: 1}, Clock: p.now}
-			p.recordRead(0, 5, nil)
-			p.platformRecovered(5)
+			p.recordRead(digest.Position{}, at(5), nil)
+			p.platformRecovered(at(5))
 			p.platformLost(io.EOF)
 			p.exchanger.WithFleet(func(now time.Duration, f *digest.Fleet) {
-				f.Receive(now, digest.Message{From: "10.0.0.2:1", Revision: tt.announced, Update: &digest.Update{Revision: tt.announced}})
+				f.Receive(now, digest.Message{From: "10.0.0.2:1", Position: at(tt.announced), Update: &digest.Update{Position: at(tt.announced)}})
 			})
 			f := follower{process: p, maxAge: maxStateAge, lastRead: p.now()}
-			if turn, wait := f.decide(5); (wait == 0 && turn.FromPeer) != tt.recovers {
+			if turn, wait := f.decide(at(5)); (wait == 0 && turn.FromPeer) != tt.recovers {
 				t.Errorf("turn %+v after %v, want one that recovers: %t", turn, wait, tt.recovers)
 			}
 			if _, count := p.serviceVersions(pool.ServiceID("chat"), time.Minute); count != tt.count {
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"mangolug.org/core/digest"
 	"mangolug.org/core/pool"
 	"mangolug.org/core/resume"
 	"mangolug.org/core/route"
@@ -72,8 +73,8 @@
 	failedProbes   atomic.Int32     // consecutive readiness probes that were answered as not ready
 	stoppingAt     atomic.Int64     // time of the signal to stop, on the clock of now; 0 before it
 	sourceLost     atomic.Bool
-	newerState     chan struct{} // signals the source that another router has a newer state of the platform, or that a read is wanted
-	applied        atomic.Int64  // revision up to which all changes of the platform's state are applied
+	newerState     chan struct{}                   // signals the source that another router has a newer state of the platform, or that a read is wanted
+	applied        atomic.Pointer[digest.Position] // up to which all changes of the platform's state are applied; nil before the first
 	reads          reads
 	cancelRequests context.CancelFunc
 }
@@ -98,7 +99,7 @@
 	}
 	p.gate = &relay.Gate{
 		Clock: p.now,
-		Pool:  &pool.Pool{Self: s.Control, DataCentre: s.DataCentre, OnEvent: p.logEvent, OnVersion: p.severalVersions},
+		Pool:  &pool.Pool{Self: s.Control, DataCentre: s.DataCentre, OnEvent: p.logEvent, OnVersion: p.severalVersions, OnEvacuation: p.logEvacuation},
 	}
 	_, requests := s.room()
 	p.limit.valve.InitialLimit = int(initialShare * float64(requests))
--- a/router/proc/source.go
+++ b/router/proc/source.go
@@ -21,19 +21,21 @@
 	RetainServers   func(ids map[string]bool)                // removes all servers but these
 	SetOutOfService func(names map[string]bool)              // sets the data centres that are out of service
 	Lost            func(err error)                          // reports that the platform can't be read
-	Recovered       func(revision int64)                     // reports that all changes up to a revision have been applied
+	Recovered       func(at digest.Position)                 // reports that all changes up to a position have been applied
 	Warn            func(what string, fields ...interface{}) // logs a warning about what was read
 
-	// Next waits for the next turn of a source that has all changes up to a revision.
-	Next func(ctx context.Context, revision int64) Turn
-	// RecordRead stores what was read for the other routers: all changes after one revision up to another, or the whole state if from
-	// is 0.
-	RecordRead func(from, to int64, changes []digest.Change)
+	// Rewound reports that what follows, up to RetainServers, is the state of a platform that came back from an older copy.
+	Rewound func(from, to digest.Position)
+	// Next waits for the next turn of a source that has all changes up to a position.
+	Next func(ctx context.Context, known digest.Position) Turn
+	// RecordRead stores what was read for the other routers: all changes after one position up to another, or the whole state if from
+	// is zero.
+	RecordRead func(from, to digest.Position, changes []digest.Change)
 }
 
 func (p *Process) newSink() *Sink {
 	return &Sink{
-		Configure: p.configure, SetServer: p.setServer, RemoveServer: p.removeServer, RetainServers: p.retainServers, SetOutOfService: p.setOutOfService, Lost: p.platformLost, Recovered: p.platformRecovered,
+		Configure: p.configure, SetServer: p.setServer, RemoveServer: p.removeServer, RetainServers: p.retainServers, SetOutOfService: p.setOutOfService, Lost: p.platformLost, Recovered: p.platformRecovered, Rewound: p.rewound,
 		Warn:       func(what string, fields ...interface{}) { p.log.Warn(what, fields...) },
 		Next:       (&follower{process: p, maxAge: maxStateAge + time.Duration(rand.Int64N(int64(maxStateAgeJitter)))}).next,
 		RecordRead: p.recordRead,
@@ -78,19 +80,23 @@
 
 // setOutOfService sets which data centres are out of service, and puts the others back.
 func (p *Process) setOutOfService(names map[string]bool) {
-	p.gate.With(func(now time.Duration, q *pool.Pool) {
-		for _, name := range q.Evacuated() {
-			if !names[name] {
-				q.Evacuate(now, name, false)
-				p.log.Info("data centre back", "dataCentre", name)
-			}
-		}
-		for name := range names {
-			if q.Evacuate(now, name, true) {
-				p.log.Info("data centre out", "dataCentre", name)
-			}
-		}
-	})
+	p.gate.With(func(now time.Duration, q *pool.Pool) { q.SetOutOfService(now, names) })
+}
+
+// logEvacuation logs that a data centre was taken out of service or put back.
+func (p *Process) logEvacuation(dataCentre string, out bool) {
+	what := "data centre back"
+	if out {
+		what = "data centre out"
+	}
+	p.log.Info(what, "dataCentre", dataCentre)
+}
+
+// rewound records that the platform came back from an older copy, which is read next.
+func (p *Process) rewound(from, to digest.Position) {
+	p.count("platform.rewound")
+	p.log.Warn("platform came back from a copy", "from", from, "to", to)
+	p.gate.With(func(_ time.Duration, q *pool.Pool) { q.Rewound() })
 }
 
 // platformLost records that the platform can't be read.
@@ -103,14 +109,14 @@
 	p.count("platform.failed")
 }
 
-// platformRecovered records that the platform was read at a revision.
-func (p *Process) platformRecovered(revision int64) {
-	p.applied.Store(revision)
+// platformRecovered records that all changes up to a position have been applied.
+func (p *Process) platformRecovered(at digest.Position) {
+	p.applied.Store(&at)
 	p.reads.apply()
 	p.gate.With(func(now time.Duration, q *pool.Pool) { q.SourceBack(now) })
 	p.setSourceLost(false)
 	if p.sourceLost.Swap(false) {
-		p.log.Info("platform back", "revision", revision)
+		p.log.Info("platform back", "revision", at.Revision, "era", at.Era)
 	}
 }
 
--- a/router/proc/streams.go
+++ b/router/proc/streams.go
@@ -28,7 +28,7 @@
 func (p *Process) behind() (behind bool) {
 	if p.exchanger != nil {
 		applied := p.applied.Load()
-		p.exchanger.WithFleet(func(_ time.Duration, fleet *digest.Fleet) { behind = fleet.Revision > applied })
+		p.exchanger.WithFleet(func(_ time.Duration, fleet *digest.Fleet) { behind = applied == nil || applied.Before(fleet.Position) })
 	}
 	return behind
 }
--- a/router/share/codec.go
+++ b/router/share/codec.go
@@ -18,7 +18,7 @@
 
 // Encode returns the datagram for a message. It returns an error if a member's address is not a valid ip:port.
 func Encode(m *digest.Message) ([]byte, error) {
-	d := &Datagram{From: m.From, Revision: m.Revision, Part: encodeTotals(m.Part), Centre: encodeTotals(m.Centre), Others: encodeTotals(m.Others), News: encodeUpdate(m.Update), Leaves: m.Leave, Suspects: encodeSuspects(m.Suspects), Limits: encodeLimits(m.Limits), Streams: encodeStreams(m.Streams), Want: encodeWant(m.Want)}
+	d := &Datagram{From: m.From, Revision: m.Position.Revision, Era: m.Position.Era, Part: encodeTotals(m.Part), Centre: encodeTotals(m.Centre), Others: encodeTotals(m.Others), News: encodeUpdate(m.Update), Leaves: m.Leave, Suspects: encodeSuspects(m.Suspects), Limits: encodeLimits(m.Limits), Streams: encodeStreams(m.Streams), Want: encodeWant(m.Want)}
 	if len(m.Members) > 0 {
 		members, err := encodeMembers(m.Members)
 		if err != nil {
@@ -35,7 +35,7 @@
 	if err := proto.Unmarshal(text, &d); err != nil {
 		return digest.Message{}, err
 	}
-	m := digest.Message{From: d.From, Revision: d.Revision, Update: decodeUpdate(d.News), Leave: d.Leaves, Want: decodeWant(d.Want)}
+	m := digest.Message{From: d.From, Position: digest.Position{Era: d.Era, Revision: d.Revision}, Update: decodeUpdate(d.News), Leave: d.Leaves, Want: decodeWant(d.Want)}
 	members, err := decodeMembers(d.Members)
 	if err != nil {
 		return m, err
--- a/router/share/codec_test.go
+++ b/router/share/codec_test.go
@@ -18,19 +18,21 @@
 	for i := range teams {
 		s.Teams[uint32(i)*2246822519] = digest.Rates{Demand: 16 * int64(i+1), Served: 16 * int64(i)}
 	}
-	return &digest.Message{From: "10.0.0.1:7000", Revision: 99, Others: s}
+	return &digest.Message{From: "10.0.0.1:7000", Position: digest.Position{Era: 2, Revision: 99}, Others: s}
 }
 
+func at(revision int64) digest.Position { return digest.Position{Era: 2, Revision: revision} }
+
 func TestRoundTrip(t *testing.T) {
 	want := message(144, 30)
 	want.Part, want.Centre = want.Others, want.Others
 	want.Leave = true
 	want.Update = &digest.Update{
-		Revision: 9, Age: 120 * time.Millisecond, From: 3, To: 8,
+		Position: at(9), Age: 120 * time.Millisecond, From: at(3), To: at(8),
 		Changes: []digest.Change{{Key: "a", Value: []byte("x"), Revision: 4}, {Key: "b", Revision: 8, Deleted: true}},
 		Part:    &digest.Part{Key: "c", Revision: 9, Offset: 2, Size: 5, Bytes: []byte("yz")},
 	}
-	want.Want = &digest.Want{After: 9, Offset: 7}
+	want.Want = &digest.Want{After: at(9), Offset: 7}
 	want.Members = []digest.Member{{Address: "10.0.0.1:7000", DataCentre: "east", Beat: 1 << 40}, {Address: "[::1]:9", DataCentre: "west", Beat: 3}}
 	want.Suspects = []digest.Suspect{{
 		Service: 7, ID: 1 << 60, Crashes: []digest.Crash{{Server: 9, Age: 1500 * time.Millisecond, Answered: true}, {Server: 8, Age: time.Millisecond}},
--- a/router/share/news.go
+++ b/router/share/news.go
@@ -12,7 +12,7 @@
 	if n == nil {
 		return nil
 	}
-	w := &News{Revision: n.Revision, Age: toMillis(n.Age), From: n.From, To: n.To}
+	w := &News{Revision: n.Position.Revision, Era: n.Position.Era, Age: toMillis(n.Age), From: n.From.Revision, To: n.To.Revision}
 	for _, c := range n.Changes {
 		w.Changes = append(w.Changes, &Change{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted})
 	}
@@ -30,7 +30,13 @@
 	if w == nil {
 		return nil
 	}
-	n := &digest.Update{Revision: w.Revision, Age: time.Duration(w.Age) * time.Millisecond, From: w.From, To: w.To}
+	n := &digest.Update{Position: digest.Position{Era: w.Era, Revision: w.Revision}, Age: time.Duration(w.Age) * time.Millisecond}
+	if w.To > 0 || w.Part != nil {
+		n.From = n.Position.At(w.From)
+	}
+	if w.To > 0 {
+		n.To = n.Position.At(w.To)
+	}
 	for _, c := range w.Changes {
 		n.Changes = append(n.Changes, digest.Change{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted})
 	}
@@ -44,12 +50,12 @@
 	if n == nil {
 		return nil
 	}
-	return &Want{After: n.After, Offset: uint32(n.Offset)}
+	return &Want{After: n.After.Revision, Era: n.After.Era, Offset: uint32(n.Offset)}
 }
 
 func decodeWant(w *Want) *digest.Want {
 	if w == nil {
 		return nil
 	}
-	return &digest.Want{After: w.After, Offset: int(w.Offset)}
+	return &digest.Want{After: digest.Position{Era: w.Era, Revision: w.After}, Offset: int(w.Offset)}
 }
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -118,9 +118,9 @@
 			continue
 		}
 		s.mutex.Lock()
-		knownBefore, revisionBefore := s.Fleet.KnownRevision(), s.Fleet.Revision
+		knownBefore, newestBefore := s.Fleet.Known(), s.Fleet.Position
 		out := s.Fleet.Receive(s.Clock(), m)
-		newer := s.Fleet.KnownRevision() > knownBefore || s.Fleet.Revision > revisionBefore
+		newer := knownBefore.Before(s.Fleet.Known()) || newestBefore.Before(s.Fleet.Position)
 		s.mutex.Unlock()
 		if newer {
 			s.OnNewer()
