Tell streams of a sole version to routers that can't know it

Cause: a stream that begins under a sole version was told to nobody, as all routers know that version. One that has read the platform anew doesn't, for the life of a stream, and when the last one that knew had gone nobody could answer. Ruled out: lost messages (none were sent), and the questions between routers.

Now those of a stream's three holders that have started within the life of a stream are told of it as it begins, and of earlier ones when they are found to have started. A router that stops tells its streams, and so does one that has to read the platform anew.

--- a/core/digest/fleet.go
+++ b/core/digest/fleet.go
@@ -71,6 +71,7 @@
 	log            Log
 	platformReadAt time.Duration       // when some router last read the platform, as far as known; 0 for never
 	peerPositions  map[string]Position // up to which each other router knows all changes
+	started        []string            // routers that were found to have started since TakeStarted was last called
 	memberAdded    bool                // a member was discovered since the last gossip round
 	partial        partial             // of the change after the log's revision
 	wantedAt       time.Duration       // when this router last asked for changes; 0 for never
--- a/core/digest/member.go
+++ b/core/digest/member.go
@@ -41,7 +41,8 @@
 // member is a Member with the time at which this router last saw its counter increase.
 type member struct {
 	Member
-	seenAt time.Duration
+	seenAt    time.Duration
+	startedAt time.Duration // when this router learned that it had started
 }
 
 // mergeMembers merges gossiped members into the known ones.
@@ -56,13 +57,18 @@
 		}
 		m := f.members[t.Address]
 		if m == nil {
-			m = &member{}
+			m = &member{startedAt: now}
 			f.members[t.Address] = m
 			f.memberAdded = true
+			f.started = append(f.started, t.Address)
 		}
 		if t.Beat > m.Beat {
 			if t.Beat-m.Beat > restartBeats {
 				delete(f.avoided, t.Address) // the member restarted
+				if m.Beat > 0 {
+					m.startedAt = now
+					f.started = append(f.started, t.Address)
+				}
 			}
 			m.Member, m.seenAt = t, now
 		}
@@ -94,6 +100,24 @@
 	return live
 }
 
+// StartedWithin returns the live routers that, as far as this one knows, have started within some time.
+func (f *Fleet) StartedWithin(now, window time.Duration) []string {
+	var list []string
+	for address, m := range f.members {
+		if now-m.startedAt <= window && f.live(now, m) {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
+// TakeStarted returns the routers that were found to have started since the last call.
+func (f *Fleet) TakeStarted() []string {
+	started := f.started
+	f.started = nil
+	return started
+}
+
 // Size returns the number of live routers, including this one.
 func (f *Fleet) Size(now time.Duration) int {
 	n := 1
--- a/core/resume/records.go
+++ b/core/resume/records.go
@@ -20,6 +20,7 @@
 type record struct {
 	version uint32
 	until   time.Duration // when it is forgotten
+	told    bool          // by another router
 }
 
 // callerMask is the part of an attempt's hash that depends on its caller as well; the rest depends on the id alone.
@@ -39,14 +40,14 @@
 	return uint32(route.Mix(h.Sum64()))
 }
 
-func (r *records) add(now time.Duration, s digest.StreamVersion, keep time.Duration) {
+func (r *records) add(now time.Duration, s digest.StreamVersion, keep time.Duration, told bool) {
 	if r.byAttempt == nil {
 		r.byAttempt = make(map[uint64]record)
 	}
 	if len(r.byAttempt) >= maxRecords {
 		r.prune(now)
 	}
-	r.byAttempt[s.Attempt] = record{s.Version, now + keep}
+	r.byAttempt[s.Attempt] = record{s.Version, now + keep, told}
 }
 
 // prune removes the expired records, and at least half of all.
@@ -73,11 +74,11 @@
 	return s.version, ok && now < s.until
 }
 
-// all returns the records that have not expired.
-func (r *records) all(now time.Duration) []digest.StreamVersion {
+// all returns the records that have not expired, without those that other routers told if own is set.
+func (r *records) all(now time.Duration, own bool) []digest.StreamVersion {
 	var list []digest.StreamVersion
 	for attempt, s := range r.byAttempt {
-		if now < s.until {
+		if now < s.until && !(own && s.told) {
 			list = append(list, digest.StreamVersion{Attempt: attempt, Version: s.version})
 		}
 	}
--- a/core/resume/register.go
+++ b/core/resume/register.go
@@ -34,6 +34,9 @@
 	Send    func(to string, m digest.Streams) // sends a message that may be lost; must be set if Routers is
 	// Versions returns how many versions a service has had within a window, and the version if there was only one; nil means that it is not known.
 	Versions func(service uint32, window time.Duration) (sole uint32, count digest.VersionCount)
+	// Recent returns those of the other live routers that started within a window, so that they don't know all versions of a service; nil means that
+	// there are none.
+	Recent func(window time.Duration) []string
 	// Refresh waits until this router has read the platform by a call that begins after now, and reports whether it has; nil means that it can't.
 	Refresh func(ctx context.Context) bool
 
@@ -52,13 +55,20 @@
 	several  bool            // a router knows several versions
 }
 
-// Began records the version at which a stream began, for some time. With tell, other routers keep it as well, in case this one ends.
+// Began records the version at which a stream began, for some time. With tell, other routers keep it as well, in case this one ends; without, only those
+// do that have started within that time.
 func (r *Register) Began(s digest.StreamVersion, keep time.Duration, tell bool) {
 	r.mutex.Lock()
-	r.records.add(r.Clock(), s, keep)
+	r.records.add(r.Clock(), s, keep, false)
 	r.mutex.Unlock()
 	if tell {
-		r.tell([]digest.StreamVersion{s})
+		r.tell([]digest.StreamVersion{s}, nil)
+		return
+	}
+	if r.Recent != nil {
+		if recent := r.Recent(keep); len(recent) > 0 {
+			r.tell([]digest.StreamVersion{s}, recent)
+		}
 	}
 }
 
@@ -66,21 +76,36 @@
 // others.
 func (r *Register) TellAll() {
 	r.mutex.Lock()
-	list := r.records.all(r.Clock())
+	list := r.records.all(r.Clock(), false)
+	r.mutex.Unlock()
+	r.tell(list, nil)
+}
+
+// TellOwn tells other routers of the streams that this one began: before it ends, and once it no longer knows all versions of a service.
+func (r *Register) TellOwn() { r.tellOwn(nil) }
+
+// TellStarted tells routers that have just started of the streams that this one began and that they would have been told of.
+func (r *Register) TellStarted(started []string) { r.tellOwn(started) }
+
+func (r *Register) tellOwn(only []string) {
+	r.mutex.Lock()
+	list := r.records.all(r.Clock(), true)
 	r.mutex.Unlock()
-	r.tell(list)
+	r.tell(list, only)
 }
 
-// tell sends each stream to its holders.
-func (r *Register) tell(list []digest.StreamVersion) {
-	if r.Routers == nil {
+// tell sends each stream to its holders, or to some of them.
+func (r *Register) tell(list []digest.StreamVersion, only []string) {
+	if r.Routers == nil || len(list) == 0 {
 		return
 	}
 	routers := r.Routers()
 	told := make(map[string][]digest.StreamVersion)
 	for _, s := range list {
 		for _, to := range holders(s.Attempt, routers, copies) {
-			told[to] = append(told[to], s)
+			if only == nil || slices.Contains(only, to) {
+				told[to] = append(told[to], s)
+			}
 		}
 	}
 	for to, streams := range told {
@@ -243,7 +268,7 @@
 	now := r.Clock()
 	for _, s := range m.Told {
 		if !s.Sole {
-			r.records.add(now, s, toldTTL)
+			r.records.add(now, s, toldTTL, true)
 		}
 		for _, w := range r.asking[s.Attempt] {
 			if s.Sole {
--- a/core/resume/register_test.go
+++ b/core/resume/register_test.go
@@ -197,6 +197,74 @@
 	}
 }
 
+// TestStreamsOfOneVersionAreTold guards against a stream that nobody knows, though the service had one version all the time, since the router that began it
+// is gone and the others have just started (LOST).
+func TestStreamsOfOneVersionAreTold(t *testing.T) {
+	stream := digest.StreamVersion{Attempt: AttemptID("team", "attempt-1"), Version: 5}
+	begin := func(n *network) { n.router(0).Began(stream, time.Minute, false) }
+	restartOthers := func(n *network) (started []string) {
+		for name := range n.routers {
+			if name != "10.0.0.1:7" {
+				n.start(name)
+				started = append(started, name)
+			}
+		}
+		return started
+	}
+	for name, d := range map[string]struct {
+		play func(n *network)
+		want uint32
+	}{
+		"no router has started": {play: begin, want: 0},
+		"others have started": {want: 5, play: func(n *network) {
+			started := restartOthers(n)
+			n.router(0).Recent = func(time.Duration) []string { return started }
+			begin(n)
+		}},
+		"others start later": {want: 5, play: func(n *network) {
+			begin(n)
+			n.router(0).TellStarted(restartOthers(n))
+		}},
+		"one that is not told starts": {want: 0, play: func(n *network) {
+			begin(n)
+			list := holders(stream.Attempt, n.others("10.0.0.1:7"), askedHolders)
+			n.router(0).TellStarted(list[copies:])
+		}},
+		"the router stops": {want: 5, play: func(n *network) {
+			begin(n)
+			restartOthers(n)
+			n.router(0).TellOwn()
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newNetwork(9)
+			d.play(n)
+			delete(n.routers, "10.0.0.1:7")
+			for _, router := range []int{1, 8} {
+				if got := n.ask(t, router, stream.Attempt); got != d.want {
+					t.Errorf("router %d knows version %d, want %d", router, got, d.want)
+				}
+			}
+		})
+	}
+}
+
+// TestStreamsOfOthersAreNotPassedOn guards against routers that each tell all what they were told when one of them starts or stops.
+func TestStreamsOfOthersAreNotPassedOn(t *testing.T) {
+	n := newNetwork(9)
+	for i := range 50 {
+		n.router(0).Began(digest.StreamVersion{Attempt: AttemptID("team", fmt.Sprint(i)), Version: 5}, time.Minute, true)
+	}
+	n.sent = 0
+	for i := 1; i < 9; i++ {
+		n.router(i).TellOwn()
+		n.router(i).TellStarted(n.others(""))
+	}
+	if n.sent > 0 {
+		t.Errorf("%d messages with other routers' streams", n.sent)
+	}
+}
+
 // TestReportedStreams guards against a stream that a server reported, without its caller, and that is found for no caller or at no other router.
 func TestReportedStreams(t *testing.T) {
 	n := newNetwork(9)
@@ -268,7 +336,7 @@
 func TestRecordsAreBounded(t *testing.T) {
 	var r records
 	for i := range uint64(3 * maxRecords) {
-		r.add(time.Duration(i), digest.StreamVersion{Attempt: i, Version: 1}, time.Minute)
+		r.add(time.Duration(i), digest.StreamVersion{Attempt: i, Version: 1}, time.Minute, false)
 		if len(r.byAttempt) > maxRecords {
 			t.Fatalf("%d records", len(r.byAttempt))
 		}
--- a/router/proc/peers.go
+++ b/router/proc/peers.go
@@ -40,8 +40,9 @@
 				q.MergeRateLimits(now, limits)
 			})
 		},
-		Streams: p.streams,
-		OnNewer: p.wakeSource,
+		Streams:   p.streams,
+		OnStarted: func(routers []string) { go p.streams.TellStarted(routers) },
+		OnNewer:   p.wakeSource,
 		OnError: func(err error) {
 			p.count("peers.failed")
 			p.log.Debug("peers", "error", err)
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -106,6 +106,7 @@
 	p.streams = &resume.Register{Clock: p.now, Versions: p.serviceVersions}
 	if p.peers != nil {
 		p.exchanger = p.newExchanger()
+		p.streams.Recent = p.startedRouters
 		p.streams.Routers, p.streams.Send, p.streams.Refresh = p.liveRouters, p.exchanger.SendStreams, p.refresh
 	}
 	stopping, cut := context.WithCancel(context.Background())
--- a/router/proc/source.go
+++ b/router/proc/source.go
@@ -73,9 +73,11 @@
 		}
 		q.ReadAnew(now)
 	})
-	if !p.learned.Swap(true) {
-		go p.learnRuns()
+	if p.learned.Swap(true) {
+		go p.streams.TellOwn() // this router can no longer tell that a service had one version, and others may be in the same place
+		return
 	}
+	go p.learnRuns()
 }
 
 // setOutOfService sets which data centres are out of service, and puts the others back.
--- a/router/proc/stop.go
+++ b/router/proc/stop.go
@@ -38,6 +38,7 @@
 	began := time.Now()
 	p.stoppingAt.Store(max(1, int64(p.now())))
 	p.log.Info("stopping", "grace", p.settings.Load().Grace)
+	p.streams.TellOwn()
 	drain, cancel := context.WithTimeout(context.Background(), time.Duration(cutShare*float64(p.settings.Load().Grace)))
 	defer cancel()
 	notice, cancelNotice := context.WithTimeout(drain, noticeTime)
--- a/router/proc/streams.go
+++ b/router/proc/streams.go
@@ -14,6 +14,12 @@
 	return live
 }
 
+// startedRouters returns the other live routers that started within a window.
+func (p *Process) startedRouters(window time.Duration) (started []string) {
+	p.exchanger.WithFleet(func(now time.Duration, fleet *digest.Fleet) { started = fleet.StartedWithin(now, window) })
+	return started
+}
+
 // serviceVersions returns how many software versions a service has had within a window, as far as this router knows, and the version if there was
 // only one. A router that knows it has missed a change knows no sole version.
 func (p *Process) serviceVersions(service uint32, window time.Duration) (sole uint32, count digest.VersionCount) {
--- a/router/relay/resume.go
+++ b/router/relay/resume.go
@@ -39,7 +39,10 @@
 		return
 	}
 	_, count := c.serviceVersions()
-	c.relay.Streams.Began(digest.StreamVersion{Attempt: resume.AttemptID(c.team, c.info.ID), Version: version}, c.streamLifetime(), count != digest.VersionsOne)
+	_, stopping := c.relay.draining()
+	c.relay.Streams.Began(
+		digest.StreamVersion{Attempt: resume.AttemptID(c.team, c.info.ID), Version: version}, c.streamLifetime(), stopping || count != digest.VersionsOne,
+	)
 }
 
 // serviceVersions returns how many versions the service has had since the caller's stream may have begun, and the version if there was only one.
--- a/router/share/share.go
+++ b/router/share/share.go
@@ -25,8 +25,10 @@
 	News    func() ([]digest.Suspect, []digest.RateLimit)         // returns what to tell the peers of suspects and rate limits; may be nil
 	OnNews  func([]digest.Suspect, []digest.RateLimit)            // receives what a peer tells of them; may be nil
 	Streams *resume.Register                                      // receives what peers tell and ask of callers' streams; may be nil
-	OnNewer func()                                                // called when a peer announces a newer state of the platform
-	OnError func(error)                                           // called when a datagram cannot be sent or decoded
+	// OnStarted receives the routers that have started since the last period; may be nil.
+	OnStarted func(routers []string)
+	OnNewer   func()      // called when a peer announces a newer state of the platform
+	OnError   func(error) // called when a datagram cannot be sent or decoded
 
 	mutex sync.Mutex // guards Fleet
 }
@@ -65,8 +67,12 @@
 	others, known := s.Fleet.Others(now)
 	routers := s.Fleet.Live(now)
 	period := s.Fleet.Period(now)
+	started := s.Fleet.TakeStarted()
 	s.mutex.Unlock()
 	s.OnPeers(others, known, routers)
+	if len(started) > 0 && s.OnStarted != nil {
+		s.OnStarted(started)
+	}
 	if s.News != nil {
 		suspects, limits := s.News()
 		attachNews(out, suspects, limits)
