Tell removed servers from those whose entries expired in an outage

Cause: a removal was taken for an entry that had expired while the platform was away if this router did not reach the platform at that moment. A router applies its first answer after an outage, or after a single failed call, before it counts as back, so that all removals in it looked so. Such servers got requests for 2.2 s from this router's return, anew with each further outage, and the end was noticed only when the source had something to do.

Now an outage is a time of 2.2 s in which no router reads the platform, known from the ages in messages. Only what was removed up to the first read after it may have expired. Of such servers, those that are a third of their service or less get no work until their entries are back. The grace period is counted from the platform's return, and ends on time.

Evidence: TestServerThatLeavesAfterOutage (real processes) on: 3 of 6 cases failed, with 3, 14 and 26 of 120 requests late; all pass now. TestServersStayThroughOutage passes before and now. TestLapsedEntries asked for the fault (a removal lapses if this router lost the platform) and now asks as strictly for the other: what may have expired lapses, all else binds.

--- a/core/digest/fleet.go
+++ b/core/digest/fleet.go
@@ -56,26 +56,26 @@
 	SourceLost bool     // this router can't read the platform, and asks others for changes that are too large for one message
 	Random     *rand.Rand
 
-	counter        uint64
-	members        map[string]*member
-	avoided        map[string]time.Duration // routers that did not answer, with the time until which they are avoided
-	headProbes     map[string]relayProbe    // by data centre: the router that is probed as its head
-	parts          map[string]receivedSum   // sums of the routers that report to this one
-	centres        map[string]receivedSum   // at the head of a data centre: sums of the heads of the others
-	outside        receivedSum              // last sum from this router's relay: usage of all routers that do not report to this one
-	subtree        Sum                      // usage of all routers that report to this one, as of the last tick
-	relay          string                   // router to which this one reports; its own address at the head of a data centre
-	relaySince     time.Duration            // when the current relay was chosen
-	candidate      relayProbe               // possible better relay, used once it answers
-	gossipedAt     time.Duration
-	log            Log
-	platformReadAt time.Duration       // when some router last read the platform, as far as known; 0 for never
-	peerPositions  map[string]Position // up to which each other router knows all changes
-	started        []string            // routers that were found to have started since TakeStarted was last called
-	memberAdded    bool                // a member was discovered since the last gossip round
-	partial        partial             // of the change after the log's revision
-	wantedAt       time.Duration       // when this router last asked for changes; 0 for never
-	receivedAt     time.Duration       // when the last message of another router arrived; 0 for never
+	counter       uint64
+	members       map[string]*member
+	avoided       map[string]time.Duration // routers that did not answer, with the time until which they are avoided
+	headProbes    map[string]relayProbe    // by data centre: the router that is probed as its head
+	parts         map[string]receivedSum   // sums of the routers that report to this one
+	centres       map[string]receivedSum   // at the head of a data centre: sums of the heads of the others
+	outside       receivedSum              // last sum from this router's relay: usage of all routers that do not report to this one
+	subtree       Sum                      // usage of all routers that report to this one, as of the last tick
+	relay         string                   // router to which this one reports; its own address at the head of a data centre
+	relaySince    time.Duration            // when the current relay was chosen
+	candidate     relayProbe               // possible better relay, used once it answers
+	gossipedAt    time.Duration
+	log           Log
+	outages       Outages             // when some router last read the platform, as far as known
+	peerPositions map[string]Position // up to which each other router knows all changes
+	started       []string            // routers that were found to have started since TakeStarted was last called
+	memberAdded   bool                // a member was discovered since the last gossip round
+	partial       partial             // of the change after the log's revision
+	wantedAt      time.Duration       // when this router last asked for changes; 0 for never
+	receivedAt    time.Duration       // when the last message of another router arrived; 0 for never
 }
 
 // relayProbe is a router whose answer is awaited.
--- a/core/digest/news.go
+++ b/core/digest/news.go
@@ -99,7 +99,8 @@
 // zero.
 func (f *Fleet) ObservePlatform(now time.Duration, from, to Position, changes []Change) {
 	f.init()
-	f.platformReadAt, f.Position = max(1, now), latest(f.Position, to)
+	f.outages.Observe(max(1, now), to)
+	f.Position = latest(f.Position, to)
 	if from == (Position{}) || !f.log.Add(from, to, changes) {
 		f.log.Reset(to)
 	}
@@ -113,15 +114,18 @@
 
 // PlatformAge returns the time since some router last read the platform, and false if it is not known.
 func (f *Fleet) PlatformAge(now time.Duration) (time.Duration, bool) {
-	return now - f.platformReadAt, f.platformReadAt > 0
+	return now - f.outages.readAt, f.outages.readAt > 0
 }
 
+// Outages returns the outages of the platform, as far as this router knows.
+func (f *Fleet) Outages() Outages { return f.outages }
+
 // updateFor returns the update for another router, with the changes that it lacks.
 func (f *Fleet) updateFor(now time.Duration, to string) *Update {
 	if f.log.position == (Position{}) {
 		return nil
 	}
-	n := &Update{Position: f.log.position, Age: now - f.platformReadAt}
+	n := &Update{Position: f.log.position, Age: now - f.outages.readAt}
 	has, ok := f.peerPositions[to]
 	if !ok || !has.Before(f.log.position) {
 		return n
@@ -136,8 +140,8 @@
 func (f *Fleet) receiveUpdate(now time.Duration, from string, n *Update) []Outgoing {
 	position := f.withEra(n.Position)
 	f.peerPositions[from] = position
-	f.platformReadAt = max(f.platformReadAt, now-n.Age)
 	f.Position = latest(f.Position, position)
+	f.outages.Observe(now-n.Age, f.Position)
 	if n.To != (Position{}) {
 		f.log.Add(f.withEra(n.From), f.withEra(n.To), n.Changes)
 	}
--- a/core/digest/part.go
+++ b/core/digest/part.go
@@ -68,7 +68,7 @@
 	if !ok {
 		return nil
 	}
-	n := &Update{Position: f.log.position, Age: now - f.platformReadAt}
+	n := &Update{Position: f.log.position, Age: now - f.outages.readAt}
 	if after.Before(to) {
 		n.From, n.To, n.Changes = after, to, changes
 		return n
--- a/core/pool/pick.go
+++ b/core/pool/pick.go
@@ -117,7 +117,7 @@
 
 // accepting reports whether neither the operators nor the server itself have closed it for new work.
 func (p *Pool) accepting(b *backend) bool {
-	return !b.gone && !b.Draining && b.heldUntil == 0 && !p.evacuated[b.DataCentre] && !b.advertised.isLeaving()
+	return !b.gone && !b.Draining && b.heldUntil == 0 && !b.suspended && !p.evacuated[b.DataCentre] && !b.advertised.isLeaving()
 }
 
 // eligible reports whether a server may get new work now: it accepts work, is not ejected, and has not asked routers to back
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -107,6 +107,7 @@
 			b.heldUntil = 0
 		}
 		b.Server, b.lapsesAt = s, 0
+		p.setSuspended(p.service(b.Service))
 		p.addVersion(p.service(b.Service), b)
 		if s.ColdRemaining > 0 {
 			b.coldUntil = max(b.coldUntil, now+s.ColdRemaining)
@@ -153,32 +154,20 @@
 	return "ready"
 }
 
-// RemoveServer removes a server whose entry is gone from the platform. Entries may lapse during a platform outage although their
-// servers are alive, so those servers are kept for a grace period.
+// RemoveServer removes a server whose entry is gone from the platform. One that a copy of the platform's state lacks is kept for a grace period.
 func (p *Pool) RemoveServer(now time.Duration, id string) {
 	b := p.servers[id]
 	if b == nil {
 		return
 	}
 	if p.rewinding {
-		b.lapsesAt = now + lapseGrace
-		p.emit(b, "lapsed", "the platform came back from a copy without its entry")
-		return
-	}
-	if p.sourceLost {
-		if b.lapsesAt == 0 {
-			b.lapsesAt = now + lapseGrace
-			p.emit(b, "lapsed", "its entry went while the platform was out of reach")
-		}
+		p.lapse(now, b, now, "the platform came back from a copy without its entry")
 		return
 	}
 	p.drop(now, b)
 	p.emit(b, "gone", "removed by the platform")
 }
 
-// lapseGrace is the grace period after the platform's return in which live servers with lapsed entries can register again.
-const lapseGrace = 2200 * time.Millisecond
-
 // SourceLost records that the platform is unreachable.
 func (p *Pool) SourceLost(_ time.Duration) { p.sourceLost = true }
 
@@ -187,11 +176,7 @@
 	p.init()
 	if p.sourceLost {
 		p.sourceLost = false
-		for _, b := range p.servers {
-			if b.lapsesAt > 0 {
-				b.lapsesAt = now + lapseGrace
-			}
-		}
+		p.extendLapses(now)
 	}
 	p.expire(now)
 }
@@ -199,7 +184,7 @@
 // expire ends the grace periods that are over.
 func (p *Pool) expire(now time.Duration) {
 	for _, b := range p.servers {
-		if b.lapsesAt > 0 && now >= b.lapsesAt {
+		if p.lapseOver(now, b) {
 			p.drop(now, b)
 			p.emit(b, "gone", "its entry did not come back")
 		} else if b.heldUntil > 0 && now >= b.heldUntil {
@@ -222,6 +207,7 @@
 			break
 		}
 	}
+	p.setSuspended(v)
 }
 
 // Servers returns the IDs of all known servers.
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -33,6 +33,7 @@
 	incarnationID uint32 // hash of the incarnation, which names it in messages
 	coldUntil     time.Duration
 	lapsesAt      time.Duration // when to remove the server, whose entry was lost during an outage; 0 for never
+	suspended     bool          // it gets no work, as its entry was lost but those of most others were not
 	advertised    *advertised   // what the server advertised; nil if nothing
 	heldUntil     time.Duration // until when it gets no work, as its entry may be older than its leaving; 0 for never
 	gone          bool          // no longer listed by the platform, or its address belongs to another server
--- a/router/proc/follow.go
+++ b/router/proc/follow.go
@@ -174,6 +174,7 @@
 	p.count("platform.read")
 	p.reads.succeed()
 	if p.exchanger == nil {
+		p.outages.Observe(max(1, p.now()), to)
 		return
 	}
 	p.exchanger.WithFleet(func(now time.Duration, f *digest.Fleet) { f.ObservePlatform(now, from, to, changes) })
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -76,6 +76,7 @@
 	newerState     chan struct{}                   // signals the source that another router has a newer state of the platform, or that a read is wanted
 	applied        atomic.Pointer[digest.Position] // up to which all changes of the platform's state are applied; nil before the first
 	reads          reads
+	outages        digest.Outages // of the platform, if there are no other routers; for the goroutine of the source
 	cancelRequests context.CancelFunc
 }
 
--- a/router/proc/source.go
+++ b/router/proc/source.go
@@ -17,7 +17,7 @@
 type Sink struct {
 	Configure       func(c route.Config)                     // applies a configuration unless the one in force is as new
 	SetServer       func(s pool.Server)                      // adds or updates a backend server
-	RemoveServer    func(id string)                          // removes a server
+	RemoveServer    func(id string, revision int64)          // removes a server whose entry was removed at a revision
 	RetainServers   func(ids map[string]bool)                // removes all servers but these
 	SetOutOfService func(names map[string]bool)              // sets the data centres that are out of service
 	Lost            func(err error)                          // reports that the platform can't be read
@@ -28,7 +28,7 @@
 	Rewound func(from, to digest.Position)
 	// Next waits for the next turn of a source that has all changes up to a position.
 	Next func(ctx context.Context, known digest.Position) Turn
-	// RecordRead stores what was read for the other routers: all changes after one position up to another, or the whole state if from
+	// RecordRead stores what was read for the other routers, before it is applied: all changes after one position up to another, or the whole state if from
 	// is zero.
 	RecordRead func(from, to digest.Position, changes []digest.Change)
 }
@@ -59,16 +59,36 @@
 	p.gate.With(func(now time.Duration, q *pool.Pool) { q.SetServer(now, s) })
 }
 
-func (p *Process) removeServer(id string) {
-	p.gate.With(func(now time.Duration, q *pool.Pool) { q.RemoveServer(now, id) })
+// removeServer removes a server whose entry was removed at a revision, at once unless it may have expired in an outage.
+func (p *Process) removeServer(id string, revision int64) {
+	outages := p.knownOutages()
+	p.gate.With(func(now time.Duration, q *pool.Pool) { remove(now, q, id, revision, &outages) })
+}
+
+func remove(now time.Duration, q *pool.Pool, id string, revision int64, outages *digest.Outages) {
+	if returnedAt, ok := outages.MayHaveExpired(revision); ok {
+		q.Lapse(now, id, returnedAt)
+		return
+	}
+	q.RemoveServer(now, id)
+}
+
+// knownOutages returns the outages of the platform.
+func (p *Process) knownOutages() (outages digest.Outages) {
+	if p.exchanger == nil {
+		return p.outages
+	}
+	p.exchanger.WithFleet(func(_ time.Duration, f *digest.Fleet) { outages = f.Outages() })
+	return outages
 }
 
 // retainServers removes all servers but these.
 func (p *Process) retainServers(ids map[string]bool) {
+	outages := p.knownOutages()
 	p.gate.With(func(now time.Duration, q *pool.Pool) {
 		for _, id := range q.Servers() {
 			if !ids[id] {
-				q.RemoveServer(now, id)
+				remove(now, q, id, 0, &outages)
 			}
 		}
 		q.ReadAnew(now)
