Refuse nobody for good by a configuration known to be out of date

Cause: the route and the key were looked up in the configuration in force, whatever the router knew of a newer one.

Now such a request gets 503 notReady with Retry-After 0.3 while changes that others announced are overdue. The wait of 0.4 s is counted for each announcement, since a steady flow of changes looked like one that never arrived.

Not shown: that this is what the users saw; their record has no line of such a request.

--- a/router/proc/follow.go
+++ b/router/proc/follow.go
@@ -95,6 +95,7 @@
 			reader = fleet.Reader(now)
 		})
 	}
+	p.overdue.Store(late)
 	switch {
 	case turn.FromPeer:
 		return turn, 0
@@ -155,8 +156,10 @@
 // overdue reports whether an announced change has not arrived within announceTimeout, as happens if it is too large for a message. The state of a new
 // era never arrives, so that each router reads it, and they spread their calls.
 func (f *follower) overdue(now time.Duration, applied digest.Position, fleet *digest.Fleet) bool {
-	if !applied.Before(fleet.Position) {
+	if !applied.Before(f.announced) {
 		f.announced = digest.Position{}
+	}
+	if !applied.Before(fleet.Position) {
 		return false
 	}
 	if f.announced == (digest.Position{}) || f.announced.Era != fleet.Position.Era {
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -73,6 +73,7 @@
 	failedProbes   atomic.Int32     // consecutive readiness probes that were answered as not ready
 	stoppingAt     atomic.Int64     // time of the signal to stop, on the clock of now; 0 before it
 	sourceLost     atomic.Bool
+	overdue        atomic.Bool                     // another router announced changes that have not arrived in time
 	newerState     chan struct{}                   // signals the source that another router has a newer state of the platform, or that a read is wanted
 	applied        atomic.Pointer[digest.Position] // up to which all changes of the platform's state are applied; nil before the first
 	reads          reads
@@ -113,7 +114,7 @@
 	stopping, cut := context.WithCancel(context.Background())
 	p.cancelRequests = cut
 	p.relay = &relay.Relay{
-		Table: p.table.Load, Gate: p.gate, HeaderCodec: d, Clock: p.now, DrainRemaining: p.drainRemaining, RefusesNew: p.refusesNew, TooManyConnections: p.connsOverLimit, Overloaded: p.rejects, BodyLimit: p.bodyLimit, RebalanceDelay: p.untilRedirected, CallerGone: callerGone, Log: p.log, Metrics: p.registry,
+		Table: p.table.Load, Gate: p.gate, HeaderCodec: d, Clock: p.now, DrainRemaining: p.drainRemaining, RefusesNew: p.refusesNew, TooManyConnections: p.connsOverLimit, Overloaded: p.rejects, BodyLimit: p.bodyLimit, RebalanceDelay: p.untilRedirected, ConfigOverdue: p.overdue.Load, CallerGone: callerGone, Log: p.log, Metrics: p.registry,
 		Client:   &back.Client{Settings: back.Settings{UnackedTimeout: ackTimeout, ConnectTimeout: connectTimeout, IdleTimeout: serverIdleTimeout, NonIdempotentIdle: nonIdempotentIdleTimeout}},
 		Streams:  p.streams,
 		Budgets:  pool.RetryBudgets{Ratio: s.RetryRatio, Slack: s.RetrySlack},
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -136,13 +136,13 @@
 func (c *call) resolve(t *route.Table) *refusal {
 	r := t.Match(c.request.Host, c.request.URL.Path)
 	if r == nil {
-		return &refusal{reason: fleet.ReasonUnknownRoute, status: http.StatusNotFound, detail: c.request.Host + c.request.URL.Path}
+		return c.denied(&refusal{reason: fleet.ReasonUnknownRoute, status: http.StatusNotFound, detail: c.request.Host + c.request.URL.Path})
 	}
 	team := ""
 	if !r.Public && len(t.Config.Teams) > 0 {
 		owner := t.Team(c.info.Key)
 		if owner == nil {
-			return &refusal{reason: fleet.ReasonUnauthorized, status: http.StatusUnauthorized, detail: "no team holds this key"}
+			return c.denied(&refusal{reason: fleet.ReasonUnauthorized, status: http.StatusUnauthorized, detail: "no team holds this key"})
 		}
 		team = owner.Name
 	}
@@ -151,6 +151,18 @@
 	return nil
 }
 
+// denied returns a refusal for good by the configuration in force, or one for now if there may be a newer one that allows the request.
+func (c *call) denied(e *refusal) *refusal {
+	if c.relay.ConfigOverdue == nil || !c.relay.ConfigOverdue() {
+		return e
+	}
+	c.relay.count("denied.overdue")
+	return &refusal{
+		reason: fleet.ReasonNotReady, status: http.StatusServiceUnavailable, retryAfter: notReadyRetryAfter,
+		detail: e.reason.String() + " by a configuration that may be out of date: " + e.detail,
+	}
+}
+
 // affinityKey returns the key by which a route assigns requests to its services: that of the prompt prefix, or else the request id.
 func (c *call) affinityKey() string {
 	if n := len(c.info.Segments); n > 1 {
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -28,6 +28,7 @@
 	Overloaded         func(l Load) bool            // reports whether a request must be shed at this load, as the router lacks memory or processor time; nil means never
 	BodyLimit          func() int64                 // returns the limit on the bytes of all callers' bodies held; nil or 0 means no limit
 	RebalanceDelay     func() time.Duration         // returns the time until new connections of callers reach other routers; nil or 0 means that they already do
+	ConfigOverdue      func() bool                  // reports whether changes are known to exist that have not arrived in time; nil means never
 	CallerGone         func(r *http.Request) bool   // reports whether the caller has closed its connection; nil means never
 	Streams            *resume.Register             // knows at which software versions callers' streams began; nil means that only a sole version is known
 	Budgets            pool.RetryBudgets            // guarded by Gate
