Bound the memory of all answers that are held until they are complete

Cause: each answer of a plain service, and each event of a stream, may take 4 MB and 1 MB while it is read, and twice that while its buffer grows. Nothing bounded their sum; the runtime's memory limit bounds nothing that is in use.

Now they share 0.1 of the memory, beyond 16 KB each. When that is full, the largest answer that is still being read is cut off: one without an end soon is. A request that may be repeated goes to another server; any other gets 502, as it may have run.

--- a/router/back/events.go
+++ b/router/back/events.go
@@ -65,6 +65,8 @@
 // Events reads server-sent events and returns only complete ones.
 type Events struct {
 	Limit int // maximum size of an event in bytes; 0 for DefaultEventBytes
+	// Grow is called with the number of bytes of an event read so far whenever those fill the buffer; its error ends the stream. It may be nil.
+	Grow func(bytes int) error
 
 	reader *bufio.Reader
 	count  int
@@ -82,7 +84,7 @@
 	event := Event{Comment: true}
 	var lines [][]byte
 	for {
-		line, err := e.line(limit - len(event.Text))
+		line, err := e.line(limit-len(event.Text), len(event.Text))
 		if err != nil {
 			return Event{}, &EventError{Events: e.count, Inside: len(event.Text)+len(line) > 0, Err: err}
 		}
@@ -129,8 +131,8 @@
 	return err == nil && (bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n")))
 }
 
-// line reads a line including its line feed. A truncated line is returned with an error.
-func (e *Events) line(limit int) ([]byte, error) {
+// line reads a line of an event, of which some bytes were read before, including its line feed. A truncated line is returned with an error.
+func (e *Events) line(limit, before int) ([]byte, error) {
 	var line []byte
 	for {
 		part, err := e.reader.ReadSlice('\n')
@@ -139,6 +141,11 @@
 		case len(line) > limit:
 			return line, errEventTooLong
 		case errors.Is(err, bufio.ErrBufferFull):
+			if e.Grow != nil {
+				if err := e.Grow(before + len(line)); err != nil {
+					return line, err
+				}
+			}
 			continue
 		case errors.Is(err, io.EOF) && len(line) > 0:
 			return line, io.ErrUnexpectedEOF
--- a/router/proc/callers.go
+++ b/router/proc/callers.go
@@ -22,6 +22,8 @@
 	// bodyShare is the fraction of the process's memory for all request bodies together: one body may be 4 MB, and a small VM
 	// has 112 MB.
 	bodyShare = 0.15
+	// answerShare is the fraction of the process's memory for all answers together that are held until they are complete.
+	answerShare = 0.1
 	// maxConnsFactor is the hard limit of open connections, as a multiple of the limit from which callers are asked to close
 	// theirs.
 	maxConnsFactor = 1.5
@@ -66,6 +68,11 @@
 // bodyLimit returns the limit in bytes of all request bodies together; 0 means no limit.
 func (p *Process) bodyLimit() int64 { return int64(bodyShare * float64(p.settings.Load().Memory)) }
 
+// answersLimit returns the limit in bytes of all servers' answers that are held together; 0 means no limit.
+func (p *Process) answersLimit() int64 {
+	return int64(answerShare * float64(p.settings.Load().Memory))
+}
+
 // connsOverLimit reports whether too many connections are open, so that callers are to be asked to close theirs. While the router
 // is overloaded by requests, only rejected callers are asked, so that as many stay as it can serve.
 func (p *Process) connsOverLimit() bool {
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -114,7 +114,7 @@
 	stopping, cut := context.WithCancel(context.Background())
 	p.cancelRequests = cut
 	p.relay = &relay.Relay{
-		Table: p.table.Load, Gate: p.gate, HeaderCodec: d, Clock: p.now, DrainRemaining: p.drainRemaining, RefusesNew: p.refusesNew, TooManyConnections: p.connsOverLimit, Overloaded: p.rejects, BodyLimit: p.bodyLimit, RebalanceDelay: p.untilRedirected, ConfigOverdue: p.overdue.Load, CallerGone: callerGone, Log: p.log, Metrics: p.registry,
+		Table: p.table.Load, Gate: p.gate, HeaderCodec: d, Clock: p.now, DrainRemaining: p.drainRemaining, RefusesNew: p.refusesNew, TooManyConnections: p.connsOverLimit, Overloaded: p.rejects, BodyLimit: p.bodyLimit, AnswersLimit: p.answersLimit, RebalanceDelay: p.untilRedirected, ConfigOverdue: p.overdue.Load, CallerGone: callerGone, Log: p.log, Metrics: p.registry,
 		Client:   &back.Client{Settings: back.Settings{UnackedTimeout: ackTimeout, ConnectTimeout: connectTimeout, IdleTimeout: serverIdleTimeout, NonIdempotentIdle: nonIdempotentIdleTimeout}},
 		Streams:  p.streams,
 		Budgets:  pool.RetryBudgets{Ratio: s.RetryRatio, Slack: s.RetrySlack},
--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -64,10 +64,12 @@
 // forwardWhole buffers an answer until it is complete and then sends it to the caller.
 func (c *call) forwardWhole(ctx context.Context, run *pool.Run, a *answer, result *pool.Result) error {
 	end := &bodyEnd{reader: a.response.Body}
-	body, err := io.ReadAll(io.LimitReader(end, answerLimit+1))
+	held := c.holdAnswer(a)
+	body, err := held.readAll(end, a.response.ContentLength, answerLimit, c.answersLimit())
 	a.progress.recordEnd(end.err)
 	if err != nil || len(body) > answerLimit {
-		result.Failed, result.Broken, result.CallerGone = true, err != nil, ctx.Err() != nil
+		held.release()
+		result.Failed, result.Broken, result.CallerGone = true, err != nil && !c.countFull(err), ctx.Err() != nil
 		return &attemptError{server: run.Server.ID, reason: fleet.ReasonStreamBroken, cause: err}
 	}
 	if a.progress.framing == back.FramingConnection && c.hasSecondAnswer(body) {
@@ -92,13 +94,15 @@
 func (c *call) forwardEvents(ctx context.Context, run *pool.Run, a *answer, result *pool.Result) error {
 	end := &bodyEnd{reader: a.response.Body}
 	events := back.NewEvents(end)
+	held := c.holdAnswer(a)
+	events.Grow = func(bytes int) error { return held.resize(eventCopies*int64(bytes), c.answersLimit()) }
 	controller := http.NewResponseController(c.writer)
 	first, resumes := true, c.order.last != "" && c.headerWritten
 	for {
 		event, err := events.Next()
 		if err != nil {
 			a.progress.recordEnd(end.err)
-			return c.streamEnded(ctx, run, a, result, err)
+			return c.streamEnded(ctx, run, a, result, held.cutOff(err))
 		}
 		if a.progress.framing == back.FramingConnection && event.Foreign {
 			err = errSecondAnswer
@@ -136,7 +140,35 @@
 			result.CallerGone = true
 			return err
 		}
+		if len(event.Text) > smallAnswer/eventCopies {
+			held.release()
+		}
+	}
+}
+
+// holdAnswer returns the memory of an answer, which is counted until the request ends.
+func (c *call) holdAnswer(a *answer) *heldAnswer {
+	held := c.relay.answers.begin(func() { back.CloseConnection(a.response) })
+	c.answers = append(c.answers, held)
+	return held
+}
+
+// answersLimit returns the limit in bytes of the memory of all answers; 0 means no limit.
+func (c *call) answersLimit() int64 {
+	if c.relay.AnswersLimit == nil {
+		return 0
+	}
+	return c.relay.AnswersLimit()
+}
+
+// countFull counts an answer that was cut off for its memory, and reports whether it was. Its server has not ended.
+func (c *call) countFull(err error) bool {
+	var full *answersFullError
+	if !errors.As(err, &full) {
+		return false
 	}
+	c.relay.count("answers.full")
+	return true
 }
 
 // errSecondAnswer is returned when an answer without a length breaks off and another one follows on its connection.
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -32,7 +32,8 @@
 	team        string
 	service     string
 	body        []byte
-	heldBytes   int64 // bytes of the body counted as held
+	heldBytes   int64         // bytes of the body counted as held
+	answers     []*heldAnswer // memory of the servers' answers
 	fingerprint uint64
 
 	runs          int           // number of servers that may have run it
--- a/router/relay/ending.go
+++ b/router/relay/ending.go
@@ -29,7 +29,7 @@
 	if !back.IsCleanEnd(err) {
 		var broken *back.EventError
 		a.progress.insideEvent = errors.As(err, &broken) && broken.Inside
-		result.Failed, result.Broken, result.CallerGone = true, true, ctx.Err() != nil
+		result.Failed, result.Broken, result.CallerGone = true, !c.countFull(err), ctx.Err() != nil
 		return &attemptError{server: run.Server.ID, reason: fleet.ReasonStreamBroken, cause: err}
 	}
 	if err := c.confirmEnd(ctx, run, a, result); err != nil {
--- a/router/relay/open.go
+++ b/router/relay/open.go
@@ -56,6 +56,9 @@
 // release removes the call and its body from the counts.
 func (c *call) release() {
 	c.relay.bodies.release(c.heldBytes)
+	for _, held := range c.answers {
+		held.release()
+	}
 	if c.open {
 		c.relay.open.leave(c.countedTeam)
 	}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -27,6 +27,7 @@
 	TooManyConnections func() bool                  // reports whether callers have too many open connections and are asked to close theirs; nil means never
 	Overloaded         func(l Load) bool            // reports whether a request must be shed at this load, as the router lacks memory or processor time; nil means never
 	BodyLimit          func() int64                 // returns the limit on the bytes of all callers' bodies held; nil or 0 means no limit
+	AnswersLimit       func() int64                 // returns the limit on the bytes of all servers' answers held until they are complete; nil or 0 means no limit
 	RebalanceDelay     func() time.Duration         // returns the time until new connections of callers reach other routers; nil or 0 means that they already do
 	ConfigOverdue      func() bool                  // reports whether changes are known to exist that have not arrived in time; nil means never
 	CallerGone         func(r *http.Request) bool   // reports whether the caller has closed its connection; nil means never
@@ -40,6 +41,7 @@
 	shedCounter shedCounter
 	open        openCounter
 	bodies      bodies
+	answers     heldAnswers
 }
 
 // OpenRequests returns the number of requests being served.
--- a/stage/local/process.go
+++ b/stage/local/process.go
@@ -153,3 +153,13 @@
 	defer p.mutex.Unlock()
 	return p.running()
 }
+
+// PID returns the process id, or 0 if the process is not running.
+func (p *Process) PID() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if !p.running() {
+		return 0
+	}
+	return p.command.Process.Pid
+}
