--- a/core/digest/part.go
+++ b/core/digest/part.go
@@ -33,9 +33,12 @@
 
 // want returns the request for changes that this router lacks and can't read from the platform, if one is due.
 func (f *Fleet) want(now time.Duration) []Outgoing {
-	if !f.SourceLost || f.log.position == (Position{}) || !f.log.position.Before(f.Position) || f.wantedAt > 0 && now-f.wantedAt < wantTimeout {
+	if !f.SourceLost || f.wantedAt > 0 && now-f.wantedAt < wantTimeout {
 		return nil
 	}
+	if f.log.position.Era != f.Position.Era || f.log.position == (Position{}) || !f.log.position.Before(f.Position) {
+		return nil // changes of a later era don't continue those that are known
+	}
 	var ahead []string
 	for _, address := range f.Live(now) {
 		if f.log.position.Before(f.peerPositions[address]) {
--- a/core/pool/lapse.go
+++ b/core/pool/lapse.go
@@ -29,19 +29,24 @@
 	}
 	b.lapsesAt = returnedAt + lapseGrace
 	p.emit(b, "lapsed", detail)
-	p.setSuspended(p.service(b.Service))
+	v := p.service(b.Service)
+	v.lapsed++
+	v.setSuspended()
 }
 
-// setSuspended decides which servers of a service with lapsed entries get work.
-func (p *Pool) setSuspended(v *service) {
-	lapsed := 0
+// setSuspended decides which servers with lapsed entries get work.
+func (v *service) setSuspended() {
+	if v.lapsed == 0 {
+		return
+	}
+	v.lapsed = 0
 	for _, b := range v.servers {
 		if b.lapsesAt > 0 {
-			lapsed++
+			v.lapsed++
 		}
 	}
 	for _, b := range v.servers {
-		b.suspended = b.lapsesAt > 0 && float64(lapsed) <= suspendedShare*float64(len(v.servers))
+		b.suspended = b.lapsesAt > 0 && float64(v.lapsed) <= suspendedShare*float64(len(v.servers))
 	}
 }
 
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -52,6 +52,7 @@
 	queue        queue
 	demand       demandCounts
 	suspects     suspects
+	lapsed       int                      // number of servers whose entries are lapsed
 	versionsGone map[uint32]time.Duration // when a server of a software version was last seen to go
 }
 
@@ -107,7 +108,7 @@
 			b.heldUntil = 0
 		}
 		b.Server, b.lapsesAt = s, 0
-		p.setSuspended(p.service(b.Service))
+		p.service(b.Service).setSuspended()
 		p.addVersion(p.service(b.Service), b)
 		if s.ColdRemaining > 0 {
 			b.coldUntil = max(b.coldUntil, now+s.ColdRemaining)
@@ -207,7 +208,7 @@
 			break
 		}
 	}
-	p.setSuspended(v)
+	v.setSuspended()
 }
 
 // Servers returns the IDs of all known servers.
