--- a/core/digest/stream.go
+++ b/core/digest/stream.go
@@ -2,6 +2,8 @@
 
 import "time"
 
+//go:generate stringer -type=VersionCount -linecomment -output=enums_string.go
+
 // StreamVersion says at which software version a stream began.
 type StreamVersion struct {
 	Attempt uint64 // hash of the caller and of the id of its attempt that brought the first event
@@ -24,12 +26,12 @@
 	Several []uint64 // likewise, where the service has had several versions within the question's window
 }
 
-// VersionCount is the number of software versions that a service has had within some time, as far as a router knows.
+// VersionCount is the number of software versions that a service has had within some time; it is unknown to a router that may have missed some.
 type VersionCount int
 
 // Numbers of software versions.
 const (
-	VersionsUnknown VersionCount = iota // the router may have missed some
-	VersionsOne
-	VersionsSeveral
+	VersionsUnknown VersionCount = iota // unknown
+	VersionsOne                         // one
+	VersionsSeveral                     // several
 )
--- a/core/pool/version_test.go
+++ b/core/pool/version_test.go
@@ -66,7 +66,7 @@
 				d.change(p)
 			}
 			if _, count := p.Versions(now, ServiceID("chat"), window); (count == digest.VersionsOne) != d.sole {
-				t.Errorf("number of versions %d, want a sole one: %t", count, d.sole)
+				t.Errorf("number of versions %v, want a sole one: %t", count, d.sole)
 			}
 		})
 	}
--- a/router/proc/outage_test.go
+++ b/router/proc/outage_test.go
@@ -99,7 +99,7 @@
 				t.Errorf("turn %+v after %v, want one that recovers: %t", turn, wait, tt.recovers)
 			}
 			if _, count := p.serviceVersions(pool.ServiceID("chat"), time.Minute); count != tt.count {
-				t.Errorf("number of versions %d, want %d", count, tt.count)
+				t.Errorf("number of versions %v, want %d", count, tt.count)
 			}
 		})
 	}
--- a/router/relay/held.go
+++ b/router/relay/held.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"sync"
@@ -135,7 +136,7 @@
 	for {
 		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return body, a.complete()
 		}
 		if err != nil {
