Keep the first age that a router hears of a read of the platform

Messages tell how long ago any router last read the platform, without the time that they were under way, and each receiver passed its own, younger estimate back. Beside late messages, as saturated routers cause them, the age hardly grew: 4 s after the last read, 24 routers with messages up to 0.4 s late took it for 0.5 s old.

Each read now has an identifier that travels with its age, and a read that is known is not recorded again. Routers of the version before send none and are treated as before.

--- a/core/digest/fleet.go
+++ b/core/digest/fleet.go
@@ -70,6 +70,7 @@
 	gossipedAt    time.Duration
 	log           Log
 	outages       Outages             // when some router last read the platform, as far as known
+	reads         recentReads         // the reads from which that is known
 	peerPositions map[string]Position // up to which each other router knows all changes
 	started       []string            // routers that were found to have started since TakeStarted was last called
 	memberAdded   bool                // a member was discovered since the last gossip round
--- a/core/digest/news.go
+++ b/core/digest/news.go
@@ -33,6 +33,7 @@
 type Update struct {
 	Position Position      // up to which the sender knows all changes
 	Age      time.Duration // time since some router last read the platform, as far as the sender knows
+	Read     uint32        // identifies that read; 0 if the sender tells none, as routers of the version before
 	From, To Position      // Changes holds all changes after From up to To; To is zero if there are none
 	Changes  []Change
 	Part     *Part // a part of the first change after From, if that is too large for one message; nil if there is none
@@ -100,6 +101,7 @@
 func (f *Fleet) ObservePlatform(now time.Duration, from, to Position, changes []Change) {
 	f.init()
 	f.outages.Observe(max(1, now), to)
+	f.reads.add(max(1, f.Random.Uint32()))
 	f.Position = latest(f.Position, to)
 	if from == (Position{}) || !f.log.Add(from, to, changes) {
 		f.log.Reset(to)
@@ -125,7 +127,7 @@
 	if f.log.position == (Position{}) {
 		return nil
 	}
-	n := &Update{Position: f.log.position, Age: now - f.outages.readAt}
+	n := &Update{Position: f.log.position, Age: now - f.outages.readAt, Read: f.reads.newest()}
 	has, ok := f.peerPositions[to]
 	if !ok || !has.Before(f.log.position) {
 		return n
@@ -141,7 +143,7 @@
 	position := f.withEra(n.Position)
 	f.peerPositions[from] = position
 	f.Position = latest(f.Position, position)
-	f.outages.Observe(now-n.Age, f.Position)
+	f.observeRead(now-n.Age, n.Read)
 	if n.To != (Position{}) {
 		f.log.Add(f.withEra(n.From), f.withEra(n.To), n.Changes)
 	}
@@ -151,6 +153,18 @@
 	return nil
 }
 
+// observeRead records that some router read the platform at a time. A read that is known already is not recorded again: its age in messages lacks the
+// time that they were under way, so that it would grow too slowly, or not at all, beside a router that handles its messages late.
+func (f *Fleet) observeRead(readAt time.Duration, read uint32) {
+	if f.reads.contains(read) {
+		return
+	}
+	if readAt > f.outages.readAt {
+		f.reads.add(read)
+	}
+	f.outages.Observe(readAt, f.Position)
+}
+
 // withEra returns a position of another router. Routers of the version before tell no era, and follow the same platform.
 func (f *Fleet) withEra(p Position) Position {
 	if p.Era == 0 {
--- a/router/share/news.go
+++ b/router/share/news.go
@@ -12,7 +12,7 @@
 	if n == nil {
 		return nil
 	}
-	w := &News{Revision: n.Position.Revision, Era: n.Position.Era, Age: toMillis(n.Age), From: n.From.Revision, To: n.To.Revision}
+	w := &News{Revision: n.Position.Revision, Era: n.Position.Era, Age: toMillis(n.Age), Read: n.Read, From: n.From.Revision, To: n.To.Revision}
 	for _, c := range n.Changes {
 		w.Changes = append(w.Changes, &Change{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted})
 	}
@@ -30,7 +30,7 @@
 	if w == nil {
 		return nil
 	}
-	n := &digest.Update{Position: digest.Position{Era: w.Era, Revision: w.Revision}, Age: time.Duration(w.Age) * time.Millisecond}
+	n := &digest.Update{Position: digest.Position{Era: w.Era, Revision: w.Revision}, Age: time.Duration(w.Age) * time.Millisecond, Read: w.Read}
 	if w.To > 0 || w.Part != nil {
 		n.From = n.Position.At(w.From)
 	}
