Read the platform for readers that can't reach it, and cancel calls that hang

A router that had to read because nobody else did now goes on reading until others do (actingReader), and a call is cancelled once its result has been known from another router for two to three checks of 0.1 s.

--- a/router/proc/follow.go
+++ b/router/proc/follow.go
@@ -52,6 +52,8 @@
 	announcedAt time.Duration   // when it was first announced
 	spread      time.Duration   // random delay before this router reads the state of a new era
 	nextTry     time.Duration   // time of the next call while no router reaches the platform; 0 while one does
+	overdueRead bool            // the newest call was made as the fleet's last read was too old
+	acting      actingReader    // reads for the routers whose duty it is, while these can't reach the platform
 }
 
 // next waits for the next turn of a source that has all changes up to a position.
@@ -96,6 +98,10 @@
 		})
 	}
 	p.overdue.Store(late)
+	f.overdueRead = false
+	if lost || reader {
+		f.acting.stop()
+	}
 	switch {
 	case turn.FromPeer:
 		return turn, 0
@@ -109,7 +115,13 @@
 			turn.Wait = readWait
 		}
 		return f.call(now, turn)
-	case late && (f.lastRead == 0 || now-f.lastRead >= minCallInterval), !fresh && f.due(now, pause):
+	case f.acting.due(now, now-age) && now-f.lastRead >= readPause:
+		turn.Wait = readWait
+		return f.call(now, turn)
+	case late && (f.lastRead == 0 || now-f.lastRead >= minCallInterval):
+		return f.call(now, turn)
+	case !fresh && f.due(now, pause):
+		f.overdueRead = true
 		return f.call(now, turn)
 	case fresh && lost && f.announced == digest.Position{}:
 		turn.FromPeer = true
@@ -173,12 +185,62 @@
 }
 
 // recordRead stores the changes that were read, to be sent to the other routers.
-func (p *Process) recordRead(from, to digest.Position, changes []digest.Change) {
+func (f *follower) recordRead(from, to digest.Position, changes []digest.Change) {
+	p := f.process
 	p.count("platform.read")
 	p.reads.succeed()
 	if p.exchanger == nil {
 		p.outages.Observe(max(1, p.now()), to)
 		return
 	}
-	p.exchanger.WithFleet(func(now time.Duration, f *digest.Fleet) { f.ObservePlatform(now, from, to, changes) })
+	p.exchanger.WithFleet(func(now time.Duration, fleet *digest.Fleet) {
+		age, known := fleet.PlatformAge(now)
+		if f.overdueRead && known && age > f.maxAge {
+			f.acting.start(now, rand.IntN(maxOverlapJitter))
+			p.count("platform.actingReader")
+			p.log.Info("reads the platform for the others", "lastRead", age)
+		} else {
+			f.acting.observe(now, now-age)
+		}
+		fleet.ObservePlatform(now, from, to, changes)
+	})
+}
+
+// readContext returns a context for a call of the platform, which ends with a *SupersededError if the call hangs while the changes after the known
+// position arrive from another router.
+func (f *follower) readContext(ctx context.Context, known digest.Position) (context.Context, context.CancelFunc) {
+	call, cancel := context.WithCancelCause(ctx)
+	if f.process.exchanger == nil {
+		return call, func() { cancel(nil) }
+	}
+	go f.supersede(call, cancel, known)
+	return call, func() { cancel(nil) }
+}
+
+// supersede cancels a call once another router's changes have been known for hangPeriods checks: the platform returns changes at once.
+func (f *follower) supersede(call context.Context, cancel context.CancelCauseFunc, known digest.Position) {
+	ticker := time.NewTicker(checkPeriod)
+	defer ticker.Stop()
+	for periods := 0; periods < hangPeriods; {
+		select {
+		case <-call.Done():
+			return
+		case <-ticker.C:
+		}
+		f.process.exchanger.WithFleet(func(_ time.Duration, fleet *digest.Fleet) {
+			if _, to, ok := fleet.Since(known); ok && known.Before(to) {
+				periods++
+			}
+		})
+	}
+	cancel(&SupersededError{})
 }
+
+// hangPeriods is how many checks a call may go on after its result has arrived from another router.
+const hangPeriods = 3
+
+// SupersededError means that a call of the platform was cancelled, as it hung while its result arrived from another router.
+type SupersededError struct{}
+
+// Error returns a fixed message.
+func (e *SupersededError) Error() string { return "another router read the platform meanwhile" }
--- a/router/proc/outage_test.go
+++ b/router/proc/outage_test.go
@@ -88,7 +88,7 @@
 				q.SetPeers(now, digest.Sum{}, true, []string{"10.0.0.2:1"})
 			})
 			p.exchanger = &share.Exchanger{Fleet: &digest.Fleet{Address: "10.0.0.1:1", DataCentre: "d", FirstBeat: 1}, Clock: p.now}
-			p.recordRead(digest.Position{}, at(5), nil)
+			(&follower{process: p}).recordRead(digest.Position{}, at(5), nil)
 			p.platformRecovered(at(5))
 			p.platformLost(io.EOF)
 			p.exchanger.WithFleet(func(now time.Duration, f *digest.Fleet) {
--- a/router/proc/source.go
+++ b/router/proc/source.go
@@ -28,17 +28,20 @@
 	Rewound func(from, to digest.Position)
 	// Next waits for the next turn of a source that has all changes up to a position.
 	Next func(ctx context.Context, known digest.Position) Turn
+	// ReadContext returns a context for a call that reads the changes after a position. Its cause is a *SupersededError if these arrived from another
+	// router while the call hung.
+	ReadContext func(ctx context.Context, known digest.Position) (context.Context, context.CancelFunc)
 	// RecordRead stores what was read for the other routers, before it is applied: all changes after one position up to another, or the whole state if from
 	// is zero.
 	RecordRead func(from, to digest.Position, changes []digest.Change)
 }
 
 func (p *Process) newSink() *Sink {
+	f := &follower{process: p, maxAge: maxStateAge + time.Duration(rand.Int64N(int64(maxStateAgeJitter)))}
 	return &Sink{
 		Configure: p.configure, SetServer: p.setServer, RemoveServer: p.removeServer, RetainServers: p.retainServers, SetOutOfService: p.setOutOfService, Lost: p.platformLost, Recovered: p.platformRecovered, Rewound: p.rewound,
-		Warn:       func(what string, fields ...interface{}) { p.log.Warn(what, fields...) },
-		Next:       (&follower{process: p, maxAge: maxStateAge + time.Duration(rand.Int64N(int64(maxStateAgeJitter)))}).next,
-		RecordRead: p.recordRead,
+		Warn: func(what string, fields ...interface{}) { p.log.Warn(what, fields...) },
+		Next: f.next, ReadContext: f.readContext, RecordRead: f.recordRead,
 	}
 }
 
