--- a/core/pool/summary.go
+++ b/core/pool/summary.go
@@ -67,6 +67,7 @@
 	Throughput, Demand, Served float64
 	Level                      float64 // max-min fair level, above which a team is over its share; 0 if there is enough for all
 	OverShare                  int     // number of teams whose demand exceeds the level
+	Held                       float64 // demand rejected in favour of less served teams
 	LeastTeam                  string  // name of the least served backlogged team; empty if there is none
 	LeastDemand, LeastServed   float64
 	MostTeam                   string // name of the most served team with requests at this router
@@ -81,6 +82,7 @@
 	for _, r := range s.remoteTeams {
 		b.Demand += float64(r.Demand)
 		b.Served += float64(r.Served)
+		b.Held += float64(r.Held)
 		if s.level > 0 && float64(r.Demand) > s.level {
 			b.OverShare++
 		}
@@ -88,9 +90,11 @@
 	for name, t := range s.teams {
 		t.localDemand.decay(now)
 		t.localServed.decay(now)
+		t.localHeld.decay(now)
 		demand, served := t.demand(), t.servedRate()
 		b.Demand += demand
 		b.Served += served
+		b.Held += t.localHeld.value + t.peerHeld
 		if served > b.MostServed {
 			b.MostTeam, b.MostDemand, b.MostServed = name, demand, served
 		}
--- a/router/relay/shed.go
+++ b/router/relay/shed.go
@@ -60,6 +60,6 @@
 	if shares.Level == 0 || s.Log == nil {
 		return
 	}
-	s.Log.Info("shares", "throughput", shares.Throughput, "asked", shares.Demand, "served", shares.Served, "level", shares.Level, "beyond", shares.OverShare,
+	s.Log.Info("shares", "throughput", shares.Throughput, "asked", shares.Demand, "served", shares.Served, "level", shares.Level, "beyond", shares.OverShare, "heldBack", shares.Held,
 		"least", shares.LeastTeam, "leastAsked", shares.LeastDemand, "leastServed", shares.LeastServed, "most", shares.MostTeam, "mostAsked", shares.MostDemand, "mostServed", shares.MostServed)
 }
--- a/router/share/codec_test.go
+++ b/router/share/codec_test.go
@@ -16,7 +16,7 @@
 		s.Servers[uint32(i)*2654435761] = digest.Use{Requests: int64(i%60) + 1, Prefill: 16 * int64(i%900), Memory: 64 * int64(i%3000)}
 	}
 	for i := range teams {
-		s.Teams[uint32(i)*2246822519] = digest.Rates{Demand: 16 * int64(i+1), Served: 16 * int64(i)}
+		s.Teams[uint32(i)*2246822519] = digest.Rates{Demand: 16 * int64(i+1), Served: 16 * int64(i), Held: 16 * int64(i%3)}
 	}
 	return &digest.Message{From: "10.0.0.1:7000", Position: digest.Position{Era: 2, Revision: 99}, Others: s}
 }
