Learn the speed of each server, and the service's rate without upward drift

Cause: one prefill rate was kept for each service and router. On servers of 0.6, 1 and 1.6 times the usual speed, most first events that missed their objective came from servers with an estimated backlog of 0 to 80 ms. The rate itself drifted upwards: samples above the estimate had ten times the weight of those below, and shared parts believed to be prefilled anew were often cached (15 to 27 tokens per ms measured, 25 to 74 estimated). The fixed part of the time to first event was a constant of 25 ms, where 7 to 41 ms are measured at idle servers.

Change: - core/speed fits the fixed part and the rate of a service by a quantile regression of the newest 256 samples, and the speed of each server relative to its service from the sums of expected and measured times. The expected time is that of the same router, so that a router that is itself late doesn't make servers look slow. What may be noise counts as a speed of 1, and speeds stay within 0.25 and 4. - Only requests with hardly any shared part to be prefilled are samples. - Server-Load may have a fourth figure, how long work takes at the moment in percent of the usual time. It fades within 300 ms and loses weight when measurements contradict it. Loads that can't be read are counted and logged as odd headers, now one line a second at most. - The backlog, the cost of prefilling shared parts again, the latest moment to send and Retry-After use the time at the server in question (Pool.prefillTime). A server at which a request is late only since the server is slow is chosen last.

Result, in the model of core/speed (9 routers, 200 requests a second, 30 % behind unknown work, 15 % with wrong beliefs of the cache; with 77 routers and 112 servers 2,000 a second): TestSpeedsAreFound, TestEqualServersStayEqual and TestRateDoesNotDrift pass. TestSlowServerGetsNoUrgentWork and TestReadLoad failed before and pass now.

TestHeldTeamIsServedEvenly (core/pool) and TestHealthAnswerOfNextProcess (router/relay) fail, with the same figures as without this change.

--- a/core/digest/sum.go
+++ b/core/digest/sum.go
@@ -7,11 +7,18 @@
 	Memory   int64 // KV cache, in tokens
 }
 
+// Timing is the evidence on the speed of one backend server: how long requests were expected to take at the speed of its service, and
+// how long they took, in milliseconds.
+type Timing struct {
+	Expected, Measured int64
+}
+
 // Sum is the total usage of routers and offered load of teams. Keys are hashes of names.
 type Sum struct {
 	Routers int64 // number of routers in the sum
 	Servers map[uint32]Use
 	Teams   map[uint32]Rates
+	Timings map[uint32]Timing // by server; nil in most messages, as they change slowly
 }
 
 // Rates holds a team's offered load and its throughput, in tokens per second.
@@ -41,8 +48,21 @@
 			Memory:   max(0, v.Memory+sign*u.Memory),
 		}
 	}
+	if s.Timings == nil && len(o.Timings) > 0 {
+		s.Timings = make(map[uint32]Timing, len(o.Timings))
+	}
+	for id, t := range o.Timings {
+		v := s.Timings[id]
+		s.Timings[id] = Timing{Expected: max(0, v.Expected+sign*t.Expected), Measured: max(0, v.Measured+sign*t.Measured)}
+	}
 	for id, r := range o.Teams {
 		v := s.Teams[id]
 		s.Teams[id] = Rates{Demand: max(0, v.Demand+sign*r.Demand), Served: max(0, v.Served+sign*r.Served)}
 	}
 }
+
+// withoutTimings returns the sum without the timings.
+func (s Sum) withoutTimings() Sum {
+	s.Timings = nil
+	return s
+}
--- a/core/pool/pick.go
+++ b/core/pool/pick.go
@@ -41,6 +41,7 @@
 	prefillTokens int64
 	backlog       time.Duration // work ahead of the request
 	cost          time.Duration
+	sendBy        time.Duration // until when the request can wait and still be in time at this server
 	home          bool
 	hasRoom       bool // the request can be sent at once: the backlog is short, and a slot and memory are free
 }
@@ -60,7 +61,7 @@
 		return p.cheapest(now, v, a, v.servers, home)
 	}
 	c, ok := p.cheapest(now, v, a, affinity, home)
-	if ok && c.hasRoom && now+c.backlog <= a.sendBy {
+	if ok && c.hasRoom && now+c.backlog <= c.sendBy {
 		return c, true
 	}
 	if !ok { // few servers are usable, as when all are cold and each accepts work from a few routers only
@@ -194,9 +195,11 @@
 func (p *Pool) score(now time.Duration, v *service, b *backend, a *Request, home bool, penalty float64) candidate {
 	u := b.usage(now)
 	if a.PromptTokens == 0 {
-		return p.scorePlain(now, b, u)
+		c := p.scorePlain(now, b, u)
+		c.sendBy = a.sendBy
+		return c
 	}
-	c := candidate{backend: b, prefillTokens: a.PromptTokens, home: home}
+	c := candidate{backend: b, prefillTokens: a.PromptTokens, home: home, sendBy: a.sendBy}
 	if home {
 		for _, part := range a.sharedSegments() {
 			c.prefillTokens -= part.Tokens
@@ -205,9 +208,10 @@
 		c.prefillTokens -= b.cache.cachedTokens(now, a.sharedSegments())
 	}
 	c.prefillTokens = max(1, c.prefillTokens)
-	c.backlog = v.prefill.duration(u.Prefill)
+	c.backlog = p.prefillTime(now, v, b, u.Prefill)
 	recomputed := c.prefillTokens - a.uniqueTokens()
-	c.cost = c.backlog + time.Duration(penalty*float64(v.prefill.duration(recomputed)))
+	c.cost = c.backlog + time.Duration(penalty*float64(p.prefillTime(now, v, b, recomputed)))
+	p.scoreSpeed(now, v, a, &c)
 	if b.DataCentre != p.DataCentre {
 		c.cost += remotePenalty
 	}
@@ -215,6 +219,23 @@
 	return c
 }
 
+// scoreSpeed adds to a candidate by how much longer than usual, or shorter, its server takes for the tokens that every server has to
+// prefill. It changes nothing at a server of the usual speed.
+func (p *Pool) scoreSpeed(now time.Duration, v *service, a *Request, c *candidate) {
+	unique := a.uniqueTokens()
+	longer := p.prefillTime(now, v, c.backend, unique) - v.prefill.Duration(unique)
+	c.cost += longer
+	if a.overShare {
+		return // it may wait for a part of the time only, whatever the server
+	}
+	c.sendBy -= longer
+	latest := a.Objective - v.prefill.Fixed() - v.prefill.Duration(unique)
+	if at := now + c.backlog; at <= latest && at > latest-longer {
+		c.cost += tooSlowCost
+		c.sendBy = min(c.sendBy, latest-longer)
+	}
+}
+
 // uniqueTokens returns the number of prompt tokens that no other request shares.
 func (a *Request) uniqueTokens() int64 {
 	unique := a.PromptTokens
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mangolug.org/core/route"
+	"mangolug.org/core/speed"
 )
 
 // Pool is one router's view of the backend servers, with its queued requests. It is not safe for concurrent use.
@@ -44,8 +45,9 @@
 // service is the state of all servers of one service.
 type service struct {
 	name         string
-	servers      []*backend // all known servers, sorted by ID
-	prefill      prefillRate
+	servers      []*backend    // all known servers, sorted by ID
+	prefill      speed.Fit     // how fast its servers prefill prompts
+	speedsAt     time.Duration // when the servers' speeds were last computed
 	limitedUntil time.Duration // until then a server may limit its rate
 	meanPrompt   float64       // moving average of the prompt tokens of requests
 	failureRate  float64       // moving failure rate over all its servers
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -116,7 +116,7 @@
 	if a.overShare {
 		return a.Arrived + time.Duration(v.maxWaitFraction(a)*float64(budget))
 	}
-	need := min(budget/2, v.prefill.duration(a.uniqueTokens())+prefillOverhead)
+	need := min(budget/2, v.prefill.Duration(a.uniqueTokens())+v.prefill.Fixed())
 	return min(a.Objective-need, a.Deadline)
 }
 
@@ -138,7 +138,7 @@
 	}
 	c, ok := p.pick(now, v, a)
 	overServed := a.overShare && p.shares.overServed(now, a.Team)
-	inTime := ok && !overServed && now+c.backlog <= a.sendBy
+	inTime := ok && !overServed && now+c.backlog <= c.sendBy
 	if c.hasRoom && (inTime || a.PromptTokens == 0) {
 		return p.send(now, a, c), true
 	}
@@ -158,6 +158,9 @@
 	if !ok {
 		return p.reject(now, v, a, fleet.ReasonNoServer), true
 	}
+	if !overServed && now+c.backlog <= a.sendBy && len(v.servers) > maxFullSearch {
+		return Decision{}, false // it is late only since this server is slow, and others are sampled the next time
+	}
 	if !overServed && !a.small && v.queue.ahead(a) < p.turns(now, v, a) {
 		return Decision{}, false
 	}
@@ -269,7 +272,7 @@
 		if !p.eligible(now, b) {
 			continue
 		}
-		if t := v.prefill.duration(b.usage(now).Prefill); !found || t < shortest {
+		if t := p.prefillTime(now, v, b, b.usage(now).Prefill); !found || t < shortest {
 			shortest, found = t, true
 		}
 	}
--- a/core/pool/request.go
+++ b/core/pool/request.go
@@ -64,7 +64,9 @@
 	Run         *Run // run that was started; nil if the request was rejected
 	RetryAfter  time.Duration
 	Backlog     time.Duration // backlog of the best server at the time of the decision
-	PrefillRate float64       // estimated prefill rate of the servers in tokens per millisecond
+	PrefillRate float64       // estimated prefill rate of the service in tokens per millisecond
+	Speed       float64       // estimated speed of the run's server relative to its service
+	Moment      int           // how long work takes at that server at the moment, in percent of the usual time, as it reports
 	Waited      time.Duration
 }
 
--- a/core/pool/run.go
+++ b/core/pool/run.go
@@ -30,7 +30,10 @@
 		b.cache.record(now, a.Segments)
 		p.shares.observeServed(now, a.Team, float64(a.cost()))
 	}
-	return Decision{Request: a, Reason: fleet.ReasonGranted, Run: r, Backlog: c.backlog, PrefillRate: p.service(b.Service).prefill.value(), Waited: now - a.Arrived}
+	return Decision{
+		Request: a, Reason: fleet.ReasonGranted, Run: r, Backlog: c.backlog, Waited: now - a.Arrived,
+		PrefillRate: p.service(b.Service).prefill.Rate(), Speed: b.speed.value(), Moment: b.speed.moment.Percent(now),
+	}
 }
 
 // Accepting reports whether the server of a run still accepts new work: since it was chosen it may have advertised that it is
@@ -46,9 +49,7 @@
 	}
 	r.began, r.beganAt = true, now
 	r.backend.advertised.recordEnd(now, r, true)
-	if r.request.PromptTokens > 0 && !r.Cold && r.prefillAhead < r.PrefillTokens/maxAheadDivisor {
-		p.service(r.Server.Service).prefill.observe(r.PrefillTokens+r.prefillAhead, now-r.sent)
-	}
+	p.observePrefill(now, r)
 	r.backend.localUsage.subtract(Usage{Prefill: r.usage.Prefill})
 	r.usage.Prefill = 0
 }
@@ -56,6 +57,7 @@
 // ObserveLoad records the load that a server reports.
 func (p *Pool) ObserveLoad(now time.Duration, r *Run, l Load) {
 	r.backend.load, r.backend.loadAt = l, now
+	r.backend.speed.moment.Report(now, l.Percent)
 }
 
 // Ended records the end of a run; later calls do nothing.
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -23,6 +23,7 @@
 // Load is the load that a server reports in a response.
 type Load struct {
 	Running, Waiting, Slots int
+	Percent                 int // how long work takes at the moment, in percent of the usual time; 0 if not reported
 }
 
 // backend is a server with this router's view of it.
@@ -46,6 +47,7 @@
 	meanLoad    movingAverage // average number of requests at a plain server
 	load        Load
 	loadAt      time.Duration
+	speed       serverSpeed
 
 	health   health
 	limiter  rateLimiter
--- a/core/pool/summary.go
+++ b/core/pool/summary.go
@@ -17,6 +17,7 @@
 			s.Servers[nameID(id)] = digest.Use(b.localUsage)
 		}
 	}
+	s.Timings = p.timings(now)
 	for name, t := range p.shares.teams {
 		if r := t.report(now); r != (digest.Rates{}) {
 			s.Teams[nameID(name)] = r
@@ -34,6 +35,7 @@
 	}
 	p.expire(now)
 	p.Peers, p.Joined = routers, len(routers) > 0 && now > joinDelay || now > aloneDelay
+	p.setPeerTimings(now, s.Timings)
 	switch {
 	case known:
 		p.peersAt = max(1, now)
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -39,6 +40,7 @@
 
 	durations   routeDurations
 	shedCounter shedCounter
+	oddHeaders  logInterval
 	open        openCounter
 	bodies      bodies
 	answers     heldAnswers
@@ -108,15 +110,32 @@
 }
 
 // observe adds a duration to a latency histogram in milliseconds.
-func (s *Relay) observe(name string, d time.Duration) {
+func (s *Relay) observe(name string, d time.Duration) { s.observeValue(name, d.Milliseconds()) }
+
+// observeValue adds a value to a histogram.
+func (s *Relay) observeValue(name string, value int64) {
 	if s.Metrics != nil {
 		sample := func() metrics.Histogram {
 			return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 		}
-		metrics.GetOrRegister(name, sample).(metrics.Histogram).Update(d.Milliseconds())
+		metrics.GetOrRegister(name, sample).(metrics.Histogram).Update(value)
 	}
 }
 
+// oddHeaderInterval is the least time between two log lines on odd headers: a server may send one with each response.
+const oddHeaderInterval = time.Second
+
+// logInterval limits log lines to one per oddHeaderInterval.
+type logInterval struct {
+	last atomic.Int64 // time of the last line in Unix nanoseconds; 0 for none
+}
+
+// due reports whether a line may be written now, and records it.
+func (l *logInterval) due(now time.Time) bool {
+	last := l.last.Load()
+	return now.UnixNano()-last >= int64(oddHeaderInterval) && l.last.CompareAndSwap(last, now.UnixNano())
+}
+
 // sampleSize and sampleAlpha are the values that go-metrics recommends for a sample of the last five minutes.
 const (
 	sampleSize  = 1028
--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -55,7 +56,7 @@
 func (c *call) logSent(v pool.Decision) {
 	fields := []interface{}{
 		"team", c.team, "server", v.Run.Server.ID, "dataCentre", v.Run.Server.DataCentre, "waited", v.Waited, "backlog", v.Backlog,
-		"unread", v.Run.PrefillTokens, "again", v.Run.SharedPrefillTokens, "home", v.Run.Home, "pace", v.PrefillRate, "prompt", c.info.Prompt,
+		"unread", v.Run.PrefillTokens, "again", v.Run.SharedPrefillTokens, "home", v.Run.Home, "pace", v.PrefillRate, "speed", v.Speed, "moment", v.Moment, "prompt", c.info.Prompt,
 		"output", c.info.Output, "hint", c.info.LengthHint, "cold", v.Run.Cold, "send", c.sends,
 	}
 	if v.Run.Server.Version != "" {
@@ -67,6 +68,9 @@
 	if c.info.BegunBy != "" {
 		fields = append(fields, "begunBy", c.info.BegunBy)
 	}
+	if c.info.Prompt > 0 {
+		c.relay.observeValue("serverSpeedPercent", int64(math.Round(100*v.Speed)))
+	}
 	c.log("sent", fields...)
 }
 
@@ -279,7 +283,9 @@
 func (c *call) observeServer(run *pool.Run, a *answer) {
 	if a.info.Malformed != "" {
 		c.relay.count("oddHeaders")
-		c.log("odd header", "server", run.Server.ID, "header", a.info.Malformed)
+		if c.relay.oddHeaders.due(time.Now()) {
+			c.log("odd header", "server", run.Server.ID, "header", a.info.Malformed)
+		}
 	}
 	if a.status == http.StatusMisdirectedRequest || a.info.ID != c.info.ID {
 		return
