Let all routers learn the speeds of servers together

Cause: with 77 routers, 112 servers and 2,000 requests a second a router meets a given server once in 4 s, too seldom to learn its speed by itself.

Change: sums carry the evidence on servers' speeds (expected and measured time, additive over routers) in three new columns of Totals, fields 9 to 11. They are sent once a second, and less often for more than 80 servers: each 1.4 s for 112 and each 10 s from 800 on. Routers of the previous version ignore the fields. Columns of unequal length are dropped, and the loads beside them count. Received timings are kept while sums without them arrive, for 2.5 periods; the pool uses them for 15 s.

--- a/core/digest/fleet.go
+++ b/core/digest/fleet.go
@@ -64,6 +64,9 @@
 	centres       map[string]receivedSum   // at the head of a data centre: sums of the heads of the others
 	outside       receivedSum              // last sum from this router's relay: usage of all routers that do not report to this one
 	subtree       Sum                      // usage of all routers that report to this one, as of the last tick
+	timingsAt     time.Duration            // when timings were last sent; 0 for never
+	timingsDue    bool                     // timings are sent in this period
+	timed         int                      // number of servers with timings
 	relay         string                   // router to which this one reports; its own address at the head of a data centre
 	relaySince    time.Duration            // when the current relay was chosen
 	candidate     relayProbe               // possible better relay, used once it answers
@@ -87,8 +90,9 @@
 
 // receivedSum is a sum with the time of its receipt.
 type receivedSum struct {
-	sum Sum
-	at  time.Duration
+	sum       Sum
+	at        time.Duration
+	timingsAt time.Duration // when the timings in the sum were received
 }
 
 func (f *Fleet) init() {
--- a/core/digest/relay.go
+++ b/core/digest/relay.go
@@ -13,17 +13,17 @@
 		delete(f.centres, m.From)
 	}
 	if m.Part != nil {
-		f.parts[m.From] = receivedSum{withRouterCount(m.Part, 1), now}
+		f.parts[m.From] = f.replaced(now, f.parts[m.From], withRouterCount(m.Part, 1))
 	}
 	if m.Centre != nil {
-		f.centres[m.From] = receivedSum{withRouterCount(m.Centre, f.liveIn(now, f.dataCentreOf(m.From))), now}
+		f.centres[m.From] = f.replaced(now, f.centres[m.From], withRouterCount(m.Centre, f.liveIn(now, f.dataCentreOf(m.From))))
 	}
 	if m.Others == nil {
 		return
 	}
 	switch m.From {
 	case f.relay:
-		f.outside = receivedSum{withRouterCount(m.Others, f.Size(now)-1), now}
+		f.outside = f.replaced(now, f.outside, withRouterCount(m.Others, f.Size(now)-1))
 	case f.candidate.address:
 		// This sum still includes this router's group, by way of its current relay. The next one after the switch does not.
 		f.candidate.answered = true
@@ -94,22 +94,27 @@
 	for _, m := range []map[string]receivedSum{f.parts, f.centres} {
 		maps.DeleteFunc(m, func(_ string, h receivedSum) bool { return now-h.at > limit })
 	}
+	f.updateTimingsDue(now)
 	f.subtree = Sum{}
 	for _, h := range f.parts {
-		f.subtree.Add(h.sum)
+		f.subtree.Add(f.due(h.sum))
+	}
+	if f.timingsDue {
+		f.timed = max(len(f.subtree.Timings), len(f.outside.sum.Timings))
 	}
 	if f.relay != f.Address {
 		return
 	}
 	f.outside = receivedSum{at: now}
 	for _, h := range f.centres {
-		f.outside.sum.Add(h.sum)
+		f.outside.sum.Add(f.due(h.sum))
 	}
 }
 
 // sumMessages returns the messages with sums: to this router's relay or, at the head of a data centre, to the other heads,
 // and to the routers that report to this one.
 func (f *Fleet) sumMessages(now time.Duration, own Sum) []Outgoing {
+	own = f.due(own)
 	group := own
 	if len(f.parts) > 0 {
 		group = Sum{}
@@ -127,8 +132,8 @@
 	for _, to := range slices.Sorted(maps.Keys(f.parts)) {
 		var rest Sum
 		rest.Add(group)
-		rest.Subtract(f.parts[to].sum)
-		rest.Add(f.outside.sum)
+		rest.Subtract(f.due(f.parts[to].sum))
+		rest.Add(f.due(f.outside.sum))
 		out = append(out, Outgoing{to, Message{From: f.Address, Others: &rest}})
 	}
 	return out
@@ -195,13 +200,14 @@
 	return f.outside.at > 0 && now-f.outside.at <= stalePeriods*f.Period(now)
 }
 
-// Others returns the usage and offered load of all other routers, and false if it is not known.
+// Others returns the usage and offered load of all other routers, and false if it is not known. It has timings in the periods in which
+// they are sent.
 func (f *Fleet) Others(now time.Duration) (Sum, bool) {
 	if !f.known(now) {
 		return Sum{}, false
 	}
 	var others Sum
 	others.Add(f.subtree)
-	others.Add(f.outside.sum)
+	others.Add(f.due(f.outside.sum))
 	return others, true
 }
--- a/core/digest/sum.go
+++ b/core/digest/sum.go
@@ -60,9 +60,3 @@
 		s.Teams[id] = Rates{Demand: max(0, v.Demand+sign*r.Demand), Served: max(0, v.Served+sign*r.Served)}
 	}
 }
-
-// withoutTimings returns the sum without the timings.
-func (s Sum) withoutTimings() Sum {
-	s.Timings = nil
-	return s
-}
--- a/core/pool/speed_test.go
+++ b/core/pool/speed_test.go
@@ -75,3 +75,44 @@
 		})
 	}
 }
+
+// TestSpeedsOfOthersCount guards against a router that believes a slow server to be as fast as the others until it has met it itself, and
+// against evidence that outlives its source.
+func TestSpeedsOfOthersCount(t *testing.T) {
+	const servers, slow = 9, "s1"
+	p, q := newPool(servers), newPool(servers)
+	now := trainSpeeds(t, p, 60*servers, slow, 0.4)
+	sum := p.Summary(now)
+	q.SetPeers(now, sum, true, []string{"r2"})
+	now += speedPeriod
+	q.SetPeers(now, digest.Sum{}, true, []string{"r2"}) // not each message has timings
+	for id, b := range q.servers {
+		if got := b.speed.value(); (got < 0.65) != (id == slow) || id != slow && (got < 0.9 || got > 1.1) {
+			t.Errorf("server %s: speed %.2f", id, got)
+		}
+	}
+	q.SetPeers(now+evidenceMaxAge+speedPeriod, digest.Sum{}, true, []string{"r2"})
+	if got := q.servers[slow].speed.value(); got != 1 {
+		t.Errorf("speed %.2f by evidence that nobody confirms", got)
+	}
+}
+
+// TestReportedSlowdown guards against a slowdown that is not noticed while it lasts, and one that counts after it is over.
+func TestReportedSlowdown(t *testing.T) {
+	p := newPool(1)
+	now := time.Second
+	r := mustSend(t, p, now, chatRequest(now, 1, 2))
+	v, b := p.service("chat"), p.servers["s0"]
+	usual := p.prefillTime(now, v, b, 3000)
+	for _, c := range []struct {
+		percent int
+		age     time.Duration
+		want    float64
+	}{{250, 0, 2.5}, {250, 150 * time.Millisecond, 1.75}, {250, 300 * time.Millisecond, 1}, {10000, 0, 4}, {1, 0, 0.25}, {0, 0, 1}} {
+		p.ObserveLoad(now, r, Load{Running: 1, Slots: 12, Percent: c.percent})
+		got := float64(p.prefillTime(now+c.age, v, b, 3000)) / float64(usual)
+		if got < c.want-0.01 || got > c.want+0.01 {
+			t.Errorf("%d %% reported %v ago: %.2f times the usual time, want %.2f", c.percent, c.age, got, c.want)
+		}
+	}
+}
--- a/router/share/codec.go
+++ b/router/share/codec.go
@@ -84,6 +84,7 @@
 			t.Served = append(t.Served, toUnits(r.Served, rateUnit))
 		}
 	}
+	encodeTimings(t, s.Timings)
 	return t
 }
 
@@ -100,7 +101,7 @@
 		return nil, fmt.Errorf("columns of unequal length: %d servers, %d requests, %d prefill, %d memory, %d teams, %d asked, %d served",
 			n, len(t.Requests), len(t.Prefill), len(t.Memory), len(t.Teams), len(t.Asked), len(t.Served))
 	}
-	s := &digest.Sum{Routers: int64(t.Routers), Servers: make(map[uint32]digest.Use, n), Teams: make(map[uint32]digest.Rates, len(t.Teams))}
+	s := &digest.Sum{Routers: int64(t.Routers), Servers: make(map[uint32]digest.Use, n), Teams: make(map[uint32]digest.Rates, len(t.Teams)), Timings: decodeTimings(t)}
 	for i, id := range t.Servers {
 		s.Servers[id] = digest.Use{
 			Requests: int64(t.Requests[i]), Prefill: int64(t.Prefill[i]) * prefillUnit, Memory: int64(t.Memory[i]) * memoryUnit,
