--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"mangolug.org/core/digest"
 	"mangolug.org/core/route"
 	"mangolug.org/core/speed"
 )
@@ -34,6 +35,9 @@
 	shares       shares
 	advertised   map[incarnation]*advertised // what servers advertised about themselves
 
+	ownTimings   map[uint32]digest.Timing // this router's evidence on the servers' speeds
+	ownTimingsAt time.Duration            // when it was computed
+
 	peersVersion uint64 // number of changes of Peers
 
 	sourceLost bool          // the platform is unreachable
--- a/core/pool/prefill.go
+++ b/core/pool/prefill.go
@@ -14,8 +14,9 @@
 	// maxSharedDivisor limits the samples to requests of whose tokens fewer than their number divided by it are in shared segments,
 	// since those may be cached without this router's knowledge. With them, rates of 25 to 74 tokens per ms were estimated where 15 to 27 were measured.
 	maxSharedDivisor = 8
-	// speedPeriod is the time between two computations of the speeds of a service's servers.
-	speedPeriod = 200 * time.Millisecond
+	// speedsPerPeriod is the number of computations of the servers' speeds, and of the evidence for the other routers, in the time
+	// between two messages with evidence. With 3,200 servers one computation takes some milliseconds.
+	speedsPerPeriod = 2
 	// evidenceMaxAge is the age above which the other routers' evidence on a server's speed is ignored. It exceeds the longest time
 	// between two messages that carry it.
 	evidenceMaxAge = 15 * time.Second
@@ -65,12 +66,15 @@
 	b.speed.moment.Check(now, r.sent, b.speed.usual(expected), measured)
 	b.speed.record.Observe(now, expected, measured)
 	v.prefill.Observe(tokens, b.speed.value(), took)
-	v.updateSpeeds(now)
+	p.updateSpeeds(now, v)
 }
 
+// speedPeriod returns the time between two computations of the servers' speeds.
+func (p *Pool) speedPeriod() time.Duration { return digest.TimingsPeriod(len(p.servers)) / speedsPerPeriod }
+
 // updateSpeeds computes the speeds of a service's servers once per speedPeriod, from the evidence of all routers.
-func (v *service) updateSpeeds(now time.Duration) {
-	if now-v.speedsAt < speedPeriod {
+func (p *Pool) updateSpeeds(now time.Duration, v *service) {
+	if now-v.speedsAt < p.speedPeriod() {
 		return
 	}
 	v.speedsAt = now
@@ -86,8 +90,12 @@
 	}
 }
 
-// timings returns this router's evidence on the speeds of all servers for the other routers.
+// timings returns this router's evidence on the speeds of all servers for the other routers, up to speedPeriod old. The map is not
+// changed later.
 func (p *Pool) timings(now time.Duration) map[uint32]digest.Timing {
+	if p.ownTimings != nil && now-p.ownTimingsAt < p.speedPeriod() {
+		return p.ownTimings
+	}
 	timings := make(map[uint32]digest.Timing)
 	for id, b := range p.servers {
 		e := b.speed.record.Evidence(now)
@@ -95,6 +103,7 @@
 			timings[nameID(id)] = t
 		}
 	}
+	p.ownTimings, p.ownTimingsAt = timings, now
 	return timings
 }
 
@@ -110,6 +119,6 @@
 		}
 	}
 	for _, v := range p.services {
-		v.updateSpeeds(now)
+		p.updateSpeeds(now, v)
 	}
 }
--- a/core/pool/speed_test.go
+++ b/core/pool/speed_test.go
@@ -84,14 +84,14 @@
 	now := trainSpeeds(t, p, 60*servers, slow, 0.4)
 	sum := p.Summary(now)
 	q.SetPeers(now, sum, true, []string{"r2"})
-	now += speedPeriod
+	now += q.speedPeriod()
 	q.SetPeers(now, digest.Sum{}, true, []string{"r2"}) // not each message has timings
 	for id, b := range q.servers {
 		if got := b.speed.value(); (got < 0.65) != (id == slow) || id != slow && (got < 0.9 || got > 1.1) {
 			t.Errorf("server %s: speed %.2f", id, got)
 		}
 	}
-	q.SetPeers(now+evidenceMaxAge+speedPeriod, digest.Sum{}, true, []string{"r2"})
+	q.SetPeers(now+evidenceMaxAge+q.speedPeriod(), digest.Sum{}, true, []string{"r2"})
 	if got := q.servers[slow].speed.value(); got != 1 {
 		t.Errorf("speed %.2f by evidence that nobody confirms", got)
 	}
