--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -5,7 +5,9 @@
 	"strconv"
 	"time"
 
+	"mangolug.org/core/digest"
 	"mangolug.org/core/route"
+	"mangolug.org/core/speed"
 )
 
 // Pool is one router's view of the backend servers, with its queued requests. It is not safe for concurrent use.
@@ -33,6 +35,9 @@
 	shares       shares
 	advertised   map[incarnation]*advertised // what servers advertised about themselves
 
+	ownTimings   map[uint32]digest.Timing // this router's evidence on the servers' speeds
+	ownTimingsAt time.Duration            // when it was computed
+
 	peersVersion uint64 // number of changes of Peers
 
 	sourceLost bool          // the platform is unreachable
@@ -44,8 +49,9 @@
 // service is the state of all servers of one service.
 type service struct {
 	name         string
-	servers      []*backend // all known servers, sorted by ID
-	prefill      prefillRate
+	servers      []*backend    // all known servers, sorted by ID
+	prefill      speed.Fit     // how fast its servers prefill prompts
+	speedsAt     time.Duration // when the servers' speeds were last computed
 	limitedUntil time.Duration // until then a server may limit its rate
 	meanPrompt   float64       // moving average of the prompt tokens of requests
 	failureRate  float64       // moving failure rate over all its servers
