Send plain services what their servers can answer in time, first tries first

Cause: a request to a plain service was sent while the mean load of a server was under twice its slots, whether or not it could be answered in time, and waited at the router until 25 ms before its objective. Beyond the servers' capacity most responses came late, the places went to callers that came back after a refusal as much as to others, and a router took a server that refused with a full queue for a failed one and set it aside, so that it saw a few servers only.

Change: core/plain plans how much a service can take. Each router sends the fraction capacity / demand, first tries before callers that return (known by the time that they have left), each route alike, and refuses the rest at once with a Retry-After by demand and capacity. Servers are chosen by what each ends and by its queue. While the demand is below 0.92 of what the servers end, all is as before. pool.Request has the route's name and the time that the caller gave, which the relay fills in; a line "short of capacity" shows the estimates each second.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"mangolug.org/core/plain"
 	"mangolug.org/core/route"
 )
 
@@ -50,6 +51,7 @@
 	meanPrompt   float64       // moving average of the prompt tokens of requests
 	failureRate  float64       // moving failure rate over all its servers
 	queue        queue
+	plain        plain.Service // of a plain service
 	demand       demandCounts
 	suspects     suspects
 	lapsed       int                      // number of servers whose entries are lapsed
@@ -260,7 +262,7 @@
 func (p *Pool) service(name string) *service {
 	v := p.services[name]
 	if v == nil {
-		v = &service{name: name}
+		v = &service{name: name, plain: plain.Service{Phase: float64(hash64(p.Self+"/"+name)) / (1 << 64)}}
 		p.services[name] = v
 	}
 	return v
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -73,7 +73,10 @@
 		v.demand.observe(now, a.affinityKey())
 		v.meanPrompt += promptWeight * (float64(a.PromptTokens) - v.meanPrompt)
 	}
-	a.sendBy = p.latestSend(v, a)
+	if p.isPlain(a) && !a.Retry {
+		a.returning = v.plain.Arrive(now, a.Route, a.CallerTime)
+	}
+	a.sendBy = p.latestSend(now, v, a)
 	if len(v.queue.requests) == 0 || a.Retry || a.PromptTokens == 0 {
 		if decision, ok := p.decide(now, v, a); ok {
 			return decision, true
@@ -111,11 +114,14 @@
 }
 
 // latestSend returns the time until which a request may wait and still meet its objective.
-func (p *Pool) latestSend(v *service, a *Request) time.Duration {
+func (p *Pool) latestSend(now time.Duration, v *service, a *Request) time.Duration {
 	budget := a.Objective - a.Arrived
 	if a.overShare {
 		return a.Arrived + time.Duration(v.maxWaitFraction(a)*float64(budget))
 	}
+	if t, known := v.plain.Time(); known && p.isPlain(a) && !v.plain.AtEase(now) {
+		return min(a.Objective-min(budget/2, t+prefillOverhead), a.Deadline)
+	}
 	need := min(budget/2, v.prefill.duration(a.uniqueTokens())+prefillOverhead)
 	return min(a.Objective-need, a.Deadline)
 }
@@ -136,6 +142,11 @@
 	if decision, ok := p.rejectAtOnce(now, v, a); ok {
 		return decision, true
 	}
+	if p.isPlain(a) {
+		if decision, ok := p.decidePlain(now, v, a); ok {
+			return decision, true
+		}
+	}
 	c, ok := p.pick(now, v, a)
 	overServed := a.overShare && p.shares.overServed(now, a.Team)
 	inTime := ok && !overServed && now+c.backlog <= a.sendBy
--- a/core/pool/request.go
+++ b/core/pool/request.go
@@ -11,6 +11,7 @@
 type Request struct {
 	ID           string
 	Service      string
+	Route        string // name of its route
 	Team         string
 	PromptTokens int64     // prompt tokens; 0 for requests to plain services
 	OutputTokens int64     // estimated number of generated tokens
@@ -18,6 +19,7 @@
 	Arrived      time.Duration
 	Objective    time.Duration // point in time by which a response meets its latency objective
 	Deadline     time.Duration // point in time at which the caller gives up
+	CallerTime   time.Duration // how long its caller said that it waits; 0 if unknown
 	Tried        []string      // servers that failed the request
 	Retry        bool          // part of the work is done already: a retry, or the rest of a stream
 	Pinned       bool          // it goes on with a stream that began at a server of the given version
@@ -27,6 +29,8 @@
 	overShare     bool    // the request exceeds its team's share of the fleet
 	shareFraction float64 // fraction of the team's demand that is within its share
 	sendBy        time.Duration
+	returning     bool       // its caller was refused before
+	admitted      bool       // it is one of those for which a plain service has capacity
 	small         bool       // leaves the turns of servers that limit their rates to larger requests
 	trials        []*suspect // the poisoned subjects that the request may try again
 }
@@ -79,6 +83,7 @@
 	request      *Request
 	backend      *backend
 	usage        Usage
+	loadAhead    int64 // requests at the server when it was sent
 	prefillAhead int64 // tokens of other requests to be prefilled first
 	sent         time.Duration
 	began        bool          // the first event has arrived
--- a/core/pool/run.go
+++ b/core/pool/run.go
@@ -16,7 +16,8 @@
 	if a.PromptTokens == 0 {
 		r.usage = Usage{Requests: 1}
 	}
-	r.prefillAhead = b.usage(now).Prefill
+	ahead := b.usage(now)
+	r.prefillAhead, r.loadAhead = ahead.Prefill, ahead.Requests
 	b.localUsage.add(r.usage)
 	b.runs[r] = true
 	for _, s := range a.trials {
@@ -89,7 +90,10 @@
 		return
 	}
 	v := p.service(r.Server.Service)
-	failed := result.Failed || result.ConnectFailed || result.Rejected
+	if p.isPlain(r.request) && result == (Result{}) {
+		v.plain.Ended(now, &b.speed, now-r.sent, float64(r.loadAhead), b.Slots)
+	}
+	failed := result.Failed || result.ConnectFailed || result.Rejected && !fullPlain(now, r)
 	if b.health.observe(now, failed, result.ConnectFailed, v.failureRate) {
 		p.emit(b, "aside", b.health.ejectedUntil.String())
 	}
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"time"
 
+	"mangolug.org/core/plain"
 	"mangolug.org/core/route"
 )
 
@@ -44,6 +45,7 @@
 	peerUsage   Usage         // usage by the other routers' requests
 	peerUsageAt time.Duration
 	meanLoad    movingAverage // average number of requests at a plain server
+	speed       plain.Speed   // of a plain server
 	load        Load
 	loadAt      time.Duration
 
--- a/core/pool/summary.go
+++ b/core/pool/summary.go
@@ -22,6 +22,7 @@
 			s.Teams[nameID(name)] = r
 		}
 	}
+	p.addDemand(now, &s)
 	return s
 }
 
@@ -45,6 +46,7 @@
 	for id, b := range p.servers {
 		b.peerUsage, b.peerUsageAt = Usage(s.Servers[nameID(id)]), now
 	}
+	p.setPeerDemand(now, &s, known)
 	p.shares.updatePeers(s, len(routers)+1)
 }
 
--- a/router/proc/callers.go
+++ b/router/proc/callers.go
@@ -134,6 +134,7 @@
 		p.entrance.Conns.CloseIdle(idle)
 		p.relay.LogShed()
 		p.relay.LogShares()
+		p.relay.LogShort()
 		p.logSums()
 		p.updateOverload()
 	}
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -261,7 +261,7 @@
 		arrived = c.relay.Clock() // the rest of the answer is still useful, however late the first attempt was
 	}
 	return &pool.Request{
-		ID: c.info.ID, Service: c.service, Team: c.team, PromptTokens: c.info.Prompt, OutputTokens: output, Segments: c.info.Segments,
+		ID: c.info.ID, Service: c.service, Route: c.route.Name, CallerTime: c.info.Timeout, Team: c.team, PromptTokens: c.info.Prompt, OutputTokens: output, Segments: c.info.Segments,
 		Arrived: arrived, Objective: arrived + c.route.Objective, Deadline: c.deadline, Tried: c.tried, Retry: c.sends > 0 || c.resumed, Fingerprint: c.fingerprint, Pinned: c.pinned, Version: c.version,
 	}
 }
