--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mangolug.org/core/digest"
+	"mangolug.org/core/plain"
 	"mangolug.org/core/route"
 	"mangolug.org/core/speed"
 )
@@ -56,6 +57,7 @@
 	meanPrompt   float64       // moving average of the prompt tokens of requests
 	failureRate  float64       // moving failure rate over all its servers
 	queue        queue
+	plain        plain.Service // of a plain service
 	demand       demandCounts
 	suspects     suspects
 	lapsed       int                      // number of servers whose entries are lapsed
@@ -266,7 +268,7 @@
 func (p *Pool) service(name string) *service {
 	v := p.services[name]
 	if v == nil {
-		v = &service{name: name}
+		v = &service{name: name, plain: plain.Service{Phase: float64(hash64(p.Self+"/"+name)) / (1 << 64)}}
 		p.services[name] = v
 	}
 	return v
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"time"
 
+	"mangolug.org/core/plain"
 	"mangolug.org/core/route"
 )
 
@@ -45,6 +46,7 @@
 	peerUsage   Usage         // usage by the other routers' requests
 	peerUsageAt time.Duration
 	meanLoad    movingAverage // average number of requests at a plain server
+	plainSpeed  plain.Speed   // of a plain server
 	load        Load
 	loadAt      time.Duration
 	speed       serverSpeed
