--- a/core/pool/prefill.go
+++ b/core/pool/prefill.go
@@ -70,7 +70,9 @@
 }
 
 // speedPeriod returns the time between two computations of the servers' speeds.
-func (p *Pool) speedPeriod() time.Duration { return digest.TimingsPeriod(len(p.servers)) / speedsPerPeriod }
+func (p *Pool) speedPeriod() time.Duration {
+	return digest.TimingsPeriod(len(p.servers)) / speedsPerPeriod
+}
 
 // updateSpeeds computes the speeds of a service's servers once per speedPeriod, from the evidence of all routers.
 func (p *Pool) updateSpeeds(now time.Duration, v *service) {
