Refuse requests over their team's share before their bodies are read

Cause: a request that the pool rejects as over its team's share was read, hashed and logged first.

Change: the pool counts such a request and rejects it by its header alone if it would be rejected now. A request that goes on is counted once. Beyond 20 between two summaries, refusals as `teamShare` have no log line of their own; `over share` sums them up, and `mangoctl fair` counts it. Requests with a position in a stream, too large bodies and stops are decided as before. Requests refused unread don't add to the retry budget, like shed ones.

--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -66,13 +66,10 @@
 	if decision, ok := p.rejectAtOnce(now, v, a); ok {
 		return decision, true
 	}
-	if a.PromptTokens > 0 && !a.Retry {
-		a.overShare, a.shareFraction = p.shares.admit(now, a.Team, float64(a.cost()), p.throughput())
-	}
-	if a.PromptTokens > 0 {
-		v.demand.observe(now, a.affinityKey())
-		v.meanPrompt += promptWeight * (float64(a.PromptTokens) - v.meanPrompt)
+	if !a.observed {
+		p.observeRequest(now, v, a)
 	}
+	a.observed = false // it counts again if it comes again
 	a.sendBy = p.latestSend(v, a)
 	if len(v.queue.requests) == 0 || a.Retry || a.PromptTokens == 0 {
 		if decision, ok := p.decide(now, v, a); ok {
@@ -221,9 +218,10 @@
 // reject returns a rejection whose Retry-After is the time in which the backlog of the best server becomes short again, plus
 // random jitter so that callers do not retry all at once.
 func (p *Pool) reject(now time.Duration, v *service, a *Request, reason fleet.Reason) Decision {
-	retryAfter := p.shortestBacklog(now, v)/2 + minRetryAfter
+	backlog := p.shortestBacklog(now, v)
+	retryAfter := backlog/2 + minRetryAfter
 	retryAfter += time.Duration(p.Random.Float64() * float64(retryAfter))
-	return Decision{Request: a, Reason: reason, RetryAfter: retryAfter, Backlog: p.shortestBacklog(now, v), Waited: now - a.Arrived}
+	return Decision{Request: a, Reason: reason, RetryAfter: retryAfter, Backlog: backlog, Waited: now - a.Arrived}
 }
 
 // rejectRateLimited returns a rejection for a request that no server takes in time, as all limit their rates; the first one does at the given time.
--- a/core/pool/request.go
+++ b/core/pool/request.go
@@ -24,6 +24,7 @@
 	Version      uint32        // VersionID of that version
 	Fingerprint  uint64        // the same each time the same caller sends the same request
 
+	observed      bool    // counted in the demand of its team and service by RejectUnread
 	overShare     bool    // the request exceeds its team's share of the fleet
 	shareFraction float64 // fraction of the team's demand that is within its share
 	sendBy        time.Duration
--- /dev/null
+++ b/core/pool/unread.go
@@ -0,0 +1,40 @@
+package pool
+
+import (
+	"time"
+
+	"mangolug.org/core/fleet"
+)
+
+// RejectUnread counts a new request and rejects it if it is over its team's share and would be rejected now, so that its body need not be read.
+// The same request is passed to Admit otherwise, which doesn't count it again.
+func (p *Pool) RejectUnread(now time.Duration, a *Request) (Decision, bool) {
+	p.init()
+	v := p.service(a.Service)
+	p.observeRequest(now, v, a)
+	a.observed = true
+	if !a.overShare {
+		return Decision{}, false
+	}
+	if p.shares.overServed(now, a.Team) {
+		return p.reject(now, v, a, fleet.ReasonTeamShare), true
+	}
+	a.sendBy = p.latestSend(v, a)
+	c, ok := p.pick(now, v, a)
+	if !ok || now+c.backlog <= a.sendBy || p.underHalfFull(now, c.backend) || v.queue.ahead(a) < p.turns(now, v, a) {
+		return Decision{}, false
+	}
+	return p.reject(now, v, a, fleet.ReasonTeamShare), true
+}
+
+// observeRequest counts a request in the demand of its team and of its service.
+func (p *Pool) observeRequest(now time.Duration, v *service, a *Request) {
+	if a.PromptTokens == 0 {
+		return
+	}
+	if !a.Retry {
+		a.overShare, a.shareFraction = p.shares.admit(now, a.Team, float64(a.cost()), p.throughput())
+	}
+	v.demand.observe(now, a.affinityKey())
+	v.meanPrompt += promptWeight * (float64(a.PromptTokens) - v.meanPrompt)
+}
--- a/mangoctl/fair/tally.go
+++ b/mangoctl/fair/tally.go
@@ -84,7 +84,8 @@
 		case "teamShare", "wouldMissDeadline", "queueFull":
 			t.second(team, unix).refused++
 		}
-	case "turned away": // includes requests that also have a line of their own
+	case "turned away", // includes requests that also have a line of their own, which is not counted
+		"over share": // without those that have one
 		if n, err := strconv.ParseInt(l.Get("ofThat"), 10, 64); err == nil {
 			t.second(l.Get("most"), unix).refused += n
 		}
--- a/mangoctl/story/timeline.go
+++ b/mangoctl/story/timeline.go
@@ -30,7 +30,7 @@
 // contextMessages are the messages of lines that may explain a request without naming it: those of its routers,
 // and those that these routers logged about its servers.
 var contextMessages = map[string]bool{
-	"server": true, "crowd": true, "turned away": true, "shares": true, "sums": true, "platform lost": true, "platform back": true,
+	"server": true, "crowd": true, "turned away": true, "over share": true, "shares": true, "sums": true, "platform lost": true, "platform back": true,
 	"data centre out": true, "data centre back": true, "configuration in force": true, "starting": true, "stopping": true, "stopped": true,
 }
 
--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -231,15 +231,25 @@
 	if e.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(e.retryAfter.Seconds(), 'f', 3, 64))
 	}
-	h.Set("Content-Type", "text/plain")
-	text := e.reason.String() + "\n"
-	h.Set("Content-Length", strconv.Itoa(len(text)))
+	h["Content-Type"] = textPlain
+	text := e.reason.String()
+	h.Set("Content-Length", strconv.Itoa(len(text)+len(lineEnd)))
 	c.writer.WriteHeader(e.status)
-	if _, err := io.WriteString(c.writer, text); err != nil {
+	_, err := io.WriteString(c.writer, text)
+	if err == nil {
+		_, err = io.WriteString(c.writer, lineEnd)
+	}
+	if err != nil {
 		c.log("refusal not delivered", "detail", err)
 	}
 }
 
+// textPlain is the Content-Type of refusals, shared by all of them.
+var textPlain = []string{"text/plain"}
+
+// lineEnd ends the text of a refusal.
+const lineEnd = "\n"
+
 // abort ends the caller's connection so that its answer looks incomplete. Answers to HTTP/1.0 callers have no chunks, and end in order
 // unless their connection is reset.
 func (c *call) abort() {
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -35,6 +35,7 @@
 	heldBytes   int64         // bytes of the body counted as held
 	answers     []*heldAnswer // memory of the servers' answers
 	fingerprint uint64
+	observed    *pool.Request // counted by the pool before the body was read; nil if there is none or it was admitted
 
 	runs          int           // number of servers that may have run it
 	sends         int           // number of times that it was sent to a server
@@ -95,6 +96,9 @@
 		timeout = min(timeout, c.route.Timeout)
 	}
 	c.deadline = c.arrived + timeout
+	if e := c.rejectUnread(); e != nil {
+		return e
+	}
 	if e := c.readBody(); e != nil {
 		return e
 	}
@@ -110,8 +114,7 @@
 // Until then the connection stays open, as accepting a new connection costs three times as much as a refusal on an open one.
 func (c *call) shed() *refusal {
 	c.relay.Gate.With(func(now time.Duration, p *pool.Pool) { p.CountShed(now, c.poolRequest()) })
-	// The server reads the rest of the body before it answers on a connection that stays open.
-	_ = http.NewResponseController(c.writer).SetReadDeadline(time.Now().Add(shedReadTimeout)) // unsupported only by test recorders
+	c.limitUnreadBody()
 	retryAfter := otherRouterRetryAfter
 	if c.relay.RebalanceDelay != nil {
 		retryAfter += c.relay.RebalanceDelay()
@@ -127,9 +130,6 @@
 	}
 }
 
-// shedReadTimeout is how long a caller may take to send the rest of its body after its request was shed.
-const shedReadTimeout = time.Second
-
 // retryAfterJitter is the largest fraction by which a Retry-After is lengthened, so that refused callers do not retry together.
 const retryAfterJitter = 0.5
 
@@ -193,11 +193,16 @@
 	return n
 }
 
-func (c *call) readBody() *refusal {
-	limit := c.table.Config.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyLimit
+// bodyLimit returns the largest body in bytes that a request may have.
+func (c *call) bodyLimit() int64 {
+	if limit := c.table.Config.Limits.BodyBytes; limit > 0 {
+		return limit
 	}
+	return defaultBodyLimit
+}
+
+func (c *call) readBody() *refusal {
+	limit := c.bodyLimit()
 	if c.request.ContentLength > limit {
 		c.writer.Header().Set("Connection", "close")
 		return &refusal{reason: fleet.ReasonBodyTooLarge, status: http.StatusRequestEntityTooLarge, detail: strconv.FormatInt(c.request.ContentLength, 10) + " bytes"}
--- a/router/relay/gate.go
+++ b/router/relay/gate.go
@@ -61,6 +61,13 @@
 	return <-decision // the decision came while the context ended
 }
 
+// RejectUnread counts a request and returns a refusal if the pool already knows that it won't be sent.
+func (g *Gate) RejectUnread(a *pool.Request) (pool.Decision, bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.Pool.RejectUnread(g.Clock(), a)
+}
+
 // tick checks the waiting requests periodically until none is left.
 func (g *Gate) tick() {
 	ticker := time.NewTicker(gatePeriod)
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -37,11 +37,12 @@
 	Metrics            metrics.Registry
 	Stopping           context.Context // done when requests that still run must be cut; nil means never
 
-	durations   routeDurations
-	shedCounter shedCounter
-	open        openCounter
-	bodies      bodies
-	answers     heldAnswers
+	durations        routeDurations
+	shedCounter      shedCounter
+	overShareCounter shedCounter
+	open             openCounter
+	bodies           bodies
+	answers          heldAnswers
 }
 
 // OpenRequests returns the number of requests being served.
--- a/router/relay/run.go
+++ b/router/relay/run.go
@@ -19,7 +19,7 @@
 func (c *call) run(ctx context.Context) *refusal {
 	c.relay.countFirstSend(c.service)
 	for {
-		v := c.relay.Gate.Admit(ctx, c.poolRequest())
+		v := c.relay.Gate.Admit(ctx, c.admission())
 		if v.Run == nil {
 			return c.poolRefusal(ctx, v)
 		}
@@ -76,7 +76,11 @@
 		return c.interrupted(ctx, "while it waited for a server")
 	}
 	detail := "waited " + v.Waited.Round(time.Millisecond).String() + ", backlog " + v.Backlog.Round(time.Millisecond).String()
-	return c.failure(v.Reason, detail, v.RetryAfter)
+	e := c.failure(v.Reason, detail, v.RetryAfter)
+	if v.Reason == fleet.ReasonTeamShare {
+		e.summarized = !c.relay.overShareCounter.addUnlogged(c.team)
+	}
+	return e
 }
 
 // interrupted returns the refusal for a request whose caller left, whose deadline passed or whose router stops.
