Keep the limit on open requests from collapsing because of refusals

Cause: two faults made a flooded router refuse nearly everything. Requests that were refused unread counted as open until they were answered, so that those waiting for the processor filled the limit. And the limit halves each 0.6 s while goroutines wait for the processor, whatever they wait for: a burst of connections and refusals took it to its minimum of 16.

Change: a request that is refused unread is no longer open. The limiter learns the throughput (best second, decaying by half in 15 s) and the mean duration of requests while none is refused or delayed, and never falls below 0.7 of their product. A second in which refusals used part of the processor time counts as if that time had served requests (at most 2.5 times as many). `usage` lines have `floor`. A router that was never undisturbed has no floor.

Not done: the cost of accepting connections is not told from that of serving.

--- a/core/valve/valve.go
+++ b/core/valve/valve.go
@@ -19,6 +19,15 @@
 	reserveFraction = 0.25
 	// minUtilisation is the fraction of the bound that must be in use for it to rise.
 	minUtilisation = 0.8
+	// throughputWindow is the time over which the throughput is measured, and minServed the number of requests from which on it counts.
+	throughputWindow = time.Second
+	minServed        = 10
+	// throughputFraction is the fraction of the best throughput that the bound always allows for. A burst of connections and refusals
+	// delays all goroutines for as long as it lasts, whatever is served beside it, so that the bound would fall to its minimum. The value
+	// is from TestNarrowEntrance and TestHotClientSpreads.
+	throughputFraction = 0.7
+	// throughputHalving is the time in which a throughput that is no longer reached counts half.
+	throughputHalving = 15 * time.Second
 )
 
 // DefaultMinLimit is the minimum bound of a ConcurrencyLimiter whose MinLimit is 0: some requests are served whatever the scheduling delay.
@@ -31,23 +40,79 @@
 
 	bound   float64 // 0 for none
 	started bool
+
+	served     int           // requests that ended in the current window
+	window     time.Duration // elapsed part of the current window
+	openTime   float64       // sum of the open requests over the current window, in seconds
+	refusing   float64       // processor time that refusals used in the current window, as a fraction of all, times the elapsed seconds
+	throughput float64       // best throughput in requests per second, decaying
+	disturbed  bool          // requests were refused or delayed in the current window
+	duration   float64       // mean duration of a request in windows without such, in seconds; 0 for unknown
+}
+
+// Served counts requests that were served to their end since the last call.
+func (v *ConcurrencyLimiter) Served(n int) { v.served += n }
+
+// Refused records the fraction of the processor time of an elapsed time that refusals used.
+func (v *ConcurrencyLimiter) Refused(fraction float64, elapsed time.Duration) {
+	v.refusing += min(max(fraction, 0), 1) * elapsed.Seconds()
+	v.disturbed = v.disturbed || fraction > 0
+}
+
+// measure updates the throughput and the duration of requests by the open requests of the elapsed time.
+func (v *ConcurrencyLimiter) measure(elapsed time.Duration, open int) {
+	v.window += elapsed
+	v.openTime += float64(open) * elapsed.Seconds()
+	if v.window < throughputWindow {
+		return
+	}
+	v.throughput *= math.Pow(0.5, v.window.Seconds()/throughputHalving.Seconds())
+	if v.served >= minServed {
+		// Without refusals their processor time would have served requests too.
+		serving := max(minServingFraction, 1-v.refusing/v.window.Seconds())
+		v.throughput = max(v.throughput, float64(v.served)/v.window.Seconds()/serving)
+		if duration := v.openTime / float64(v.served); v.duration == 0 && !v.disturbed { // by Little's law
+			v.duration = duration
+		} else if !v.disturbed {
+			v.duration += durationWeight * (duration - v.duration)
+		}
+	}
+	v.served, v.window, v.openTime, v.refusing, v.disturbed = 0, 0, 0, 0, false
+}
+
+// minServingFraction bounds the effect of refusals on the throughput, as their cost is only estimated.
+const minServingFraction = 0.4
+
+// durationWeight is the weight of a window in the mean duration of requests.
+const durationWeight = 0.1
+
+// Floor returns the bound below which the limiter never goes.
+func (v *ConcurrencyLimiter) Floor() int { return int(v.minimum()) }
+
+func (v *ConcurrencyLimiter) minimum() float64 {
+	least := float64(v.MinLimit)
+	if least == 0 {
+		least = DefaultMinLimit
+	}
+	return max(least, throughputFraction*v.throughput*v.duration)
 }
 
 // Observe records a sample of the scheduling delay, the time elapsed since the previous sample, and the number of open requests.
 func (v *ConcurrencyLimiter) Observe(delay, elapsed time.Duration, open int) {
 	v.init()
 	elapsed = max(0, elapsed)
+	v.disturbed = v.disturbed || delay > maxDelay
+	v.measure(elapsed, open)
+	if v.bound > 0 {
+		v.bound = max(v.bound, v.minimum())
+	}
 	switch {
 	case delay > maxDelay:
-		minLimit := float64(v.MinLimit)
-		if minLimit == 0 {
-			minLimit = DefaultMinLimit
-		}
 		bound := v.bound
 		if bound == 0 {
 			bound = float64(open)
 		}
-		v.bound = max(minLimit, bound*math.Pow(0.5, min(1, elapsed.Seconds()/halvingTime.Seconds())))
+		v.bound = max(v.minimum(), bound*math.Pow(0.5, min(1, elapsed.Seconds()/halvingTime.Seconds())))
 	case delay < minDelay && v.bound > 0 && float64(open) >= minUtilisation*v.bound:
 		v.bound *= math.Pow(2, elapsed.Seconds()/doublingTime.Seconds())
 	}
--- a/core/valve/valve_test.go
+++ b/core/valve/valve_test.go
@@ -75,3 +75,38 @@
 		})
 	}
 }
+
+// TestBoundKeepsKnownThroughput guards against a bound that falls to its minimum because of a burst of refusals, although the router is
+// known to serve more.
+func TestBoundKeepsKnownThroughput(t *testing.T) {
+	const period = 50 * time.Millisecond
+	for name, c := range map[string]struct {
+		served     int     // requests per period, each open for 0.5 s, before the burst
+		during     int     // requests per period during the burst
+		refused    float64 // fraction of the processor time during the burst
+		burst      time.Duration
+		from, upTo int
+	}{
+		"nothing known":                 {burst: 3 * time.Second, from: DefaultMinLimit, upTo: DefaultMinLimit},
+		"a hundred per second":          {served: 5, burst: 3 * time.Second, from: 28, upTo: 35},
+		"as much while it refuses":      {served: 1, during: 3, refused: 0.4, burst: 3 * time.Second, from: 28, upTo: 36},
+		"long ago":                      {served: 5, burst: time.Minute, from: DefaultMinLimit, upTo: DefaultMinLimit},
+		"refusals that are all it does": {served: 1, during: 1, refused: 1, burst: 3 * time.Second, from: DefaultMinLimit, upTo: 18},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := ConcurrencyLimiter{InitialLimit: 150}
+			for range 200 {
+				v.Served(c.served)
+				v.Observe(time.Millisecond, period, 10*c.served)
+			}
+			for range int(c.burst / period) {
+				v.Served(c.during)
+				v.Refused(c.refused, period)
+				v.Observe(40*time.Millisecond, period, v.Limit())
+			}
+			if bound := v.Limit(); bound < c.from || bound > c.upTo {
+				t.Errorf("bound %d, want %d to %d", bound, c.from, c.upTo)
+			}
+		})
+	}
+}
--- a/model/world/narrow.go
+++ b/model/world/narrow.go
@@ -61,6 +61,9 @@
 	ready taskHeap
 	seq   int
 	open  int
+
+	served         int           // requests since the last measurement
+	used, refusing time.Duration // processor time since then, and that of refusals
 }
 
 func (w *routerSim) schedule(readyAt, cost time.Duration, done func(now time.Duration)) {
@@ -83,6 +86,11 @@
 	var measure func(now time.Duration)
 	due, last := measurePeriod, time.Duration(0)
 	measure = func(now time.Duration) {
+		v.Served(w.served)
+		if w.refusing > 0 {
+			v.Refused(w.refusing.Seconds()/w.used.Seconds(), now-last)
+		}
+		w.served, w.used, w.refusing = 0, 0, 0
 		v.Observe(now-due, now-last, w.open)
 		due, last = now+measurePeriod, now
 		if now < duration {
@@ -94,6 +102,7 @@
 	for w.ready.Len() > 0 {
 		t := heap.Pop(&w.ready).(task)
 		idleAt = max(idleAt, t.readyAt) + time.Duration(float64(t.cost)/d.CoreShare)
+		w.used += t.cost
 		t.done(idleAt)
 	}
 	return s
@@ -103,6 +112,7 @@
 	s.Requests++
 	if v.Full(w.open, w.open, 1) {
 		s.Rejected++
+		w.refusing += w.model.RejectCost
 		w.schedule(now, w.model.RejectCost, func(time.Duration) {})
 		return
 	}
@@ -127,6 +137,7 @@
 		}
 		if n == w.model.EventsPerAnswer {
 			w.open--
+			w.served++
 			return
 		}
 		w.sendEvent(max(now, at+w.model.EventInterval), n+1, onFirst)
--- a/router/proc/lag.go
+++ b/router/proc/lag.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"runtime"
+	"syscall"
 	"time"
 
 	"mangolug.org/router/pauses"
@@ -28,11 +29,21 @@
 		}
 		runtime.Gosched() // the runtime runs a goroutine woken by a timer first; yield to wait in the queue like the others
 		p.observeLag(time.Since(due))
+		p.limit.observeWork(p.relay.Served(), p.relay.RefusedUnread(), processorTime(), time.Since(last))
 		p.limit.observe(time.Since(due), time.Since(last), p.relay.OpenRequests())
 		last = time.Now()
 	}
 }
 
+// processorTime returns the processor time that the process has used, in the kernel too.
+func processorTime() time.Duration {
+	var used syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &used); err != nil {
+		return 0 // refusals then count as free
+	}
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
+
 // observeLag adds a measurement to the moving average, weighted by the time that it covers: a stall of seconds replaces all the
 // measurements that it prevented. Each is capped at maxLag, so that the average recovers soon after a pause of the whole machine.
 func (p *Process) observeLag(late time.Duration) {
--- a/router/proc/usage.go
+++ b/router/proc/usage.go
@@ -34,6 +34,6 @@
 		p.gate.With(func(_ time.Duration, q *pool.Pool) { waiting = q.Waiting() })
 		value := func(i int) uint64 { return samples[i].Value.Uint64() }
 		p.log.Info("usage", "goroutines", value(0), "heapBytes", value(1), "stackBytes", value(2), "residentBytes", value(3)-value(4),
-			"callers", p.entrance.Conns.Count(), "open", p.relay.OpenRequests(), "waiting", waiting, "lag", time.Duration(p.lag.Load()), "bound", p.limit.bound(), "droppedLines", p.lines.dropped.Load())
+			"callers", p.entrance.Conns.Count(), "open", p.relay.OpenRequests(), "waiting", waiting, "lag", time.Duration(p.lag.Load()), "bound", p.limit.bound(), "floor", p.limit.floor(), "droppedLines", p.lines.dropped.Load())
 	}
 }
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -114,7 +114,7 @@
 // Until then the connection stays open, as accepting a new connection costs three times as much as a refusal on an open one.
 func (c *call) shed() *refusal {
 	c.relay.Gate.With(func(now time.Duration, p *pool.Pool) { p.CountShed(now, c.poolRequest()) })
-	c.limitUnreadBody()
+	c.refuseUnread()
 	retryAfter := otherRouterRetryAfter
 	if c.relay.RebalanceDelay != nil {
 		retryAfter += c.relay.RebalanceDelay()
--- a/router/relay/open.go
+++ b/router/relay/open.go
@@ -55,11 +55,21 @@
 
 // release removes the call and its body from the counts.
 func (c *call) release() {
+	if c.sends > 0 {
+		c.relay.served.Add(1)
+	}
 	c.relay.bodies.release(c.heldBytes)
 	for _, held := range c.answers {
 		held.release()
 	}
+	c.leaveOpen()
+}
+
+// leaveOpen removes the call from the open requests. A request that is refused unread leaves at once: those that wait for the processor
+// until they are answered would otherwise fill the limit, so that nothing is served.
+func (c *call) leaveOpen() {
 	if c.open {
+		c.open = false
 		c.relay.open.leave(c.countedTeam)
 	}
 }
--- a/router/relay/refusal_test.go
+++ b/router/relay/refusal_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -146,3 +147,36 @@
 		})
 	}
 }
+
+// TestRefusedRequestsAreNotOpen guards against refused requests that wait to be answered and fill the limit of open requests, so that
+// nothing is served.
+func TestRefusedRequestsAreNotOpen(t *testing.T) {
+	w := newFixture(t, func(w *fixture, _ int, rw http.ResponseWriter, _ *http.Request) { w.respond(rw, http.StatusOK, "ok") })
+	const limit, flood = 2, 20
+	var refuse, refused atomic.Int64
+	refuse.Store(flood)
+	w.relay.Overloaded = func(l Load) bool { return l.Open >= limit || refuse.Add(-1) >= 0 }
+	for range flood {
+		c := w.dial(t)
+		if _, err := c.Write([]byte("POST /safe/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nContent-Length: 100\r\n\r\nonly this")); err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			if answer, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil && answer.StatusCode == http.StatusServiceUnavailable {
+				refused.Add(1)
+			}
+		}()
+	}
+	for deadline := time.Now().Add(10 * time.Second); w.relay.RefusedUnread() < flood && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	if n := w.relay.OpenRequests(); n != 0 {
+		t.Errorf("%d requests are open while %d refused ones are answered", n, flood)
+	}
+	if a := w.do(t, http.MethodPost, "/safe/", "x", nil); a.status != http.StatusOK {
+		t.Errorf("status %d beside refused requests, want 200", a.status)
+	}
+	if n := w.relay.Served(); n != 1 {
+		t.Errorf("%d requests count as served, want 1", n)
+	}
+}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -40,6 +41,8 @@
 	durations        routeDurations
 	shedCounter      shedCounter
 	overShareCounter shedCounter
+	refusedUnread    atomic.Int64
+	served           atomic.Int64
 	open             openCounter
 	bodies           bodies
 	answers          heldAnswers
@@ -48,6 +51,12 @@
 // OpenRequests returns the number of requests being served.
 func (s *Relay) OpenRequests() int { return s.open.count() }
 
+// RefusedUnread returns the number of requests refused so far before their bodies were read.
+func (s *Relay) RefusedUnread() int64 { return s.refusedUnread.Load() }
+
+// Served returns the number of requests so far that were sent to a server and have ended.
+func (s *Relay) Served() int64 { return s.served.Load() }
+
 const (
 	// bodyReadTimeout is how long a caller may take to send its body.
 	bodyReadTimeout = 5 * time.Second
--- a/router/relay/unread.go
+++ b/router/relay/unread.go
@@ -28,7 +28,7 @@
 		return nil
 	}
 	c.relay.count("refusedUnread.teamShare")
-	c.limitUnreadBody()
+	c.refuseUnread()
 	e := &refusal{
 		reason: v.Reason, status: http.StatusServiceUnavailable, retryAfter: v.RetryAfter,
 		summarized: !c.relay.overShareCounter.addUnlogged(c.team),
@@ -39,8 +39,11 @@
 	return e
 }
 
-// limitUnreadBody bounds the time in which the server reads the rest of the body before it answers on a connection that stays open.
-func (c *call) limitUnreadBody() {
+// refuseUnread counts a request that is refused before its body is read, and bounds the time in which the server reads the rest of the
+// body before it answers on a connection that stays open.
+func (c *call) refuseUnread() {
+	c.leaveOpen()
+	c.relay.refusedUnread.Add(1)
 	_ = http.NewResponseController(c.writer).SetReadDeadline(time.Now().Add(unreadBodyTimeout)) // unsupported only by test recorders
 }
 
