Keep routers that a hot client overloaded out of the balancer's choice for some seconds

Cause: a router says that it is ready one second after its last refusal, and the balancer needs two seconds to notice an overload. So the first two or three routers in a hot client's order take turns at refusing all of it, and the others never take part.

Change: core/ready decides. A router that was overloaded is ready again after 8 s without an overload and with less than 0.8 of its limit in use. This holds only where at least 8 routers of the data centre live and where the router had at least twice an even part of the fleet's demand, so not in a general overload. One such time is 0.3 s for each live router of the fleet, up to 10 s, and they are a tenth of any 100 s at most. `crowd` lines have `away`, and unready_total counts probes by cause.

--- a/core/digest/member.go
+++ b/core/digest/member.go
@@ -129,6 +129,9 @@
 	return n
 }
 
+// CentreSize returns the number of live routers in this router's data centre, including this one.
+func (f *Fleet) CentreSize(now time.Duration) int { return 1 + f.liveIn(now, f.DataCentre) }
+
 // gossip returns all live members, this router first.
 func (f *Fleet) gossip(now time.Duration) []Member {
 	list := []Member{{Address: f.Address, DataCentre: f.DataCentre, Beat: f.counter}}
--- a/core/pool/summary.go
+++ b/core/pool/summary.go
@@ -62,6 +62,12 @@
 	return h.Sum32()
 }
 
+// DemandPart returns the demand at this router as a multiple of an even part of the fleet's, or 0 if there is none.
+func (p *Pool) DemandPart(now time.Duration) float64 {
+	fraction, _ := p.shares.demandFraction(now)
+	return fraction * float64(len(p.Peers)+1)
+}
+
 // FairShares is a router's estimate of demand and service by team; rates are in tokens per second over the whole fleet.
 type FairShares struct {
 	Throughput, Demand, Served float64
--- a/core/pool/unread_test.go
+++ b/core/pool/unread_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"mangolug.org/core/digest"
 	"mangolug.org/core/fleet"
 )
 
@@ -54,3 +55,17 @@
 		})
 	}
 }
+
+// TestDemandPart checks the demand at a router relative to an even part of the fleet's, with that of requests that were refused unread.
+func TestDemandPart(t *testing.T) {
+	p := newPool(1)
+	if part := p.DemandPart(time.Second); part != 0 {
+		t.Errorf("part %v without any demand, want 0", part)
+	}
+	p.CountShed(2*time.Second, chatRequest(2*time.Second, 1, 7))
+	others := digest.Sum{Routers: 3, Teams: map[uint32]digest.Rates{nameID("t"): {Demand: chatRequest(0, 1, 7).cost()}}}
+	p.SetPeers(2*time.Second, others, true, []string{"a", "b", "c"})
+	if part := p.DemandPart(2 * time.Second); part < 1.99 || part > 2.01 {
+		t.Errorf("part %v of a router with half of the demand of four, want 2", part)
+	}
+}
--- a/router/proc/callers.go
+++ b/router/proc/callers.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"time"
 
+	"mangolug.org/core/digest"
+	"mangolug.org/core/pool"
+	"mangolug.org/core/ready"
 	"mangolug.org/router/door"
 	"mangolug.org/router/pauses"
 	"mangolug.org/router/relay"
@@ -140,8 +143,11 @@
 }
 
 // updateOverload records and logs whether the router is overloaded: open requests use most of their limit, the processor limit
-// rejected a request within maintainPeriod, or goroutines wait too long for the processor.
+// rejected a request within maintainPeriod, or goroutines wait too long for the processor. It also decides whether the router stays not
+// ready after that.
 func (p *Process) updateOverload() {
+	p.overloadMutex.Lock()
+	defer p.overloadMutex.Unlock()
 	_, room := p.settings.Load().room()
 	open, refused, lag := p.relay.OpenRequests(), p.limit.rejectedWithin(maintainPeriod), time.Duration(p.lag.Load())
 	threshold := overloadStart
@@ -149,8 +155,24 @@
 		threshold = overloadEnd
 	}
 	overloaded := room > 0 && float64(open) > threshold*float64(room) || refused || lag > overloadLag
-	if p.overloaded.Swap(overloaded) == overloaded {
+	wasAway := p.away.Swap(p.staysAway(overloaded, open, room))
+	if was := p.overloaded.Swap(overloaded); was == overloaded && wasAway == p.away.Load() {
 		return
 	}
-	p.log.Warn("crowd", "is", overloaded, "open", open, "room", room, "bound", p.limit.bound(), "refused", refused, "lag", lag, "callers", p.entrance.Conns.Count())
+	p.log.Warn("crowd", "is", overloaded, "away", p.away.Load(), "open", open, "room", room, "bound", p.limit.bound(), "refused", refused, "lag", lag, "callers", p.entrance.Conns.Count())
+}
+
+// staysAway reports whether the router reports that it is not ready although it isn't overloaded, so that callers who entered here alone
+// stay spread over several routers.
+func (p *Process) staysAway(overloaded bool, open, room int) bool {
+	l := ready.Load{Overloaded: overloaded, Open: open, Limit: p.limit.bound(), Routers: 1, Fleet: 1}
+	if l.Limit == 0 {
+		l.Limit = room
+	}
+	if p.exchanger != nil {
+		p.exchanger.WithFleet(func(now time.Duration, f *digest.Fleet) { l.Routers, l.Fleet = f.CentreSize(now), f.Size(now) })
+	}
+	p.gate.With(func(now time.Duration, q *pool.Pool) { l.Part = q.DemandPart(now) })
+	p.decider.Update(p.now(), l)
+	return p.decider.Away()
 }
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,7 @@
 
 	"mangolug.org/core/digest"
 	"mangolug.org/core/pool"
+	"mangolug.org/core/ready"
 	"mangolug.org/core/resume"
 	"mangolug.org/core/route"
 	"mangolug.org/router/admin"
@@ -68,6 +70,9 @@
 	streams        *resume.Register // software versions at which callers' streams began
 	lastRelay      string           // the router that sent the sum of the others' loads when it was last logged
 	overloaded     atomic.Bool      // reported to the balancer as not ready, so that it sends callers elsewhere
+	overloadMutex  sync.Mutex       // guards the decider
+	decider        ready.Decider    // of when the router is ready again
+	away           atomic.Bool      // reported to the balancer as not ready although it isn't overloaded
 	lag            atomic.Int64     // how long goroutines wait for the processor, a moving average in nanoseconds
 	limit          limiter          // of concurrent requests
 	failedProbes   atomic.Int32     // consecutive readiness probes that were answered as not ready
@@ -175,7 +180,14 @@
 
 func (p *Process) readiness(w http.ResponseWriter, _ *http.Request) {
 	p.updateOverload()
-	if !p.serving() || p.overloaded.Load() {
+	serving, overloaded, away := p.serving(), p.overloaded.Load(), p.away.Load()
+	if !serving || overloaded || away {
+		switch {
+		case overloaded:
+			p.count("unready.overloaded")
+		case away:
+			p.count("unready.away")
+		}
 		p.failedProbes.Add(1)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
