--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -38,17 +38,26 @@
 	Metrics            metrics.Registry
 	Stopping           context.Context // done when requests that still run must be cut; nil means never
 
-	durations   routeDurations
-	shedCounter shedCounter
-	oddHeaders  logInterval
-	open        openCounter
-	bodies      bodies
-	answers     heldAnswers
+	durations        routeDurations
+	shedCounter      shedCounter
+	overShareCounter shedCounter
+	oddHeaders       logInterval
+	refusedUnread    atomic.Int64
+	served           atomic.Int64
+	open             openCounter
+	bodies           bodies
+	answers          heldAnswers
 }
 
 // OpenRequests returns the number of requests being served.
 func (s *Relay) OpenRequests() int { return s.open.count() }
 
+// RefusedUnread returns the number of requests refused so far before their bodies were read.
+func (s *Relay) RefusedUnread() int64 { return s.refusedUnread.Load() }
+
+// Served returns the number of requests so far that were sent to a server and have ended.
+func (s *Relay) Served() int64 { return s.served.Load() }
+
 const (
 	// bodyReadTimeout is how long a caller may take to send its body.
 	bodyReadTimeout = 5 * time.Second
