Bound what clients outside the limits take of a router

Cause: the HTTP server bounds a head by a constant of 64 KB (1 MB on the ports for readiness and metrics), but not all heads together, and nothing bounds answers that are not read, the rest of a body after a refusal, connections to the readiness and metrics ports, or the bytes of queued log lines. A head of short lines takes 20 times its size.

Change: accepted connections are wrapped (door.Conn), which counts the heads in progress. Together they take at most 0.05 of the memory; beyond it the connections whose head has been in progress longest are closed. A head over the operator's HeaderBytes gets 431 before it is parsed, also after a change of the configuration. Requests with large heads get 503 while those in progress take 0.05 of the memory. Answers that are not read are given up after 10 s for 16 KB, or 2 s while requests are refused for lack of room or the router stops, and bodies after a refusal after 1 s. Where connections are short, those without a whole request are closed before those that callers keep. Readiness, metrics and the operators' port of the own interface have limits on heads, connections and idle time. Counters clients_total by reason, one line "clients closed" per second at most. sock.Reset works on every socket. On machines of less than 80 MB the collector's soft limit leaves room for the program itself.

--- a/router/boot/router.go
+++ b/router/boot/router.go
@@ -152,14 +152,15 @@
 func (r *Router) tree(callers *http.Server) *guard.Tree {
 	listener := &peers.Listener{Trust: r.trust, Receive: r.loop.Receive, Log: r.log, Metrics: r.registry}
 	watcher := r.watcher()
-	operators := &http.Server{Handler: r.operators(), ReadHeaderTimeout: headerTimeout}
+	operators := door.NewSide(r.sockets.admin.(*net.TCPListener), r.operators())
+	operators.OnFull = func() { metrics.GetOrRegisterCounter("clients.operatorsFull", r.registry).Inc(1) }
 	outside := &guard.Tree{Name: "outside", Log: r.log, Metrics: r.registry, Children: []guard.Child{
 		{Name: "peers", Critical: true, Run: func(ctx context.Context) error { return listener.Serve(ctx, r.sockets.peers) }},
 		{Name: "platform", Run: watcher.Run},
 	}}
 	traffic := &guard.Tree{Name: "traffic", Log: r.log, Metrics: r.registry, Children: []guard.Child{
 		{Name: "callers", Critical: true, Run: func(ctx context.Context) error { return door.Serve(ctx, callers, r.entrance.Door) }},
-		{Name: "operators", Critical: true, Run: func(ctx context.Context) error { return door.Serve(ctx, operators, r.sockets.admin) }},
+		{Name: "operators", Critical: true, Run: operators.Serve},
 	}}
 	return &guard.Tree{Name: "router", Log: r.log, Metrics: r.registry, Children: []guard.Child{
 		{Name: "control", Critical: true, Run: r.loop.Run},
--- a/router/boot/stop.go
+++ b/router/boot/stop.go
@@ -8,12 +8,8 @@
 	"github.com/pkg/errors"
 )
 
-const (
-	// headerTimeout is the time limit for reading the header of an admin request.
-	headerTimeout = 10 * time.Second
-	// finalAnswerTimeout is the time that requests aborted at the drain limit have to send their answers.
-	finalAnswerTimeout = 2 * time.Second
-)
+// finalAnswerTimeout is the time that requests aborted at the drain limit have to send their answers.
+const finalAnswerTimeout = 2 * time.Second
 
 // callers returns the HTTP server for callers. While the router drains, the server asks callers to close
 // their connections and connect elsewhere.
--- a/router/door/conns.go
+++ b/router/door/conns.go
@@ -13,7 +13,27 @@
 // ConnTracker tracks callers' connections and how long each has been idle.
 type ConnTracker struct {
 	mutex sync.Mutex             // guards conns; the server calls from each connection's goroutine
-	conns map[net.Conn]time.Time // open connections; the zero time while a request is served
+	conns map[net.Conn]connState // open connections
+}
+
+// connState is the state of an open connection.
+type connState struct {
+	idleSince time.Time // zero while a request is served
+	used      bool      // a request came on it
+}
+
+// silentTime is how long a connection may be open without a whole request, or with a head in progress, before it is closed in favour of new
+// connections rather than one that callers keep: callers send a request when they connect, and its head comes at once.
+const silentTime = time.Second
+
+// silent reports whether a client has connected or begun a request silentTime ago and sent no whole request since. The caller must hold the mutex.
+func (i *ConnTracker) silent(c net.Conn) bool {
+	state := i.conns[c]
+	if !state.used {
+		return time.Since(state.idleSince) >= silentTime
+	}
+	counted, ok := c.(*Conn)
+	return ok && counted.headAge() >= silentTime
 }
 
 // TrackState records the state of a connection; use it as http.Server.ConnState.
@@ -21,13 +41,16 @@
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	if i.conns == nil {
-		i.conns = map[net.Conn]time.Time{}
+		i.conns = map[net.Conn]connState{}
+	}
+	if counted, ok := c.(*Conn); ok {
+		counted.track(state)
 	}
 	switch state {
 	case http.StateNew, http.StateIdle:
-		i.conns[c] = time.Now()
+		i.conns[c] = connState{idleSince: time.Now(), used: state == http.StateIdle}
 	case http.StateActive:
-		i.conns[c] = time.Time{}
+		i.conns[c] = connState{used: true}
 	case http.StateClosed, http.StateHijacked:
 		delete(i.conns, c)
 	}
@@ -38,8 +61,8 @@
 func (i *ConnTracker) idleFor(length time.Duration) bool {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	for _, since := range i.conns {
-		if since.IsZero() || time.Since(since) < length {
+	for _, s := range i.conns {
+		if s.idleSince.IsZero() || time.Since(s.idleSince) < length {
 			return false
 		}
 	}
@@ -51,29 +74,50 @@
 func (i *ConnTracker) CloseIdle(length time.Duration) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	for c, since := range i.conns {
-		if !since.IsZero() && time.Since(since) >= length {
+	for c, s := range i.conns {
+		if !s.idleSince.IsZero() && time.Since(s.idleSince) >= length {
 			i.close(c)
 		}
 	}
 }
 
-// CloseLongestIdle closes up to n connections, those idle longest first. Connections with an unread request among the n stay open.
+// CloseLongestIdle closes up to n connections, first those that have been open for silentTime without a whole request, then those idle longest.
+// Connections with an unread request among the n stay open.
 func (i *ConnTracker) CloseLongestIdle(n int) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	idle := make([]net.Conn, 0, len(i.conns))
-	for c, since := range i.conns {
-		if !since.IsZero() {
+	var idle, silent []net.Conn
+	for c, s := range i.conns {
+		switch {
+		case s.idleSince.IsZero():
+		case i.silent(c):
+			silent = append(silent, c)
+		default:
 			idle = append(idle, c)
 		}
 	}
-	slices.SortFunc(idle, func(a, b net.Conn) int { return i.conns[a].Compare(i.conns[b]) })
+	longest := func(a, b net.Conn) int { return i.conns[a].idleSince.Compare(i.conns[b].idleSince) }
+	slices.SortFunc(idle, longest)
+	slices.SortFunc(silent, longest)
+	idle = append(silent, idle...)
 	for _, c := range idle[:min(n, len(idle))] {
 		i.close(c)
 	}
 }
 
+// CloseBlocked closes the connections whose client has not accepted a part of an answer for the given time.
+func (i *ConnTracker) CloseBlocked(length time.Duration) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	for c := range i.conns {
+		if counted, ok := c.(*Conn); ok && counted.blockedFor(length) {
+			counted.heads.closing(ClosingUnread)
+			_ = c.Close() // the write fails
+			delete(i.conns, c)
+		}
+	}
+}
+
 // close closes an idle connection unless it has an unread request. The caller must hold the mutex.
 func (i *ConnTracker) close(c net.Conn) {
 	if _, unread := sock.Peek(c); unread {
--- a/router/door/door.go
+++ b/router/door/door.go
@@ -51,6 +51,7 @@
 type Listener struct {
 	*net.TCPListener
 	AtCapacity func() bool // reports whether a new connection is one too many, to be closed unread; nil for never
+	Heads      *Heads      // counts the request heads of all connections; nil for no limits
 	closing    atomic.Bool
 	once       sync.Once
 	closed     chan struct{}
@@ -74,14 +75,16 @@
 		_ = c.Close() // nothing was read, so its caller can try another router
 		c, err = d.TCPListener.Accept()
 	}
-	if err == nil || !d.closing.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
-		return c, err
+	if err != nil && d.closing.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+		if c, err = d.acceptPending(); err != nil {
+			d.Close()
+			return nil, net.ErrClosed
+		}
 	}
-	if c, err = d.acceptPending(); err == nil {
-		return c, nil
+	if err != nil || d.Heads == nil {
+		return c, err
 	}
-	d.Close()
-	return nil, net.ErrClosed
+	return d.Heads.Wrap(c), nil
 }
 
 // Close closes the listener. Further calls do nothing.
--- a/router/door/entrance.go
+++ b/router/door/entrance.go
@@ -28,6 +28,7 @@
 	select {
 	case <-e.Door.closed:
 		e.drain(ctx)
+		e.Conns.CloseIdle(drainIdleTime) // the server waits for connections without a whole request for 5 s, and for a head in progress without a limit
 	case <-ctx.Done():
 	}
 	return server.Shutdown(ctx)
--- a/router/proc/callers.go
+++ b/router/proc/callers.go
@@ -112,7 +112,11 @@
 // overloaded.
 func (p *Process) rejects(l relay.Load) bool {
 	_, requests := p.settings.Load().room()
-	return requests > 0 && l.Open >= requests || p.limit.rejects(l)
+	full := requests > 0 && l.Open >= requests || p.limit.rejects(l)
+	if full {
+		p.closeBlocked()
+	}
+	return full
 }
 
 // callerGone reports whether a request's caller has disconnected.
@@ -132,7 +136,11 @@
 			idle = t.Config.Limits.IdleTimeout
 		}
 		p.entrance.Conns.CloseIdle(idle)
+		if p.refusesNew() {
+			p.closeBlocked() // a stop waits for answers
+		}
 		p.relay.LogShed()
+		p.logClients()
 		p.relay.LogShares()
 		p.logSums()
 		p.updateOverload()
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -30,6 +30,9 @@
 	// memoryShare is the fraction of the memory limit that is set as the soft limit of the garbage collector; the rest is for
 	// socket buffers.
 	memoryShare = 0.7
+	// programBytes is the memory of the program itself (16 MB) and of what the garbage collector does not count. It bounds the soft limit on machines
+	// of less than 80 MB.
+	programBytes = 24 << 20
 	// ackTimeout is how long a backend server or the platform may leave data unacknowledged before the connection is closed.
 	ackTimeout = 2 * time.Second
 	// connectTimeout bounds connecting to a backend server: some round trips and one lost packet.
@@ -44,41 +47,44 @@
 	// nonIdempotentIdleTimeout is the same for a call that must not be retried: the shorter it is, the less likely the other end has
 	// dropped the connection.
 	nonIdempotentIdleTimeout = 2 * time.Second
-	// maxHeaderBytes bounds a request's header until there is a configuration.
+	// maxHeaderBytes bounds a request's header until there is a configuration with a limit.
 	maxHeaderBytes = 64 << 10
 )
 
 // Process is a router process; create it with New and start it with Run.
 type Process struct {
-	settings       atomic.Pointer[Settings]
-	source         Source
-	log            *log.Logger
-	lines          *logWriter
-	registry       metrics.Registry
-	began          time.Time
-	table          atomic.Pointer[route.Table]
-	gate           *relay.Gate
-	relay          *relay.Relay
-	entrance       door.Entrance
-	ready          net.Listener
-	metrics        net.Listener     // nil if there is none
-	peers          net.PacketConn   // nil if there is none
-	exchanger      *share.Exchanger // nil if there is none
-	learned        atomic.Bool      // the servers were asked for their runs
-	streams        *resume.Register // software versions at which callers' streams began
-	lastRelay      string           // the router that sent the sum of the others' loads when it was last logged
-	overloaded     atomic.Bool      // reported to the balancer as not ready, so that it sends callers elsewhere
-	lag            atomic.Int64     // how long goroutines wait for the processor, a moving average in nanoseconds
-	limit          limiter          // of concurrent requests
-	failedProbes   atomic.Int32     // consecutive readiness probes that were answered as not ready
-	stoppingAt     atomic.Int64     // time of the signal to stop, on the clock of now; 0 before it
-	sourceLost     atomic.Bool
-	overdue        atomic.Bool                     // another router announced changes that have not arrived in time
-	newerState     chan struct{}                   // signals the source that another router has a newer state of the platform, or that a read is wanted
-	applied        atomic.Pointer[digest.Position] // up to which all changes of the platform's state are applied; nil before the first
-	reads          reads
-	outages        digest.Outages // of the platform, if there are no other routers; for the goroutine of the source
-	cancelRequests context.CancelFunc
+	settings        atomic.Pointer[Settings]
+	source          Source
+	log             *log.Logger
+	lines           *logWriter
+	registry        metrics.Registry
+	began           time.Time
+	table           atomic.Pointer[route.Table]
+	gate            *relay.Gate
+	relay           *relay.Relay
+	entrance        door.Entrance
+	ready           *door.Side
+	metrics         *door.Side       // nil if there is none
+	largeHeads      atomic.Int64     // approximate memory in bytes of the large heads of requests in progress
+	blockedClosedAt atomic.Int64     // when answers that are not read were last searched for, on the clock of now
+	closedClients   atomic.Int64     // clients that were closed or refused since they were last logged
+	peers           net.PacketConn   // nil if there is none
+	exchanger       *share.Exchanger // nil if there is none
+	learned         atomic.Bool      // the servers were asked for their runs
+	streams         *resume.Register // software versions at which callers' streams began
+	lastRelay       string           // the router that sent the sum of the others' loads when it was last logged
+	overloaded      atomic.Bool      // reported to the balancer as not ready, so that it sends callers elsewhere
+	lag             atomic.Int64     // how long goroutines wait for the processor, a moving average in nanoseconds
+	limit           limiter          // of concurrent requests
+	failedProbes    atomic.Int32     // consecutive readiness probes that were answered as not ready
+	stoppingAt      atomic.Int64     // time of the signal to stop, on the clock of now; 0 before it
+	sourceLost      atomic.Bool
+	overdue         atomic.Bool                     // another router announced changes that have not arrived in time
+	newerState      chan struct{}                   // signals the source that another router has a newer state of the platform, or that a read is wanted
+	applied         atomic.Pointer[digest.Position] // up to which all changes of the platform's state are applied; nil before the first
+	reads           reads
+	outages         digest.Outages // of the platform, if there are no other routers; for the goroutine of the source
+	cancelRequests  context.CancelFunc
 }
 
 // New opens the listeners and returns a Process that is ready to run; its error names the setting that can't be used.
@@ -87,7 +93,8 @@
 		return nil, err
 	}
 	if s.Memory > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
+		limit := int64(memoryShare * float64(s.Memory))
+		debug.SetMemoryLimit(max(min(limit, s.Memory-programBytes), limit/2))
 	}
 	p := &Process{source: source, registry: metrics.NewRegistry(), began: time.Now(), newerState: make(chan struct{}, 1)}
 	p.settings.Store(&s)
@@ -131,8 +138,9 @@
 	}
 	p.entrance.Door = door.New(front)
 	p.entrance.Door.AtCapacity = p.refuseConn
-	if p.ready, err = net.Listen("tcp", s.Readiness); err != nil {
-		return errors.Wrapf(err, "readiness address %s can't be opened", s.Readiness)
+	p.entrance.Door.Heads = p.newHeads()
+	if p.ready, err = p.openSide("readiness", s.Readiness, http.HandlerFunc(p.readiness)); err != nil {
+		return err
 	}
 	if s.Control != "" {
 		if p.peers, err = net.ListenPacket("udp", s.Control); err != nil {
@@ -142,8 +150,8 @@
 	if s.Metrics == "" {
 		return nil
 	}
-	p.metrics, err = net.Listen("tcp", s.Metrics)
-	return errors.Wrapf(err, "metrics address %s can't be opened", s.Metrics)
+	p.metrics, err = p.openSide("metrics", s.Metrics, admin.Scrape(p.registry))
+	return err
 }
 
 // now returns the monotonic time since the process began, on which all decisions are based.
@@ -191,7 +199,7 @@
 	work, end := context.WithCancel(context.Background())
 	defer end()
 	callers := &http.Server{
-		Handler: p.relay, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: http.HandlerFunc(p.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headBytesLimit, // the limit in force is p.headBytes
 		ConnState: p.entrance.Conns.TrackState, ConnContext: door.WithConn, ErrorLog: p.log.StandardLog(),
 	}
 	failed := make(chan error, 1)
@@ -205,18 +213,16 @@
 }
 
 func (p *Process) tree(callers *http.Server) *guard.Tree {
-	ready := &http.Server{Handler: http.HandlerFunc(p.readiness), ReadHeaderTimeout: headerTimeout}
 	children := []guard.Child{
 		{Name: "callers", Critical: true, Run: func(ctx context.Context) error { return door.Serve(ctx, callers, p.entrance.Door) }},
-		{Name: "readiness", Critical: true, Run: func(ctx context.Context) error { return door.Serve(ctx, ready, p.ready) }},
+		{Name: "readiness", Critical: true, Run: p.ready.Serve},
 		{Name: "source", Run: func(ctx context.Context) error { return p.source(ctx, p.newSink()) }},
 		{Name: "usage", Run: p.logUsage},
 		{Name: "connections", Run: p.maintainConns},
 		{Name: "lag", Run: p.measureLag},
 	}
 	if p.metrics != nil {
-		scrapers := &http.Server{Handler: admin.Scrape(p.registry), ReadHeaderTimeout: headerTimeout}
-		children = append(children, guard.Child{Name: "metrics", Run: func(ctx context.Context) error { return door.Serve(ctx, scrapers, p.metrics) }})
+		children = append(children, guard.Child{Name: "metrics", Run: p.metrics.Serve})
 	}
 	if p.peers != nil {
 		children = append(children, guard.Child{Name: "peers", Run: p.exchanger.Run})
--- a/router/sock/reset.go
+++ b/router/sock/reset.go
@@ -1,15 +1,30 @@
 package sock
 
-import "net"
+import (
+	"net"
+	"syscall"
+)
 
 // Reset closes a connection so that its peer gets an error instead of an end of the data, and drops unsent data. A connection
-// that is no TCP connection is closed as usual.
+// that is no socket is closed as usual.
 func Reset(c net.Conn) error {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		if err := tcp.SetLinger(0); err != nil {
-			_ = c.Close() // the connection is already broken
-			return err
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return c.Close()
+	}
+	raw, err := socket.SyscallConn()
+	if err == nil {
+		failure := error(nil)
+		err = raw.Control(func(fd uintptr) {
+			failure = syscall.SetsockoptLinger(int(fd), syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+		})
+		if err == nil {
+			err = failure
 		}
 	}
+	if err != nil {
+		_ = c.Close() // the connection is already broken
+		return err
+	}
 	return c.Close()
 }
