Don't count ordinary request heads against the memory of heads

A router without processor time has a thousand heads in progress, each of which came with a part of its body in the first 4 KB: with their lines they took more than 0.05 of 120 MB, and the oldest connections were closed, those of callers inside the limits among them. The first 16 KB of each head now count as memory of its connection.

TestOrdinaryHeadsAreNotCounted guards against that; TestOldestHeadsAreClosed uses heads beyond the allowance, the rest of it is as before.

--- a/router/door/heads.go
+++ b/router/door/heads.go
@@ -21,6 +21,9 @@
 	// headByteCost and headLineCost are the approximate memory in bytes of a byte and of a line of a head that is being read: buffers grow by
 	// doubling, and 2.4 million lines of 5 bytes took 270 MB.
 	headByteCost, headLineCost = 2, 128
+	// headAllowance is the memory of a head in bytes that counts as that of its connection: an ordinary head comes with a part of its body in the first
+	// 4 KB that are read and has some 20 lines. At routers without processor time a thousand of them are in progress at once.
+	headAllowance = 16 << 10
 	// rejectTime and rejectBytes bound what is still read from a client whose head was rejected: a connection that is closed with unread bytes
 	// is reset, and the client may lose the answer.
 	rejectTime  = 500 * time.Millisecond
@@ -49,8 +52,8 @@
 	OnClose      func(Closing) // called when a connection is closed; nil for nothing
 
 	mutex      sync.Mutex // guards the fields below, and those of connections that say so
-	memory     int64
-	inProgress list.List // of *Conn, those whose head began first in front
+	memory     int64      // of all heads in progress, beyond their allowances
+	inProgress list.List  // of *Conn with a head beyond its allowance, those that exceeded it first in front
 }
 
 // Conn is a client's connection whose request heads are counted.
@@ -62,7 +65,7 @@
 
 	size    int64         // of the head so far in bytes; guarded by heads.mutex
 	cost    int64         // its approximate memory; guarded by heads.mutex
-	began   time.Time     // when its first byte was read; guarded by heads.mutex
+	began   time.Time     // when its first byte was read, zero if there is none; guarded by heads.mutex
 	element *list.Element // in heads.inProgress, nil if not in it; guarded by heads.mutex
 }
 
@@ -193,10 +196,15 @@
 		limit = h.Memory()
 	}
 	h.mutex.Lock()
-	if c.element == nil {
-		c.began, c.element = time.Now(), h.inProgress.PushBack(c)
+	if c.began.IsZero() {
+		c.began = time.Now()
+	}
+	h.memory -= c.counted()
+	c.size, c.cost = c.size+int64(len(b)), c.cost+cost
+	h.memory += c.counted()
+	if c.element == nil && c.counted() > 0 {
+		c.element = h.inProgress.PushBack(c)
 	}
-	c.size, c.cost, h.memory = c.size+int64(len(b)), c.cost+cost, h.memory+cost
 	var excess []*Conn
 	for limit > 0 && h.memory > limit && h.inProgress.Len() > 0 {
 		oldest := h.inProgress.Front().Value.(*Conn)
@@ -222,15 +230,18 @@
 	if c.element != nil {
 		h.inProgress.Remove(c.element)
 	}
-	h.memory -= c.cost
-	c.size, c.cost, c.element = 0, 0, nil
+	h.memory -= c.counted()
+	c.size, c.cost, c.began, c.element = 0, 0, time.Time{}, nil
 }
 
+// counted returns the memory of a connection's head beyond its allowance.
+func (c *Conn) counted() int64 { return max(0, c.cost-headAllowance) }
+
 // headAge returns how long a connection's head has been in progress; 0 if there is none.
 func (c *Conn) headAge() time.Duration {
 	c.heads.mutex.Lock()
 	defer c.heads.mutex.Unlock()
-	if c.element == nil {
+	if c.began.IsZero() {
 		return 0
 	}
 	return time.Since(c.began)
