Model uneven servers, stale news and the balance of servers

Cause: model/world had servers of one speed, and all routers got the same news at the same moment, so that it showed neither servers that are overloaded in turn nor routers that choose the same server.

--- a/model/world/load.go
+++ b/model/world/load.go
@@ -46,7 +46,12 @@
 	FailAt             map[int]time.Duration                       // failure time by server index
 	Teams              int
 	Duration           time.Duration
-	ReportPeriod       time.Duration // interval between load reports of routers; 0 means that of a small fleet
+	ReportPeriod       time.Duration                          // interval between load reports of routers; 0 means that of a small fleet
+	Speeds             []float64                              // speeds of the servers in turn, relative to the engine's; nil means that all are equal
+	Slowdowns          bool                                   // servers are slow for moments; see slowTime
+	NoShares           bool                                   // the throughput that teams share is not configured, so that nobody is held to a share
+	StaleNews          bool                                   // reports reach each router at moments of its own; see deliverStale
+	Disturb            func(at time.Duration, d *Disturbance) // called in each tick; nil for nothing
 }
 
 // ScaleKinds returns a copy of kinds with the rate and the number of subjects multiplied by factor.
@@ -72,6 +77,8 @@
 	ended      time.Duration
 	rejected   bool
 	finished   bool
+	sent       time.Duration // when it was sent to the server that answers it
+	overloaded bool          // it was sent to an overloaded server while another was idle
 }
 
 // earnedWorth returns the part of the kind's worth that the request earned.
--- a/model/world/server.go
+++ b/model/world/server.go
@@ -50,6 +50,9 @@
 	prefilled        map[uint64]bool // parts that any server has prefilled; shared by all servers
 	recomputedTokens int64           // shared tokens prefilled although some server had them before
 	prefillTokens    int64
+	speed            float64 // relative to the engine's; 0 means 1
+	slowdowns        bool
+	slowPhase        time.Duration // offset of the first slowdown
 }
 
 // runningTokens returns the cache tokens that running requests occupy.
--- a/model/world/world.go
+++ b/model/world/world.go
@@ -30,6 +30,7 @@
 	Recomputed                               float64            // shared tokens prefilled again, as a fraction of all prefilled tokens
 	Unfair                                   *UnfairWindow      // first window that violates the fairness rule; nil if there is none
 	Utilisation                              float64            // fraction of the time that servers were busy while requests arrived
+	Balance                                  Balance            // measured only in patterns with StaleNews
 }
 
 // String returns the figures that tests log.
@@ -50,14 +51,19 @@
 	reportedAt   time.Duration
 	reportPeriod time.Duration // between load reports
 	duration     time.Duration // time in which requests arrive
+	table        *route.Table
+	news         staleNews
+	disturbance  Disturbance
+	balance      balanceMeter
 	result       Result
 }
 
 // attempt is a request that was sent to a server.
 type attempt struct {
-	run    *pool.Run
-	job    *job
-	router int
+	run      *pool.Run
+	job      *job
+	pool     *pool.Pool // state of the router that sent it
+	reported bool       // the response told the server's load
 }
 
 // Run simulates a pattern with the given numbers of routers and servers.
@@ -66,7 +72,12 @@
 	if w.reportPeriod == 0 {
 		w.reportPeriod = reportPeriod
 	}
-	w.build(engine, routers, servers, usualThroughput*float64(servers)/usualServers)
+	throughput := usualThroughput * float64(servers) / usualServers
+	if p.NoShares {
+		throughput = 0
+	}
+	w.build(engine, routers, servers, throughput)
+	w.makeUneven(&p, seed)
 	requests := generateRequests(&p, kinds, routers, seed)
 	next := 0
 	for now := time.Duration(0); now < p.Duration+15*time.Second; now += tick {
@@ -75,7 +86,7 @@
 				w.failServer(now, i)
 			}
 		}
-		w.reportLoads(now)
+		w.exchangeLoads(now, &p)
 		for ; next < len(requests) && requests[next].Arrived <= now; next++ {
 			w.arrive(now, requests[next])
 		}
@@ -90,17 +101,12 @@
 }
 
 func (w *simulation) build(engine Engine, routers, servers int, tokens float64) {
-	table := route.NewTable(route.Config{
+	w.table = route.NewTable(route.Config{
 		Services: []route.Service{{Name: serviceName, Model: true, Slots: engine.Slots, CacheTokens: engine.CacheTokens}},
 		Routes:   w.routes(), Limits: route.Limits{TokensPerSecond: tokens},
 	})
 	for i := range routers {
-		q := &pool.Pool{Self: fmt.Sprintf("r%d", i), DataCentre: "d", Joined: true}
-		q.Configure(table)
-		for k := range servers {
-			q.SetServer(0, pool.Server{ID: fmt.Sprintf("s%d", k), Service: serviceName, Address: fmt.Sprintf("10.0.0.%d:80", k+1), DataCentre: "d", Slots: engine.Slots})
-		}
-		w.pools = append(w.pools, q)
+		w.pools = append(w.pools, w.newPool(0, i, servers, engine.Slots))
 	}
 	seen := map[uint64]bool{}
 	for k := range servers {
@@ -110,6 +116,16 @@
 	}
 }
 
+// newPool returns the state of a router that knows the servers and nothing of their load.
+func (w *simulation) newPool(now time.Duration, i, servers, slots int) *pool.Pool {
+	q := &pool.Pool{Self: fmt.Sprintf("r%d", i), DataCentre: "d", Joined: true}
+	q.Configure(w.table)
+	for k := range servers {
+		q.SetServer(now, pool.Server{ID: fmt.Sprintf("s%d", k), Service: serviceName, Address: fmt.Sprintf("10.0.0.%d:80", k+1), DataCentre: "d", Slots: slots})
+	}
+	return q
+}
+
 func (w *simulation) routes() []route.Route {
 	var routes []route.Route
 	for _, k := range w.kinds {
@@ -185,8 +201,10 @@
 	}
 	j := &job{request: r, unprefilled: r.PromptTokens, memory: r.PromptTokens + r.Output}
 	s := w.byID[v.Run.Server.ID]
+	w.balance.observeSend(w.servers, s, r)
 	s.queue = append(s.queue, j)
-	w.attempts = append(w.attempts, &attempt{v.Run, j, r.Router})
+	w.attempts = append(w.attempts, &attempt{run: v.Run, job: j, pool: w.pools[r.Router]})
+	r.sent = now
 }
 
 // runServers runs the next step of each idle server and ends requests that completed, failed or passed their deadline.
@@ -196,7 +214,7 @@
 			continue
 		}
 		var emitting []*job
-		elapsed := s.step(now, func(j *job) { emitting = append(emitting, j) })
+		elapsed := s.paced(now, s.step(now, func(j *job) { emitting = append(emitting, j) }))
 		s.busyUntil = now + max(elapsed, tick)
 		if now < w.duration {
 			w.result.Utilisation += elapsed.Seconds() / w.duration.Seconds() / float64(len(w.servers))
@@ -207,8 +225,9 @@
 	}
 	active := w.attempts[:0]
 	for _, j := range w.attempts {
-		r, q := j.job.request, w.pools[j.router]
+		r, q := j.job.request, j.pool
 		if r.firstEvent > 0 && r.firstEvent <= now {
+			w.reportInResponse(now, q, j)
 			q.Began(now, j.run)
 		}
 		switch {
@@ -278,5 +297,6 @@
 		total += s.prefillTokens
 	}
 	res.Recomputed = float64(recomputed) / float64(max(1, total))
+	res.Balance = w.balance.summarise(requests, w.kinds)
 	return res
 }
