--- a/core/pool/pick.go
+++ b/core/pool/pick.go
@@ -28,6 +28,10 @@
 	// maxFullSearch is the maximum number of servers of a service up to which all are scored: few routers send to few
 	// servers.
 	maxFullSearch = 16
+	// maxFullRouters is the maximum number of routers per server up to which all servers are scored. With more, all would
+	// choose the same server by the same stale sums; the random part of the cost alone does not prevent that where servers
+	// differ in speed. The value is from TestAllRoutersChooseTheSameServer.
+	maxFullRouters = 3
 	// cacheFraction is the fraction of a server's KV cache that running requests may fill; the rest keeps shared segments.
 	cacheFraction = 0.9
 	// remotePenalty is the cost added to servers in other data centres.
@@ -57,7 +61,7 @@
 	if len(affinity) > 0 {
 		home = affinity[0]
 	}
-	if len(v.servers) <= maxFullSearch {
+	if len(v.servers) <= maxFullSearch && len(p.Peers) < maxFullRouters*len(v.servers) {
 		return p.cheapest(now, v, a, v.servers, home)
 	}
 	c, ok := p.cheapest(now, v, a, affinity, home)
