--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mangolug.org/core/digest"
+	"mangolug.org/core/even"
 	"mangolug.org/core/plain"
 	"mangolug.org/core/route"
 	"mangolug.org/core/speed"
@@ -53,6 +54,7 @@
 	servers      []*backend    // all known servers, sorted by ID
 	prefill      speed.Fit     // how fast its servers prefill prompts
 	speedsAt     time.Duration // when the servers' speeds were last computed
+	hold         even.HoldTime // how long requests run after their first events
 	limitedUntil time.Duration // until then a server may limit its rate
 	meanPrompt   float64       // moving average of the prompt tokens of requests
 	failureRate  float64       // moving failure rate over all its servers
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -69,6 +69,7 @@
 	learned        atomic.Bool      // the servers were asked for their runs
 	streams        *resume.Register // software versions at which callers' streams began
 	lastRelay      string           // the router that sent the sum of the others' loads when it was last logged
+	balance        balanceLog       // for the goroutine of the connections
 	overloaded     atomic.Bool      // reported to the balancer as not ready, so that it sends callers elsewhere
 	overloadMutex  sync.Mutex       // guards the decider
 	decider        ready.Decider    // of when the router is ready again
