--- a/core/pool/pick.go
+++ b/core/pool/pick.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"mangolug.org/core/even"
 	"mangolug.org/core/route"
 )
 
@@ -27,6 +28,10 @@
 	// maxFullSearch is the maximum number of servers of a service up to which all are scored: few routers send to few
 	// servers.
 	maxFullSearch = 16
+	// maxFullRouters is the maximum number of routers per server up to which all servers are scored. With more, all would
+	// choose the same server by the same stale sums; the random part of the cost alone does not prevent that where servers
+	// differ in speed. The value is from TestAllRoutersChooseTheSameServer.
+	maxFullRouters = 3
 	// cacheFraction is the fraction of a server's KV cache that running requests may fill; the rest keeps shared segments.
 	cacheFraction = 0.9
 	// remotePenalty is the cost added to servers in other data centres.
@@ -39,7 +44,7 @@
 type candidate struct {
 	backend       *backend
 	prefillTokens int64
-	backlog       time.Duration // work ahead of the request
+	backlog       time.Duration // expected wait for a slot and for the prompts ahead of the request
 	cost          time.Duration
 	sendBy        time.Duration // until when the request can wait and still be in time at this server
 	home          bool
@@ -57,7 +62,7 @@
 	if len(affinity) > 0 {
 		home = affinity[0]
 	}
-	if len(v.servers) <= maxFullSearch {
+	if len(v.servers) <= maxFullSearch && len(p.Peers) < maxFullRouters*len(v.servers) {
 		return p.cheapest(now, v, a, v.servers, home)
 	}
 	c, ok := p.cheapest(now, v, a, affinity, home)
@@ -208,14 +213,16 @@
 		c.prefillTokens -= b.cache.cachedTokens(now, a.sharedSegments())
 	}
 	c.prefillTokens = max(1, c.prefillTokens)
-	c.backlog = p.prefillTime(now, v, b, u.Prefill)
+	load := p.view(now, v, b, u)
+	c.backlog = p.prefillTime(now, v, b, u.Prefill) + load.SlotWait()
 	recomputed := c.prefillTokens - a.uniqueTokens()
 	c.cost = c.backlog + time.Duration(penalty*float64(p.prefillTime(now, v, b, recomputed)))
 	p.scoreSpeed(now, v, a, &c)
+	c.cost += load.Spread(p.Random.Float64())
 	if b.DataCentre != p.DataCentre {
 		c.cost += remotePenalty
 	}
-	c.hasRoom = c.backlog <= p.maxBacklog(a) && p.fits(b, u, a)
+	c.hasRoom = c.backlog <= p.maxBacklog(a) && load.MayHaveRoom() && p.fits(b, u, a)
 	return c
 }
 
@@ -245,11 +252,17 @@
 	return max(0, unique)
 }
 
-// fits reports whether a server has a slot and memory for one more request.
-func (p *Pool) fits(b *backend, u Usage, a *Request) bool {
-	if b.Slots > 0 && u.Requests >= int64(b.Slots) {
-		return false
+// view returns what is known of the requests at a server; u is its usage.
+func (p *Pool) view(now time.Duration, v *service, b *backend, u Usage) even.View {
+	own := b.localUsage.Requests
+	return even.View{
+		Own: own, Others: u.Requests - own, Age: now - b.peerUsageAt + even.NewsDelay, Blind: len(p.Peers) > 0 && !p.peersKnown(now),
+		Slots: b.Slots, Hold: b.speed.usual(v.hold.Mean()),
 	}
+}
+
+// fits reports whether a server has memory for one more request.
+func (p *Pool) fits(b *backend, u Usage, a *Request) bool {
 	if p.table == nil {
 		return true
 	}
--- a/router/proc/callers.go
+++ b/router/proc/callers.go
@@ -147,6 +147,7 @@
 		p.relay.LogShares()
 		p.relay.LogShort()
 		p.logSums()
+		p.logBalance()
 		p.updateOverload()
 	}
 }
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -90,6 +90,7 @@
 	reads           reads
 	outages         digest.Outages // of the platform, if there are no other routers; for the goroutine of the source
 	cancelRequests  context.CancelFunc
+	balance         balanceLog // for the goroutine of the connections
 }
 
 // New opens the listeners and returns a Process that is ready to run; its error names the setting that can't be used.
