--- a/router/door/heads_test.go
+++ b/router/door/heads_test.go
@@ -133,8 +133,7 @@
 	waitUntil(t, func() bool { n, memory := h.InProgress(); return n == 0 && memory == 0 })
 }
 
-// TestOrdinaryHeadsAreNotCounted guards against closing connections of callers inside the limits whose requests wait for a router without processor time:
-// 6,251 of 88,884 requests of a day found no connection.
+// TestOrdinaryHeadsAreNotCounted guards against closing connections of callers inside the limits whose requests wait for a router without processor time.
 func TestOrdinaryHeadsAreNotCounted(t *testing.T) {
 	var closed closings
 	h := &Heads{Memory: func() int64 { return 1 }, OnClose: closed.add}
