Cut no caller that reads slowly, and keep the next request after a slow answer

The send buffer of callers' connections is 64 KB now. - The read deadline for the rest of a body was also set after its end. If the last flush took over a second, the next request on the connection was taken for one whose caller had left. - Connections whose answers are not read were closed in order, so that what was unsent stayed in the system's memory. They are reset. - A caller of a plain service that gives a longer time than others made all others look as if they returned after a refusal while capacity is short. - A single head beyond all memory for heads evicted itself or was refused for good; net/http could not end the sending direction of a connection; an idle time above 60 s was not honoured.

--- a/core/plain/callers.go
+++ b/core/plain/callers.go
@@ -37,10 +37,12 @@
 	if callerTime <= 0 {
 		return false
 	}
-	if now-c.since > usualWindow {
+	if atEase && now-c.since > usualWindow {
 		c.longest, c.previous, c.since = 0, c.longest, now
 	}
-	c.longest = max(c.longest, callerTime)
+	if atEase || c.longest == 0 { // a caller with a longer time must not make all others look as if they returned
+		c.longest = max(c.longest, callerTime)
+	}
 	brief := callerTime < max(c.longest, c.previous)-returnMargin
 	if atEase {
 		value := 0.0
--- a/router/door/conns.go
+++ b/router/door/conns.go
@@ -22,8 +22,8 @@
 	used      bool      // a request came on it
 }
 
-// silentTime is how long a connection may be open without a whole request, or with a head in progress, before it is closed in favour of new
-// connections rather than one that callers keep: callers send a request when they connect, and its head comes at once.
+// silentTime is how long a connection may be open without a complete request, or with a head in progress, before it is closed in favour of new connections:
+// callers send a request when they connect, and its head comes at once.
 const silentTime = time.Second
 
 // silent reports whether a client has connected or begun a request silentTime ago and sent no whole request since. The caller must hold the mutex.
@@ -112,7 +112,7 @@
 	for c := range i.conns {
 		if counted, ok := c.(*Conn); ok && counted.blockedFor(length) {
 			counted.heads.closing(ClosingUnread)
-			_ = c.Close() // the write fails
+			_ = sock.Reset(c) // the write fails, and what is unsent is dropped
 			delete(i.conns, c)
 		}
 	}
--- a/router/door/heads.go
+++ b/router/door/heads.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"mangolug.org/router/sock"
 )
 
 const (
@@ -28,6 +30,9 @@
 	// is reset, and the client may lose the answer.
 	rejectTime  = 500 * time.Millisecond
 	rejectBytes = 256 << 10
+	// writeBuffer is the size in bytes of a connection's send buffer. The system wakes a blocked writer when a third of it is free: buffers that grew to 4 MB
+	// blocked a write for 3.8 s while the peer read 400 KB per second.
+	writeBuffer = 64 << 10
 	// writeBlock is how many bytes of an answer the peer has to accept within a write timeout.
 	writeBlock = 16 << 10
 )
@@ -76,6 +81,9 @@
 
 // Wrap returns a connection whose heads are counted. The connection is taken as new.
 func (h *Heads) Wrap(c net.Conn) net.Conn {
+	if tcp, ok := c.(*net.TCPConn); ok && h.WriteTimeout > 0 {
+		_ = tcp.SetWriteBuffer(writeBuffer) // best effort: with a larger one a slow reader looks as if it read nothing
+	}
 	w := &Conn{Conn: c, heads: h}
 	w.reading.Store(true)
 	return w
@@ -129,6 +137,7 @@
 		written += n
 		if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
 			c.heads.closing(ClosingUnread)
+			_ = sock.Reset(c) // what is unsent would stay in the system's memory
 		}
 		if err != nil || written == len(b) {
 			return written, err
@@ -136,6 +145,15 @@
 	}
 }
 
+// CloseWrite ends the sending direction, so that the server can wait for a client that has not read a refusal.
+func (c *Conn) CloseWrite() error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.New("the connection is not a TCP connection")
+	}
+	return tcp.CloseWrite()
+}
+
 // blockedFor reports whether the peer has not accepted a part of an answer for the given time.
 func (c *Conn) blockedFor(length time.Duration) bool {
 	since := c.writing.Load()
@@ -206,7 +224,7 @@
 		c.element = h.inProgress.PushBack(c)
 	}
 	var excess []*Conn
-	for limit > 0 && h.memory > limit && h.inProgress.Len() > 0 {
+	for limit > 0 && h.memory > limit && h.inProgress.Len() > 1 {
 		oldest := h.inProgress.Front().Value.(*Conn)
 		h.remove(oldest)
 		excess = append(excess, oldest)
--- a/router/proc/clients.go
+++ b/router/proc/clients.go
@@ -1,8 +1,10 @@
 package proc
 
 import (
+	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,7 +23,8 @@
 	headFieldBytes = 128
 	// headBytesLimit is the largest head in bytes that an operator can allow.
 	headBytesLimit = 1 << 20
-	// writeTimeout is how long a caller may take to accept 16 KB of its answer: 1.6 KB per second, less than a stream of a model has.
+	// writeTimeout is how long a caller may leave a part of its answer in the send buffer of 64 KB, of which a third has to be free for the next part: 2 to 4 KB
+	// per second, less than a stream of a model has.
 	writeTimeout = 10 * time.Second
 	// scarceWriteTimeout is the same while requests are refused for lack of room: an answer that is not read takes the room of a request. It is above the
 	// time in which a lost packet is sent again.
@@ -71,13 +74,17 @@
 // serveCaller serves a caller's request unless the large heads of requests in progress use up their memory.
 func (p *Process) serveCaller(w http.ResponseWriter, r *http.Request) {
 	if r.ContentLength != 0 {
+		body := &requestBody{ReadCloser: r.Body}
+		r.Body = body
 		defer func() { // the server reads what is left of the body without a limit of its own
-			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout)) // fails only if the connection is gone
+			if !body.ended.Load() {
+				_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout)) // fails only if the connection is gone
+			}
 		}()
 	}
 	if memory := headMemory(r); memory > largeHeadBytes {
 		defer p.largeHeads.Add(-memory)
-		if limit := p.headsMemory(); p.largeHeads.Add(memory) > limit && limit > 0 {
+		if limit, total := p.headsMemory(), p.largeHeads.Add(memory); total > limit && total > memory && limit > 0 {
 			p.refuseLargeHead(w, r)
 			return
 		}
@@ -85,6 +92,22 @@
 	p.relay.ServeHTTP(w, r)
 }
 
+// requestBody notes whether a body was read to its end. A read deadline that is set after that would end the wait for the next request, and with it that
+// request.
+type requestBody struct {
+	io.ReadCloser
+	ended atomic.Bool
+}
+
+// Read reads from the body.
+func (b *requestBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.ended.Store(true)
+	}
+	return n, err
+}
+
 // closeBlocked closes connections with answers that are not read, since requests are refused for lack of room.
 func (p *Process) closeBlocked() {
 	now, last := int64(p.now()), p.blockedClosedAt.Load()
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -212,7 +212,7 @@
 	work, end := context.WithCancel(context.Background())
 	defer end()
 	callers := &http.Server{
-		Handler: http.HandlerFunc(p.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headBytesLimit, // the limit in force is p.headBytes
+		Handler: http.HandlerFunc(p.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: -1, MaxHeaderBytes: headBytesLimit, // the limit in force is p.headBytes; maintainConns closes idle connections
 		ConnState: p.entrance.Conns.TrackState, ConnContext: door.WithConn, ErrorLog: p.log.StandardLog(),
 	}
 	failed := make(chan error, 1)
--- a/router/relay/unread.go
+++ b/router/relay/unread.go
@@ -44,6 +44,9 @@
 func (c *call) refuseUnread() {
 	c.leaveOpen()
 	c.relay.refusedUnread.Add(1)
+	if c.request.ContentLength == 0 {
+		return
+	}
 	_ = http.NewResponseController(c.writer).SetReadDeadline(time.Now().Add(unreadBodyTimeout)) // unsupported only by test recorders
 }
 
