--- a/core/digest/fleet.go
+++ b/core/digest/fleet.go
@@ -1,6 +1,7 @@
 package digest
 
 import (
+	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -108,7 +109,9 @@
 	f.peerPositions = make(map[string]Position)
 	f.counter = f.FirstBeat
 	if f.Random == nil {
-		f.Random = rand.New(rand.NewPCG(f.FirstBeat, 0))
+		address := fnv.New64a()
+		_, _ = address.Write([]byte(f.Address))                        // hash.Hash.Write never returns an error
+		f.Random = rand.New(rand.NewPCG(f.FirstBeat, address.Sum64())) // routers may start at the same time
 	}
 }
 
--- a/core/digest/news.go
+++ b/core/digest/news.go
@@ -101,7 +101,8 @@
 func (f *Fleet) ObservePlatform(now time.Duration, from, to Position, changes []Change) {
 	f.init()
 	f.outages.Observe(max(1, now), to)
-	f.reads.add(max(1, f.Random.Uint32()))
+	f.reads.newest = max(1, f.Random.Uint32())
+	f.reads.add(f.reads.newest)
 	f.Position = latest(f.Position, to)
 	if from == (Position{}) || !f.log.Add(from, to, changes) {
 		f.log.Reset(to)
@@ -127,7 +128,7 @@
 	if f.log.position == (Position{}) {
 		return nil
 	}
-	n := &Update{Position: f.log.position, Age: now - f.outages.readAt, Read: f.reads.newest()}
+	n := &Update{Position: f.log.position, Age: now - f.outages.readAt, Read: f.reads.newest}
 	has, ok := f.peerPositions[to]
 	if !ok || !has.Before(f.log.position) {
 		return n
@@ -159,8 +160,9 @@
 	if f.reads.contains(read) {
 		return
 	}
+	f.reads.add(read)
 	if readAt > f.outages.readAt {
-		f.reads.add(read)
+		f.reads.newest = read
 	}
 	f.outages.Observe(readAt, f.Position)
 }
--- a/core/digest/part.go
+++ b/core/digest/part.go
@@ -71,7 +71,7 @@
 	if !ok {
 		return nil
 	}
-	n := &Update{Position: f.log.position, Age: now - f.outages.readAt, Read: f.reads.newest()}
+	n := &Update{Position: f.log.position, Age: now - f.outages.readAt, Read: f.reads.newest}
 	if after.Before(to) {
 		n.From, n.To, n.Changes = after, to, changes
 		return n
--- a/core/digest/sum.go
+++ b/core/digest/sum.go
@@ -24,7 +24,7 @@
 // Rates holds a team's offered load and its throughput, in tokens per second.
 type Rates struct {
 	Demand, Served int64
-	Held           int64 // demand rejected in favour of less served teams
+	Held           int64 // demand rejected as over the team's share
 }
 
 // Add adds another sum.
--- a/router/proc/follow.go
+++ b/router/proc/follow.go
@@ -115,7 +115,7 @@
 			turn.Wait = readWait
 		}
 		return f.call(now, turn)
-	case f.acting.due(now, now-age) && now-f.lastRead >= readPause:
+	case f.acting.due(now, now-age) && now-f.lastRead >= readWait:
 		turn.Wait = readWait
 		return f.call(now, turn)
 	case late && (f.lastRead == 0 || now-f.lastRead >= minCallInterval):
@@ -195,7 +195,7 @@
 	}
 	p.exchanger.WithFleet(func(now time.Duration, fleet *digest.Fleet) {
 		age, known := fleet.PlatformAge(now)
-		if f.overdueRead && known && age > f.maxAge {
+		if f.overdueRead && known && age > f.maxAge && fleet.Connected(now) {
 			f.acting.start(now, rand.IntN(maxOverlapJitter))
 			p.count("platform.actingReader")
 			p.log.Info("reads the platform for the others", "lastRead", age)
@@ -217,7 +217,8 @@
 	return call, func() { cancel(nil) }
 }
 
-// supersede cancels a call once another router's changes have been known for hangPeriods checks: the platform returns changes at once.
+// supersede cancels a call once another router's changes have been known for hangPeriods checks: a platform that answers has returned them by then,
+// or returns them to the next call.
 func (f *follower) supersede(call context.Context, cancel context.CancelCauseFunc, known digest.Position) {
 	ticker := time.NewTicker(checkPeriod)
 	defer ticker.Stop()
@@ -233,6 +234,7 @@
 			}
 		})
 	}
+	f.process.count("platform.superseded")
 	cancel(&SupersededError{})
 }
 
