--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -187,13 +187,17 @@
 // overServed reports whether a request over its team's share has to leave capacity to others: its team is much better served than another one, or it
 // would take more of the idle capacity than the team may get.
 func (p *Pool) overServed(now time.Duration, v *service, a *Request) bool {
-	return p.shares.overServed(now, a.Team) || v.large() && !p.shares.mayGetSpare(a.Team, a.lot)
+	return p.shares.overServed(now, a.Team) || v.large() && !p.shares.mayGetSpare(now, a.Team, a.lot)
 }
 
+// busyFraction is the fraction of the time to its objective by which a request that finds all servers busy is delayed. With 0.1 servers that have just
+// one prompt ahead count as busy and capacity stays idle; with 0.5 requests within their shares come late.
+const busyFraction = 0.25
+
 // idleFraction returns the fraction of the capacity of a service's servers that is idle, as far as known: servers without prompts ahead and with free
-// slots are idle, those with a backlog up to which requests over their team's share may wait are not.
+// slots are idle, those that delay a request by busyFraction are not.
 func (p *Pool) idleFraction(now time.Duration, v *service, a *Request) float64 {
-	limit := float64(minOverShareWaitFraction) * float64(a.Objective-a.Arrived)
+	limit := busyFraction * float64(a.Objective-a.Arrived)
 	idle, servers := 0.0, 0
 	for _, b := range v.servers {
 		if !p.eligible(now, b) || p.cold(now, b) {
--- a/core/pool/shares.go
+++ b/core/pool/shares.go
@@ -20,7 +20,7 @@
 	localDemand rate    // demand at this router, in tokens per second
 	peerDemand  float64 // demand at the other routers, in tokens per second
 	localServed rate    // service at this router, in tokens per second
-	localHeld   rate    // demand rejected at this router in favour of less served teams, in tokens per second
+	localHeld   rate    // demand rejected at this router as over the team's share, in tokens per second
 	peerHeld    float64 // the same at the other routers
 
 	peerServed    float64    // service at the other routers, in tokens per second
@@ -35,9 +35,17 @@
 func (t *teamShare) demand() float64     { return t.localDemand.value + t.peerDemand }
 func (t *teamShare) servedRate() float64 { return t.localServed.value + t.peerServed }
 
-// unmet returns the tokens per second that the team demands and that are not rejected in favour of less served teams: a team that is held back itself
-// is no reason to hold others back, or all get less and less while servers are idle.
-func (t *teamShare) unmet() float64 { return t.demand() - t.localHeld.value - t.peerHeld }
+// heldRate returns the tokens per second that are rejected as over the team's share.
+func (t *teamShare) heldRate() float64 { return t.localHeld.value + t.peerHeld }
+
+// counted returns how much of the demand that is rejected as over a team's share is no reason to hold others back. Among many routers it is all: teams that
+// hold each other back would get less and less while servers are idle. Few routers know soon enough what the others send.
+func (s *shares) counted(held float64) float64 {
+	if s.routers <= maxFullSearch {
+		return 0
+	}
+	return held
+}
 
 // shares divides the fleet's throughput between teams by max-min fairness.
 type shares struct {
@@ -70,12 +78,12 @@
 
 // isBacklogged reports whether a team with a demand and a service in tokens per second needs more. A team may be within its
 // share of the fleet and still be backlogged, if the routers that its callers use cannot serve it; then it has to miss more
-// than a few large requests.
-func (s *shares) isBacklogged(demand, served float64) bool {
+// than a few large requests. The held part of its demand is rejected as over its share.
+func (s *shares) isBacklogged(demand, held, served float64) bool {
 	if s.level == 0 || demand <= s.level {
 		served += slackRequests * s.largestRequest / shareWindow.Seconds()
 	}
-	return served < backloggedFraction*demand
+	return served < backloggedFraction*(demand-s.counted(held))
 }
 
 // slack returns the tokens per second by which teams may differ because of single large requests.
@@ -161,7 +169,7 @@
 	t.localServed.value = max(0, t.localServed.value)
 }
 
-// observeHeld counts tokens that a team does not get, as it is better served than others.
+// observeHeld counts tokens that a team does not get, as others need the capacity or they exceed its part of the idle capacity.
 func (s *shares) observeHeld(now time.Duration, name string, tokens float64) {
 	s.team(name).localHeld.observe(now, tokens)
 }
@@ -298,30 +306,33 @@
 
 const (
 	// minSpare and maxSpare bound the idle capacity that is given away, as a multiple of the configured throughput.
-	minSpare, maxSpare = 0.5, 16.0
+	minSpare, maxSpare = 2.0, 16.0
 	// spareRise is the factor by which it rises, each levelPeriod, while more than idleHigh of the capacity is idle, and spareFall that by which it falls
-	// while less than idleLow is: it may double within a second, and falls within the time in which routers hear of each other's sends.
+	// while less than idleLow is: it may double within a second, and halves in the 0.3 s in which routers hear of each other's sends.
 	spareRise, spareFall = 1.07, 0.8
 	idleHigh, idleLow    = 0.7, 0.5
 )
 
 // mayGetSpare reports whether a request over its team's share may get idle capacity; lot is a random number in [0, 1) that belongs to the request. Each team
-// may get the same, whatever it demands. Requests are selected at random, as the routers know what the others send too late to stop in time when each of
+// may get the same, whatever it demands, and one that gets less than its share may make up for it. Requests are selected at random, as the routers know what the others send too late to stop in time when each of
 // them fills the servers that look idle.
-func (s *shares) mayGetSpare(name string, lot float64) bool {
+func (s *shares) mayGetSpare(now time.Duration, name string, lot float64) bool {
 	if s.spareLevel == 0 {
 		return true
 	}
-	demand := s.team(name).demand()
-	return demand <= s.spareLevel || lot*(demand-s.level) < s.spareLevel-s.level
+	t := s.team(name)
+	t.localDemand.decay(now)
+	t.localServed.decay(now)
+	demand := t.demand()
+	return demand <= s.spareLevel || lot*(demand-s.level) < s.spareLevel-min(s.level, t.servedRate())
 }
 
 // observeIdle records the fraction of the servers' capacity that is idle.
 func (s *shares) observeIdle(fraction float64) {
 	s.idle += idleWeight * (fraction - s.idle)
 	switch {
-	case s.spare == 0:
-		s.spare = 1
+	case s.spare == 0 || s.level == 0: // nobody is limited
+		s.spare = minSpare
 	case s.idle > idleHigh:
 		s.spare = min(maxSpare, s.spare*spareRise)
 	case s.idle < idleLow:
@@ -352,8 +363,8 @@
 // findLeastServed finds the least and the second least served backlogged teams.
 func (s *shares) findLeastServed() {
 	s.backlogged, s.leastServed, s.secondServed, s.leastServedTeam = 0, 0, 0, nil
-	compare := func(t *teamShare, demand, served float64) {
-		if !s.isBacklogged(demand, served) {
+	compare := func(t *teamShare, demand, held, served float64) {
+		if !s.isBacklogged(demand, held, served) {
 			return
 		}
 		s.backlogged++
@@ -367,9 +378,9 @@
 		}
 	}
 	for _, t := range s.teams {
-		compare(t, t.unmet(), t.servedRate())
+		compare(t, t.demand(), t.heldRate(), t.servedRate())
 	}
 	for _, r := range s.remoteTeams {
-		compare(nil, float64(r.Demand-r.Held), float64(r.Served))
+		compare(nil, float64(r.Demand), float64(r.Held), float64(r.Served))
 	}
 }
--- a/core/pool/summary.go
+++ b/core/pool/summary.go
@@ -77,7 +77,7 @@
 	Throughput, Demand, Served float64
 	Level                      float64 // max-min fair level, above which a team is over its share; 0 if there is enough for all
 	OverShare                  int     // number of teams whose demand exceeds the level
-	Held                       float64 // demand rejected in favour of less served teams
+	Held                       float64 // demand rejected as over the teams' shares
 	LeastTeam                  string  // name of the least served backlogged team; empty if there is none
 	LeastDemand, LeastServed   float64
 	MostTeam                   string // name of the most served team with requests at this router
@@ -104,14 +104,14 @@
 		demand, served := t.demand(), t.servedRate()
 		b.Demand += demand
 		b.Served += served
-		b.Held += t.localHeld.value + t.peerHeld
+		b.Held += t.heldRate()
 		if served > b.MostServed {
 			b.MostTeam, b.MostDemand, b.MostServed = name, demand, served
 		}
 		if s.level > 0 && demand > s.level {
 			b.OverShare++
 		}
-		if s.isBacklogged(t.unmet(), served) && (b.LeastTeam == "" || served < b.LeastServed) {
+		if s.isBacklogged(demand, t.heldRate(), served) && (b.LeastTeam == "" || served < b.LeastServed) {
 			b.LeastTeam, b.LeastDemand, b.LeastServed = name, demand, served
 		}
 	}
--- a/core/pool/unread.go
+++ b/core/pool/unread.go
@@ -28,6 +28,20 @@
 	return p.reject(now, v, a, fleet.ReasonTeamShare), true
 }
 
+// Withdraw takes back the count of a request that RejectUnread let pass and whose body did not come. It would make its team look as if it got too little.
+func (p *Pool) Withdraw(now time.Duration, a *Request) {
+	if !a.observed || a.Retry || a.PromptTokens == 0 {
+		return
+	}
+	a.observed = false
+	t := p.shares.team(a.Team)
+	t.localDemand.observe(now, -float64(a.cost()))
+	t.localDemand.value = max(0, t.localDemand.value)
+	if !a.overShare {
+		t.shareCredit += float64(a.cost())
+	}
+}
+
 // observeRequest counts a request in the demand of its team and of its service.
 func (p *Pool) observeRequest(now time.Duration, v *service, a *Request) {
 	if a.PromptTokens == 0 {
--- a/core/pool/unread_test.go
+++ b/core/pool/unread_test.go
@@ -40,6 +40,14 @@
 			if rejected != c.rejected || rejected && (v.Reason != fleet.ReasonTeamShare || v.RetryAfter < minRetryAfter) {
 				t.Errorf("rejected %t with %+v, want %t", rejected, v, c.rejected)
 			}
+			before := mine.localDemand.value
+			if !rejected && !c.plain {
+				p.Withdraw(time.Second, a) // its body did not come
+				if got := mine.localDemand.value; got != 0 {
+					t.Errorf("a request without its body counts as %.0f tokens per second, want 0", got)
+				}
+				mine.localDemand.value, a.observed = before, true
+			}
 			if !rejected {
 				if v, _ := p.Admit(time.Second, a); v.Reason != c.want {
 					t.Errorf("reason %s of Admit, want %s", v.Reason, c.want)
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -100,6 +100,9 @@
 		return e
 	}
 	if e := c.readBody(); e != nil {
+		if c.observed != nil {
+			c.relay.Gate.With(func(now time.Duration, p *pool.Pool) { p.Withdraw(now, c.observed) })
+		}
 		return e
 	}
 	key := c.info.Key
