Give idle capacity away alike at busy and at quiet routers

Cause: the part of idle capacity that is given away rose at each request that found the level due, so that routers with few requests raised it more slowly.

Change: it rises and falls with the time that has passed, a second at most.

--- a/core/pool/shares.go
+++ b/core/pool/shares.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -327,19 +328,24 @@
 	return demand <= s.spareLevel || lot*(demand-s.level) < s.spareLevel-min(s.level, t.servedRate())
 }
 
-// observeIdle records the fraction of the servers' capacity that is idle.
-func (s *shares) observeIdle(fraction float64) {
-	s.idle += idleWeight * (fraction - s.idle)
+// observeIdle records the fraction of the servers' capacity that is idle. It counts for the time since the level was last computed, so that routers with few
+// requests give away as much as others.
+func (s *shares) observeIdle(now time.Duration, fraction float64) {
+	periods := float64(min(now-s.levelAt, maxIdleTime)) / float64(levelPeriod)
+	s.idle += (1 - math.Pow(1-idleWeight, periods)) * (fraction - s.idle)
 	switch {
 	case s.spare == 0 || s.level == 0: // nobody is limited
 		s.spare = minSpare
 	case s.idle > idleHigh:
-		s.spare = min(maxSpare, s.spare*spareRise)
+		s.spare = min(maxSpare, s.spare*math.Pow(spareRise, periods))
 	case s.idle < idleLow:
-		s.spare = max(minSpare, s.spare*spareFall)
+		s.spare = max(minSpare, s.spare*math.Pow(spareFall, periods))
 	}
 }
 
+// maxIdleTime bounds the time for which one observation counts.
+const maxIdleTime = time.Second
+
 // idleWeight is the weight of one observation, each levelPeriod: the average covers the time in which routers hear of each other's sends.
 const idleWeight = 0.3
 
--- a/core/pool/unread.go
+++ b/core/pool/unread.go
@@ -52,7 +52,7 @@
 			a.lot = p.Random.Float64()
 		}
 		if v.large() && p.shares.levelDue(now) {
-			p.shares.observeIdle(p.idleFraction(now, v, a))
+			p.shares.observeIdle(now, p.idleFraction(now, v, a))
 		}
 		a.overShare, a.shareFraction = p.shares.admit(now, a.Team, float64(a.cost()), p.throughput())
 	}
