--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -34,14 +34,14 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		fmt.Fprintln(os.Stderr, "usage: review-2 engine ID ADDRESS VERSION LOG | review-2 CASE RECORD")
+		fmt.Fprintln(os.Stderr, "usage: review-2 engine ID ADDRESS VERSION LOG COLD-MS | review-2 CASE RECORD")
 		os.Exit(exitFailed)
 	}
 	if os.Args[1] == "engine" {
-		runEngine(os.Args[2], os.Args[3], os.Args[4], os.Args[5])
+		runEngine(os.Args[2], os.Args[3], os.Args[4], os.Args[5], os.Args[6])
 		return
 	}
-	cases := map[string]func(*world) bool{"hangup": hangup, "reborn-version": rebornVersion, "reborn-tail": rebornTail, "dark-before-release": darkBeforeRelease}
+	cases := map[string]func(*world) bool{"hangup": hangup, "reborn-version": rebornVersion, "reborn-tail": rebornTail, "dark-before-release": darkBeforeRelease, "reborn-cold": rebornCold}
 	play := cases[os.Args[1]]
 	if play == nil || len(os.Args) < 3 {
 		fmt.Fprintln(os.Stderr, "no such case")
@@ -72,15 +72,39 @@
 	runs        atomic.Int64
 	running     atomic.Int64
 	log         *os.File
+
+	coldUntil time.Time
+	mutex     sync.Mutex  // guards arrivals
+	arrivals  []time.Time // of the last second while it is cold
+}
+
+// coldCrash is how many requests in a second a cold engine doesn't bear: well above its 12, and above the rule's bound of 23.
+const coldCrash = 30
+
+// overrun ends a cold engine that gets requests at a rate well above what it tolerates.
+func (e *engine) overrun() {
+	now := time.Now()
+	if now.After(e.coldUntil) {
+		return
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.arrivals = slices.DeleteFunc(append(e.arrivals, now), func(at time.Time) bool { return now.Sub(at) >= time.Second })
+	if len(e.arrivals) >= coldCrash {
+		e.note("crashes: %d requests in a second while it is cold; %d requests run", len(e.arrivals), e.running.Load())
+		os.Exit(exitFailed)
+	}
 }
 
-func runEngine(id, address, version, log string) {
+func runEngine(id, address, version, log, cold string) {
 	file, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailed)
 	}
 	e := &engine{id: id, version: version, born: time.Now().UnixMilli(), log: file}
+	millis, _ := strconv.Atoi(cold) // 0 if it isn't cold
+	e.coldUntil = time.Now().Add(time.Duration(millis) * time.Millisecond)
 	server := &http.Server{Addr: address, Handler: e, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 30 * time.Second}
 	fmt.Fprintln(os.Stderr, server.ListenAndServe())
 	os.Exit(exitFailed)
@@ -134,6 +158,7 @@
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	run := fmt.Sprintf("%s.%d.%d", e.id, e.born, e.runs.Add(1))
 	e.note("run %s begins: request %s after %d of %d", run, request, last, o.Pieces)
+	e.overrun()
 	h := w.Header()
 	h.Set("Response-Signature", run)
 	piece := func(i int) string { return fmt.Sprintf("line %d of %d by %s\n", i, o.Pieces, e.version) }
@@ -302,6 +327,8 @@
 	lock    net.Listener
 	began   time.Time
 	failed  error // why the case could not run
+
+	coldStartS, coldPerS float64 // of the model service
 }
 
 type router struct {
@@ -316,6 +343,7 @@
 	command                                 *exec.Cmd
 	ended                                   chan struct{}
 	sequence                                int
+	coldMs                                  int // how much longer it is cold, as it says when it starts
 }
 
 func stamp() string { return time.Now().UTC().Format("15:04:05.000") }
@@ -440,7 +468,7 @@
 		},
 		"Services": []any{
 			map[string]any{
-				"Name": "model", "HealthPath": "/health", "ConnectionLimit": 370, "Protocol": "h1", "ColdStartS": 0.0, "ColdPerS": 0.0,
+				"Name": "model", "HealthPath": "/health", "ConnectionLimit": 370, "Protocol": "h1", "ColdStartS": w.coldStartS, "ColdPerS": w.coldPerS,
 				"Engine": map[string]any{"Slots": 64, "KvCacheTokens": 264579, "Models": []any{map[string]any{"Name": "m"}}},
 			},
 			map[string]any{"Name": "plain", "HealthPath": "/health", "ConnectionLimit": 110, "Protocol": "h1", "ColdStartS": 0.0, "ColdPerS": 0.0},
@@ -586,7 +614,7 @@
 	if err != nil {
 		return err
 	}
-	e.command, e.ended, err = w.spawn("engines.err", nil, program, "engine", e.id, e.listen, e.version, filepath.Join(w.dir, "engines.log"))
+	e.command, e.ended, err = w.spawn("engines.err", nil, program, "engine", e.id, e.listen, e.version, filepath.Join(w.dir, "engines.log"), strconv.Itoa(e.coldMs))
 	if err != nil {
 		return err
 	}
@@ -608,7 +636,7 @@
 	}
 	e.sequence++
 	w.store.set("servers/"+e.id, map[string]any{
-		"Service": e.service, "Address": e.address, "Zone": e.zone, "Version": e.version, "Slots": 64, "State": "ready", "ColdRemainingMs": 0, "Sequence": e.sequence, "born": report.Born,
+		"Service": e.service, "Address": e.address, "Zone": e.zone, "Version": e.version, "Slots": 64, "State": "ready", "ColdRemainingMs": e.coldMs, "Sequence": e.sequence, "born": report.Born,
 	})
 	w.say("the entry of engine %s is written: version %s, born %d", e.id, e.version, report.Born)
 }
@@ -870,11 +898,12 @@
 	two := &engineProcess{id: "i-7f3a91c2", service: "model", version: "v1"}
 	three := &engineProcess{id: "i-7f3a91c3", service: "model", version: "v2"}
 	four := &engineProcess{id: "i-7f3a91c4", service: "model", version: "v2"}
-	if !w.start(one, two, three, four) {
+	five := &engineProcess{id: "i-7f3a91c5", service: "model", version: "v2"}
+	if !w.start(one, two, three, four, five) {
 		return false
 	}
 	type stream struct{ attempts []*attempt }
-	streams := make([]stream, 48)
+	streams := make([]stream, 80)
 	var wait sync.WaitGroup
 	crash := make(chan struct{})
 	for i := range streams {
@@ -938,21 +967,24 @@
 // length; when the cut heals it runs again under its id.
 func rebornTail(w *world) bool {
 	one := &engineProcess{id: "i-7f3a91c1", service: "plain", version: "v1", listen: "behind"}
-	model := &engineProcess{id: "i-7f3a91c9", service: "model", version: "v1"}
-	if !w.start(one, model) {
+	engines := []*engineProcess{one}
+	for i := range 9 {
+		service := "model"
+		if i < 2 {
+			service = "plain"
+		}
+		engines = append(engines, &engineProcess{id: fmt.Sprintf("i-%08x", 0x7f3a91c2+i), service: service, version: "v1"})
+	}
+	if !w.start(engines...) {
 		return false
 	}
-	return w.tail(one)
-}
-
-func (w *world) tail(one *engineProcess) bool {
 	l, err := newLink(one.address, one.listen)
 	if w.fail(err) {
 		return false
 	}
 	o := order{Pieces: 30, GapMs: 100, Open: true}
 	var wait sync.WaitGroup
-	answers := make([]*attempt, 12)
+	answers := make([]*attempt, 24)
 	for i := range answers {
 		wait.Add(1)
 		go func() {
@@ -1094,3 +1126,107 @@
 	}
 	return a.body
 }
+
+// rebornCold: an engine is cut off from the store, crashes behind the cut and starts again under its id, cold, while the usual traffic goes on.
+func rebornCold(w *world) bool {
+	const (
+		perSecond = 180 // requests of all clients, 36 for each engine
+		seconds   = 9
+		bound     = 12*1.5 + 5 // ColdPerS x ColdOverrun + ColdSlack
+	)
+	w.coldStartS, w.coldPerS = 3, 12
+	engines := []*engineProcess{}
+	for i := range 5 {
+		engines = append(engines, &engineProcess{id: fmt.Sprintf("i-%08x", 0x7f3a91c0+i), service: "model", version: "v1"})
+	}
+	if !w.start(engines...) {
+		return false
+	}
+	one := engines[0]
+	var wait sync.WaitGroup
+	answers := make([]*attempt, perSecond*seconds)
+	wait.Add(1)
+	go func() {
+		defer wait.Done()
+		ticker := time.NewTicker(time.Second / perSecond)
+		defer ticker.Stop()
+		for i := range answers {
+			<-ticker.C
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				answers[i] = w.send(i%3, "/once/1", fmt.Sprintf("f%015x", i), order{Pieces: 6, GapMs: 60, Stream: true}, 0, "")
+			}()
+		}
+	}()
+	time.Sleep(3 * time.Second)
+	if w.trouble {
+		w.say("engine %s is cut off from the store: its entry stays as it is for now", one.id)
+	}
+	w.kill(one)
+	time.Sleep(500 * time.Millisecond)
+	one.coldMs = 3000
+	if w.fail(w.startEngine(one)) {
+		return false
+	}
+	again := time.Now()
+	w.say("engine %s has started again under its id, and is cold for 3 s", one.id)
+	if w.trouble {
+		time.Sleep(2 * time.Second)
+		w.say("the cut has healed")
+		one.coldMs = 1000
+		select {
+		case <-one.ended:
+			w.say("engine %s has crashed once more", one.id)
+		default:
+			w.publish(one)
+		}
+	} else {
+		w.publish(one)
+	}
+	wait.Wait()
+	lost, refused := 0, 0
+	for _, a := range answers {
+		if a.status == http.StatusServiceUnavailable {
+			refused++
+		} else if !a.whole || a.status != 200 {
+			lost++
+			w.say("%v", a)
+		}
+	}
+	w.say("of %d requests %d were refused and %d were accepted and lost, those of the first crash included", len(answers), refused, lost)
+	most := w.mostInASecond(one.id, again, again.Add(3*time.Second))
+	w.say("while it was cold, engine %s got %d requests in some second; the bound is %v", one.id, most, bound)
+	return float64(most) > bound
+}
+
+// mostInASecond returns the most requests that an engine got in any second of a span, by its own log.
+func (w *world) mostInASecond(id string, from, to time.Time) int {
+	text, _ := os.ReadFile(filepath.Join(w.dir, "engines.log"))
+	var at []time.Duration
+	for _, line := range strings.Split(string(text), "\n") {
+		if !strings.Contains(line, "engine "+id+" ") || !strings.Contains(line, " begins: ") {
+			continue
+		}
+		clock, err := time.Parse("15:04:05.000", line[:12])
+		if err != nil {
+			continue
+		}
+		day := time.Duration(clock.Hour())*time.Hour + time.Duration(clock.Minute())*time.Minute + time.Duration(clock.Second())*time.Second + time.Duration(clock.Nanosecond())
+		since := func(t time.Time) time.Duration { return t.UTC().Sub(t.UTC().Truncate(24 * time.Hour)) }
+		if day >= since(from)-100*time.Millisecond && day <= since(to) {
+			at = append(at, day)
+		}
+	}
+	most := 0
+	for i := range at {
+		n := 0
+		for _, o := range at[i:] {
+			if o-at[i] < time.Second {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
