--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -5,4 +5,4 @@
 	echo "build the deploy file's program and run review/build-2.sh first"
 	exit 2
 fi
-exec target/review-2 reborn-version review/8/record.txt
+exec target/review-2 dark-before-release review/8/record.txt
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -41,7 +41,7 @@
 		runEngine(os.Args[2], os.Args[3], os.Args[4], os.Args[5], os.Args[6])
 		return
 	}
-	cases := map[string]func(*world) bool{"hangup": hangup, "reborn-version": rebornVersion, "reborn-tail": rebornTail, "dark-before-release": darkBeforeRelease, "reborn-cold": rebornCold}
+	cases := map[string]func(*world) bool{"hangup": hangup, "reborn-version": rebornVersion, "dark-before-release": darkBeforeRelease, "reborn-cold": rebornCold, "all-killed": allKilled}
 	play := cases[os.Args[1]]
 	if play == nil || len(os.Args) < 3 {
 		fmt.Fprintln(os.Stderr, "no such case")
@@ -62,7 +62,6 @@
 	Pieces int // events of a stream, lines of another answer
 	GapMs  int // pause between two pieces
 	Stream bool
-	Open   bool // the answer has neither a length nor chunks
 }
 
 // engine is a sound engine: it checks Target-Instance, echoes Request-Id, signs its answers and goes on after Last-Event-Id.
@@ -70,12 +69,12 @@
 	id, version string
 	born        int64
 	runs        atomic.Int64
-	running     atomic.Int64
 	log         *os.File
 
 	coldUntil time.Time
-	mutex     sync.Mutex  // guards arrivals
-	arrivals  []time.Time // of the last second while it is cold
+	mutex     sync.Mutex     // guards the fields below
+	arrivals  []time.Time    // of the last second while it is cold
+	running   map[string]int // events made so far, by request
 }
 
 // coldCrash is how many requests in a second a cold engine doesn't bear: well above its 12, and above the rule's bound of 23.
@@ -91,7 +90,7 @@
 	defer e.mutex.Unlock()
 	e.arrivals = slices.DeleteFunc(append(e.arrivals, now), func(at time.Time) bool { return now.Sub(at) >= time.Second })
 	if len(e.arrivals) >= coldCrash {
-		e.note("crashes: %d requests in a second while it is cold; %d requests run", len(e.arrivals), e.running.Load())
+		e.note("crashes: %d requests in a second while it is cold; %d requests run", len(e.arrivals), len(e.running))
 		os.Exit(exitFailed)
 	}
 }
@@ -102,7 +101,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailed)
 	}
-	e := &engine{id: id, version: version, born: time.Now().UnixMilli(), log: file}
+	e := &engine{id: id, version: version, born: time.Now().UnixMilli(), log: file, running: make(map[string]int)}
 	millis, _ := strconv.Atoi(cold) // 0 if it isn't cold
 	e.coldUntil = time.Now().Add(time.Duration(millis) * time.Millisecond)
 	server := &http.Server{Addr: address, Handler: e, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 30 * time.Second}
@@ -133,9 +132,15 @@
 		e.note("health check")
 	case r.Method == http.MethodGet && r.URL.Path == "/-/report":
 		h.Set("Content-Type", "application/json")
+		e.mutex.Lock()
+		runs := [][]any{}
+		for request, events := range e.running {
+			runs = append(runs, []any{request, 300 + 4*events, events, 1})
+		}
+		e.mutex.Unlock()
 		_ = json.NewEncoder(w).Encode(map[string]any{
-			"born": e.born, "Stage": "both", "Models": []any{map[string]any{"Name": "m", "Version": 1, "Adapters": []any{}}},
-			"Busy": false, "Sequence": 1, "Waiting": 0, "Running": e.running.Load(), "KvUsed": 0, "KvTotal": 264579, "Handles": 0,
+			"born": e.born, "Stage": "both", "State": "ready", "Models": []any{map[string]any{"Name": "m", "Version": 1, "Adapters": []any{}}},
+			"Busy": false, "Sequence": 1, "Waiting": 0, "Running": len(runs), "KvUsed": 0, "KvTotal": 264579, "Handles": 0, "Runs": runs,
 		})
 	case request == "":
 		h.Set("Not-Executed", "1")
@@ -146,8 +151,6 @@
 }
 
 func (e *engine) answer(w http.ResponseWriter, r *http.Request, request string) {
-	e.running.Add(1)
-	defer e.running.Add(-1)
 	body, err := io.ReadAll(r.Body)
 	var o order
 	if err != nil || json.Unmarshal(body, &o) != nil {
@@ -159,6 +162,17 @@
 	run := fmt.Sprintf("%s.%d.%d", e.id, e.born, e.runs.Add(1))
 	e.note("run %s begins: request %s after %d of %d", run, request, last, o.Pieces)
 	e.overrun()
+	progress := func(events int) {
+		e.mutex.Lock()
+		defer e.mutex.Unlock()
+		e.running[request] = events
+	}
+	progress(0)
+	defer func() {
+		e.mutex.Lock()
+		defer e.mutex.Unlock()
+		delete(e.running, request)
+	}()
 	h := w.Header()
 	h.Set("Response-Signature", run)
 	piece := func(i int) string { return fmt.Sprintf("line %d of %d by %s\n", i, o.Pieces, e.version) }
@@ -167,23 +181,7 @@
 		h.Set("Content-Type", "text/event-stream")
 		piece = func(i int) string { return fmt.Sprintf("id: %d\ndata: %d of %d by %s\n\n", i, i, o.Pieces, e.version) }
 	}
-	out := io.Writer(w)
 	flush := http.NewResponseController(w).Flush
-	if o.Open {
-		c, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		defer c.Close()
-		var head strings.Builder
-		head.WriteString("HTTP/1.1 200 OK\r\n")
-		_ = h.Write(&head)
-		head.WriteString("Connection: close\r\n\r\n")
-		if _, err := io.WriteString(c, head.String()); err != nil {
-			return
-		}
-		out, flush = c, func() error { return nil }
-	}
 	for i := last + 1; i <= o.Pieces; i++ {
 		if i > last+1 {
 			time.Sleep(time.Duration(o.GapMs) * time.Millisecond)
@@ -192,23 +190,15 @@
 			e.note("run %s: the router has left after %d", run, i-1)
 			return
 		}
-		if _, err := io.WriteString(out, piece(i)); err != nil || flush() != nil {
+		if _, err := io.WriteString(w, piece(i)); err != nil || flush() != nil {
 			e.note("run %s: the router has left after %d", run, i-1)
 			return
 		}
+		progress(i)
 	}
 	e.note("run %s ends", run)
 }
 
-// whole returns the whole body of a plain answer.
-func whole(o order, version string) string {
-	var b strings.Builder
-	for i := 1; i <= o.Pieces; i++ {
-		fmt.Fprintf(&b, "line %d of %d by %s\n", i, o.Pieces, version)
-	}
-	return b.String()
-}
-
 // ---- the store
 
 type item struct {
@@ -963,67 +953,6 @@
 	return mixed > 2
 }
 
-// rebornTail: an engine of a plain service is cut off from the routers for 1.5 s, and crashes behind the cut while it sends an answer without a
-// length; when the cut heals it runs again under its id.
-func rebornTail(w *world) bool {
-	one := &engineProcess{id: "i-7f3a91c1", service: "plain", version: "v1", listen: "behind"}
-	engines := []*engineProcess{one}
-	for i := range 9 {
-		service := "model"
-		if i < 2 {
-			service = "plain"
-		}
-		engines = append(engines, &engineProcess{id: fmt.Sprintf("i-%08x", 0x7f3a91c2+i), service: service, version: "v1"})
-	}
-	if !w.start(engines...) {
-		return false
-	}
-	l, err := newLink(one.address, one.listen)
-	if w.fail(err) {
-		return false
-	}
-	o := order{Pieces: 30, GapMs: 100, Open: true}
-	var wait sync.WaitGroup
-	answers := make([]*attempt, 24)
-	for i := range answers {
-		wait.Add(1)
-		go func() {
-			defer wait.Done()
-			path := []string{"/write/1", "/read/1"}[i%2]
-			answers[i] = w.send(i%3, path, fmt.Sprintf("c%015x", i), o, 0, "")
-		}()
-	}
-	time.Sleep(time.Second)
-	if w.trouble {
-		w.say("engine %s is cut off from all routers", one.id)
-		l.set(true)
-	}
-	time.Sleep(200 * time.Millisecond)
-	w.kill(one)
-	time.Sleep(300 * time.Millisecond)
-	if w.fail(w.startEngine(one)) {
-		return false
-	}
-	w.say("engine %s has started again under its id", one.id)
-	w.publish(one)
-	time.Sleep(700 * time.Millisecond)
-	if w.trouble {
-		l.set(false)
-		w.say("the cut has healed")
-	}
-	wait.Wait()
-	wrong := 0
-	for _, a := range answers {
-		w.say("%v", a)
-		if a.status/100 == 2 && a.whole && a.body != whole(o, one.version) {
-			wrong++
-			w.say("request %s got a success whose body is %d of the %d bytes of the engine's whole body", a.id, len(a.body), len(whole(o, one.version)))
-		}
-	}
-	w.say("%d of %d answers are successes with a part of the body", wrong, len(answers))
-	return wrong > 0
-}
-
 // darkBeforeRelease: a router loses power while it serves streams; half a second later a release brings the first engine of a new software
 // version, and the clients notice the silence and take their streams up at the other routers.
 func darkBeforeRelease(w *world) bool {
@@ -1230,3 +1159,84 @@
 	}
 	return most
 }
+
+// allKilled: all routers are killed while they serve streams, and are back after half a second; their clients take the streams up when the routers
+// are in touch again.
+func allKilled(w *world) bool {
+	engines := []*engineProcess{}
+	for i := range 4 {
+		engines = append(engines, &engineProcess{id: fmt.Sprintf("i-%08x", 0x7f3a91c0+i), service: "model", version: "v1"})
+	}
+	if !w.start(engines...) {
+		return false
+	}
+	o := order{Pieces: 90, GapMs: 50, Stream: true}
+	var wait sync.WaitGroup
+	type stream struct {
+		begun, resumed *attempt
+		last           int
+	}
+	streams := make([]stream, 30)
+	for i := range streams {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			s := &streams[i]
+			id := fmt.Sprintf("d%014x0", i)
+			s.begun = w.send(i%3, "/again/1", id, o, 0, "")
+			if s.begun.whole || len(s.begun.events) == 0 {
+				return
+			}
+			time.Sleep(5 * time.Second) // then the routers have been in touch for more than a second
+			s.last = s.begun.events[len(s.begun.events)-1].id
+			s.resumed = w.send((i+1)%3, "/again/1", fmt.Sprintf("d%014x1", i), o, s.last, id)
+		}()
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if w.trouble {
+		for _, r := range w.routers {
+			_ = r.command.Process.Kill()
+		}
+		for _, r := range w.routers {
+			<-r.ended
+		}
+		w.say("all routers are killed")
+		time.Sleep(500 * time.Millisecond)
+		for _, r := range w.routers {
+			if w.fail(w.startRouter(r)) {
+				return false
+			}
+		}
+		w.say("all routers are started again")
+	}
+	fresh := make([]*attempt, 30) // new streams, while the others are taken up
+	time.Sleep(4500 * time.Millisecond)
+	for i := range fresh {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			fresh[i] = w.send(i%3, "/again/1", fmt.Sprintf("e%014x0", i), order{Pieces: 20, GapMs: 50, Stream: true}, 0, "")
+		}()
+	}
+	wait.Wait()
+	taken, on, begun := 0, 0, 0
+	for _, s := range streams {
+		w.say("%v", s.begun)
+		if s.resumed == nil {
+			continue
+		}
+		w.say("  taken up after event %d: %v %q", s.last, s.resumed, strings.TrimSpace(s.resumed.refusal()))
+		taken++
+		if len(s.resumed.events) > 0 {
+			on++
+		}
+	}
+	for _, a := range fresh {
+		w.say("new: %v", a)
+		if len(a.events) > 0 {
+			begun++
+		}
+	}
+	w.say("%d streams were taken up, %d of them went on; %d of %d new streams began", taken, on, begun, len(fresh))
+	return taken >= 12 && 2*on*len(fresh) < begun*taken
+}
