--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -75,11 +75,17 @@
 	mutex     sync.Mutex     // guards the fields below
 	arrivals  []time.Time    // of the last second while it is cold
 	running   map[string]int // events made so far, by request
+	listed    map[string]int // the same as the report tells it, with the runs that ended in the last reportAge
 }
 
 // coldCrash is how many requests in a second a cold engine doesn't bear: well above its 12, and above the rule's bound of 23.
 const coldCrash = 30
 
+const (
+	slots     = 64                     // of an engine
+	reportAge = 300 * time.Millisecond // the values of a report are some hundred ms old
+)
+
 // overrun ends a cold engine that gets requests at a rate well above what it tolerates.
 func (e *engine) overrun() {
 	now := time.Now()
@@ -101,7 +107,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailed)
 	}
-	e := &engine{id: id, version: version, born: time.Now().UnixMilli(), log: file, running: make(map[string]int)}
+	e := &engine{id: id, version: version, born: time.Now().UnixMilli(), log: file, running: make(map[string]int), listed: make(map[string]int)}
 	millis, _ := strconv.Atoi(cold) // 0 if it isn't cold
 	e.coldUntil = time.Now().Add(time.Duration(millis) * time.Millisecond)
 	server := &http.Server{Addr: address, Handler: e, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 30 * time.Second}
@@ -121,6 +127,10 @@
 	if request != "" {
 		h.Set("Request-Id", request)
 	}
+	e.mutex.Lock()
+	running := len(e.running)
+	e.mutex.Unlock()
+	h.Set("Server-Load", fmt.Sprintf("%d,0,%d", running, slots))
 	target := r.Header.Get("Target-Instance")
 	switch {
 	case target != "" && target != e.id:
@@ -129,12 +139,15 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	case r.Method == http.MethodGet && r.URL.Path == "/health":
 		h.Set("Instance-Id", e.id)
+		if left := time.Until(e.coldUntil); left > 0 {
+			h.Set("Cold-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+		}
 		e.note("health check")
 	case r.Method == http.MethodGet && r.URL.Path == "/-/report":
 		h.Set("Content-Type", "application/json")
 		e.mutex.Lock()
 		runs := [][]any{}
-		for request, events := range e.running {
+		for request, events := range e.listed {
 			runs = append(runs, []any{request, 300 + 4*events, events, 1})
 		}
 		e.mutex.Unlock()
@@ -165,13 +178,18 @@
 	progress := func(events int) {
 		e.mutex.Lock()
 		defer e.mutex.Unlock()
-		e.running[request] = events
+		e.running[request], e.listed[request] = events, events
 	}
 	progress(0)
 	defer func() {
 		e.mutex.Lock()
 		defer e.mutex.Unlock()
 		delete(e.running, request)
+		time.AfterFunc(reportAge, func() {
+			e.mutex.Lock()
+			defer e.mutex.Unlock()
+			delete(e.listed, request)
+		})
 	}()
 	h := w.Header()
 	h.Set("Response-Signature", run)
@@ -384,6 +402,7 @@
 		for _, e := range w.engines {
 			_ = e.command.Process.Kill()
 		}
+		_ = os.RemoveAll(w.dir)
 		os.Exit(exitFailed)
 	})
 	defer timer.Stop()
@@ -459,7 +478,7 @@
 		"Services": []any{
 			map[string]any{
 				"Name": "model", "HealthPath": "/health", "ConnectionLimit": 370, "Protocol": "h1", "ColdStartS": w.coldStartS, "ColdPerS": w.coldPerS,
-				"Engine": map[string]any{"Slots": 64, "KvCacheTokens": 264579, "Models": []any{map[string]any{"Name": "m"}}},
+				"Engine": map[string]any{"Slots": slots, "KvCacheTokens": 264579, "Models": []any{map[string]any{"Name": "m"}}},
 			},
 			map[string]any{"Name": "plain", "HealthPath": "/health", "ConnectionLimit": 110, "Protocol": "h1", "ColdStartS": 0.0, "ColdPerS": 0.0},
 		},
@@ -626,7 +645,7 @@
 	}
 	e.sequence++
 	w.store.set("servers/"+e.id, map[string]any{
-		"Service": e.service, "Address": e.address, "Zone": e.zone, "Version": e.version, "Slots": 64, "State": "ready", "ColdRemainingMs": e.coldMs, "Sequence": e.sequence, "born": report.Born,
+		"Service": e.service, "Address": e.address, "Zone": e.zone, "Version": e.version, "Slots": slots, "State": "ready", "ColdRemainingMs": e.coldMs, "Sequence": e.sequence, "born": report.Born,
 	})
 	w.say("the entry of engine %s is written: version %s, born %d", e.id, e.version, report.Born)
 }
