Keep the grace period of a stop when settings are reloaded

What callers would see (LOST): a stopping router whose settings file brings a longer grace period takes requests that it then cuts.

Cause: the time of the cut was set when the stop began, but what still fits was decided by the grace period in force at each request.

Change: the stop stores when it cuts, and all decisions use that.

--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -83,6 +83,7 @@
 	limit           limiter          // of concurrent requests
 	failedProbes    atomic.Int32     // consecutive readiness probes that were answered as not ready
 	stoppingAt      atomic.Int64     // time of the signal to stop, on the clock of now; 0 before it
+	cutsAt          atomic.Int64     // when a stopping process cuts the requests that still run, on the clock of now; 0 before the signal
 	sourceLost      atomic.Bool
 	overdue         atomic.Bool                     // another router announced changes that have not arrived in time
 	newerState      chan struct{}                   // signals the source that another router has a newer state of the platform, or that a read is wanted
--- a/router/proc/process_test.go
+++ b/router/proc/process_test.go
@@ -213,6 +213,26 @@
 	}
 }
 
+// TestReloadKeepsGraceOfStop guards against a stopping router that takes requests which it then cuts, since a reload has brought a longer grace period (LOST).
+func TestReloadKeepsGraceOfStop(t *testing.T) {
+	s, release := startBlocked(t)
+	defer close(release)
+	go func() { _, _ = http.Get("http://" + s.front) }()
+	s.stop()
+	var left time.Duration
+	for stopping := false; !stopping; time.Sleep(time.Millisecond) {
+		left, stopping = s.process.drainRemaining()
+	}
+	next := *s.process.settings.Load()
+	next.Grace = time.Minute
+	if err := s.process.Reload(next); err != nil {
+		t.Fatal(err)
+	}
+	if now, _ := s.process.drainRemaining(); now > left {
+		t.Errorf("requests are cut in %v after the reload, in %v before it", now, left)
+	}
+}
+
 // TestConfigureAndReload checks that an older configuration is ignored and that invalid settings change nothing.
 func TestConfigureAndReload(t *testing.T) {
 	s := start(t, echo)
--- a/router/proc/stop.go
+++ b/router/proc/stop.go
@@ -17,13 +17,14 @@
 	flushTimeout = 300 * time.Millisecond
 )
 
-// drainRemaining returns the time until requests are cut, and true once the process is stopping.
+// drainRemaining returns the time until requests are cut, and true once the process is stopping. The grace period that was in force when the stop began
+// stays, whatever settings are reloaded meanwhile.
 func (p *Process) drainRemaining() (time.Duration, bool) {
-	at := time.Duration(p.stoppingAt.Load())
-	if at == 0 {
+	cut := time.Duration(p.cutsAt.Load())
+	if cut == 0 {
 		return 0, false
 	}
-	return time.Duration(cutShare*float64(p.settings.Load().Grace)) - (p.now() - at), true
+	return cut - p.now(), true
 }
 
 // refusesNew reports whether the process has been stopping for so long that the balancer has noticed.
@@ -36,10 +37,14 @@
 // and cuts those that still run after cutShare of the grace period.
 func (p *Process) stop(callers *http.Server) error {
 	began := time.Now()
-	p.stoppingAt.Store(max(1, int64(p.now())))
-	p.log.Info("stopping", "grace", p.settings.Load().Grace)
+	grace := p.settings.Load().Grace
+	limit := time.Duration(cutShare * float64(grace))
+	at := max(1, p.now())
+	p.cutsAt.Store(int64(at + limit))
+	p.stoppingAt.Store(int64(at))
+	p.log.Info("stopping", "grace", grace)
 	p.streams.TellOwn()
-	drain, cancel := context.WithTimeout(context.Background(), time.Duration(cutShare*float64(p.settings.Load().Grace)))
+	drain, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	notice, cancelNotice := context.WithTimeout(drain, noticeTime)
 	defer cancelNotice()
