Let streams of a router that was lost before a release go on

Cause: a stream that begins while its service has one version is told to nobody, as every router concludes that version. When another version joins, routers tell their streams; one that has ended can't, and the others then only know that there are several versions.

Change: a router remembers when versions joined. A stream of which no holder has a record began before, at the version that was alone then. A router says so only if it would have been told of a later stream: it is among the first three of all routers seen within the stream's life, those that ended included, lived when the version joined, and has lost sight of no other router since.

No message is sent in steady state.

--- a/core/digest/fleet.go
+++ b/core/digest/fleet.go
@@ -59,6 +59,7 @@
 
 	counter       uint64
 	members       map[string]*member
+	ended         map[string]time.Duration // routers that are no longer members, with the time at which they were last seen
 	avoided       map[string]time.Duration // routers that did not answer, with the time until which they are avoided
 	headProbes    map[string]relayProbe    // by data centre: the router that is probed as its head
 	parts         map[string]receivedSum   // sums of the routers that report to this one
@@ -102,6 +103,7 @@
 		return
 	}
 	f.members = make(map[string]*member)
+	f.ended = make(map[string]time.Duration)
 	f.avoided = make(map[string]time.Duration)
 	f.headProbes = make(map[string]relayProbe)
 	f.parts = make(map[string]receivedSum)
--- a/core/digest/fleet_test.go
+++ b/core/digest/fleet_test.go
@@ -296,3 +296,37 @@
 		t.Errorf("%.1f messages per router and second with 120 routers, %.1f with 9", large, small)
 	}
 }
+
+// TestEndedRoutersAreRemembered guards against a router that takes itself for one that was told of a stream, since it forgot a router that was told in its place
+// and ended (ORDER), and against one that never trusts its own records since it takes the last news of an ended router for a sign of its life (LOST).
+func TestEndedRoutersAreRemembered(t *testing.T) {
+	const down, asked = 10 * time.Second, 50 * time.Second
+	n := newNet(3, 3, 8)
+	n.run(0, down)
+	n.down["c1-1"], n.down["c2-2"] = true, true
+	n.run(down, asked)
+	for address, f := range n.fleets {
+		if n.down[address] {
+			continue
+		}
+		if live := f.Live(asked); slices.Contains(live, "c1-1") || len(live) != 6 {
+			t.Fatalf("%s: live routers are %v, want 6", address, live)
+		}
+		for window, want := range map[time.Duration]bool{time.Minute: true, 30 * time.Second: false} {
+			if got := slices.Contains(f.SeenWithin(asked, window), "c1-1"); got != want {
+				t.Errorf("%s: knows the router that ended 40 s ago within %v: %t, want %t", address, window, got, want)
+			}
+		}
+		if !f.LostSince(asked, down-time.Second) {
+			t.Errorf("%s: lost sight of no router since before the end of two", address)
+		}
+		if f.LostSince(asked, down+f.SpreadTime()) {
+			t.Errorf("%s: lost sight of a router, long after the end of the only ones", address)
+		}
+	}
+	n.down["c1-1"] = false
+	n.run(asked, asked+5*time.Second)
+	if got := n.fleets["c0-0"].SeenWithin(asked+5*time.Second, time.Minute); len(slices.Compact(slices.Sorted(slices.Values(got)))) != len(got) || len(got) != 8 {
+		t.Errorf("routers seen after the return of one: %v, want 8", got)
+	}
+}
--- a/core/digest/member.go
+++ b/core/digest/member.go
@@ -1,6 +1,7 @@
 package digest
 
 import (
+	"maps"
 	"math/bits"
 	"slices"
 	"time"
@@ -18,6 +19,8 @@
 	restartBeats = 2000
 	// forgetFactor times lostAfter is how long a lost member is remembered, so that old gossip does not bring it back.
 	forgetFactor = 4
+	// maxEnded bounds the routers that are remembered although they ended, and endedTTL is how long they are if there are more.
+	maxEnded, endedTTL = 4096, 10 * time.Minute
 )
 
 // gossipPeriod returns the time between two gossip rounds.
@@ -81,8 +84,15 @@
 		if now-m.seenAt > forgetFactor*f.lostAfter() {
 			delete(f.members, address)
 			delete(f.peerPositions, address)
+			f.ended[address] = m.seenAt
 		}
 	}
+	if len(f.ended) > maxEnded {
+		maps.DeleteFunc(f.ended, func(_ string, seenAt time.Duration) bool { return now-seenAt > endedTTL })
+	}
+	if len(f.ended) > maxEnded {
+		clear(f.ended)
+	}
 }
 
 // live reports whether a member's counter increased within lostAfter.
@@ -111,6 +121,40 @@
 	return list
 }
 
+// SeenWithin returns the other routers that have been live within some time, also those that ended.
+func (f *Fleet) SeenWithin(now, window time.Duration) []string {
+	var list []string
+	for address, m := range f.members {
+		if now-m.seenAt <= window+f.lostAfter() {
+			list = append(list, address)
+		}
+	}
+	for address, seenAt := range f.ended {
+		if f.members[address] == nil && now-seenAt <= window+f.lostAfter() {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
+// LostSince reports whether a router that is no longer live was last seen after some time.
+func (f *Fleet) LostSince(now, since time.Duration) bool {
+	for _, m := range f.members {
+		if m.seenAt > since && !f.live(now, m) {
+			return true
+		}
+	}
+	for address, seenAt := range f.ended {
+		if f.members[address] == nil && seenAt > since {
+			return true
+		}
+	}
+	return false
+}
+
+// SpreadTime returns how long after its start all other routers know a router, in all likelihood.
+func (f *Fleet) SpreadTime() time.Duration { return f.lostAfter() }
+
 // TakeStarted returns the routers that were found to have started since the last call.
 func (f *Fleet) TakeStarted() []string {
 	started := f.started
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -50,20 +50,21 @@
 
 // service is the state of all servers of one service.
 type service struct {
-	name         string
-	servers      []*backend    // all known servers, sorted by ID
-	prefill      speed.Fit     // how fast its servers prefill prompts
-	speedsAt     time.Duration // when the servers' speeds were last computed
-	hold         even.HoldTime // how long requests run after their first events
-	limitedUntil time.Duration // until then a server may limit its rate
-	meanPrompt   float64       // moving average of the prompt tokens of requests
-	failureRate  float64       // moving failure rate over all its servers
-	queue        queue
-	plain        plain.Service // of a plain service
-	demand       demandCounts
-	suspects     suspects
-	lapsed       int                      // number of servers whose entries are lapsed
-	versionsGone map[uint32]time.Duration // when a server of a software version was last seen to go
+	name          string
+	servers       []*backend    // all known servers, sorted by ID
+	prefill       speed.Fit     // how fast its servers prefill prompts
+	speedsAt      time.Duration // when the servers' speeds were last computed
+	hold          even.HoldTime // how long requests run after their first events
+	limitedUntil  time.Duration // until then a server may limit its rate
+	meanPrompt    float64       // moving average of the prompt tokens of requests
+	failureRate   float64       // moving failure rate over all its servers
+	queue         queue
+	plain         plain.Service // of a plain service
+	demand        demandCounts
+	suspects      suspects
+	lapsed        int                      // number of servers whose entries are lapsed
+	versionsGone  map[uint32]time.Duration // when a server of a software version was last seen to go
+	versionsSince map[uint32]time.Duration // when the first server of a software version was seen to come; not set if that was missed
 }
 
 // Event is a change in a router's view of a server or of a subject.
@@ -119,7 +120,7 @@
 		}
 		b.Server, b.lapsesAt = s, 0
 		p.service(b.Service).setSuspended()
-		p.addVersion(p.service(b.Service), b)
+		p.addVersion(now, p.service(b.Service), b)
 		if s.ColdRemaining > 0 {
 			b.coldUntil = max(b.coldUntil, now+s.ColdRemaining)
 		}
@@ -151,7 +152,7 @@
 	v.servers = append(v.servers, nil)
 	copy(v.servers[at+1:], v.servers[at:])
 	v.servers[at] = b
-	p.addVersion(v, b)
+	p.addVersion(now, v, b)
 	p.emit(b, "seen", s.Address+", version "+strconv.Quote(s.Version))
 }
 
--- a/core/pool/version.go
+++ b/core/pool/version.go
@@ -25,25 +25,67 @@
 func (p *Pool) ReadAnew(now time.Duration) {
 	p.init()
 	p.readAnewAt, p.wasRead, p.rewinding = now, true, false
+	for _, v := range p.services {
+		clear(v.versionsSince) // when these versions joined may have been missed
+	}
 }
 
-// Versions returns how many software versions the servers of a service have had within the last window, and the version if there was only one.
-func (p *Pool) Versions(now time.Duration, service uint32, window time.Duration) (sole uint32, count digest.VersionCount) {
+// Versions returns what is known of the software versions that the servers of a service have had within the last window. Earlier is not set: see
+// EarlierVersion.
+func (p *Pool) Versions(now time.Duration, service uint32, window time.Duration) digest.Versions {
 	p.init()
-	for name, v := range p.services {
-		if nameID(name) == service {
-			sole, count = v.versions(now, window)
-			break
+	v := p.serviceOf(service)
+	if v == nil {
+		return digest.Versions{}
+	}
+	switch versions := v.versions(now, window); {
+	case len(versions) > 1:
+		return digest.Versions{Count: digest.VersionsSeveral}
+	case len(versions) == 0 || !p.complete(now, window):
+		return digest.Versions{}
+	default:
+		return digest.Versions{Count: digest.VersionsOne, Sole: versions[0]}
+	}
+}
+
+// EarlierVersion returns the software version that all servers of a service had from a window ago until others joined it, and when these did.
+func (p *Pool) EarlierVersion(now time.Duration, service uint32, window time.Duration) (version uint32, joined time.Duration, ok bool) {
+	p.init()
+	v := p.serviceOf(service)
+	if v == nil || !p.complete(now, window) {
+		return 0, 0, false
+	}
+	joined = now
+	for _, id := range v.versions(now, window) {
+		switch since, known := v.versionsSince[id]; {
+		case known && since > now-window:
+			joined = min(joined, since)
+		case ok:
+			return 0, 0, false
+		default:
+			version, ok = id, true
 		}
 	}
-	if count == digest.VersionsOne && (!p.wasRead || now-p.readAnewAt < window || p.sourceLost && now-p.peersAt > peerMaxAge) {
-		return 0, digest.VersionsUnknown
+	return version, joined, ok
+}
+
+// complete reports whether no server can have come and gone unseen within the last window.
+func (p *Pool) complete(now, window time.Duration) bool {
+	return p.wasRead && now-p.readAnewAt >= window && !(p.sourceLost && now-p.peersAt > peerMaxAge)
+}
+
+// serviceOf returns the service whose name has a hash, or nil.
+func (p *Pool) serviceOf(id uint32) *service {
+	for name, v := range p.services {
+		if nameID(name) == id {
+			return v
+		}
 	}
-	return sole, count
+	return nil
 }
 
-// versions returns how many versions the known servers had within the last window, and the version if there was only one.
-func (v *service) versions(now, window time.Duration) (uint32, digest.VersionCount) {
+// versions returns the hashes of the versions that the known servers had within the last window.
+func (v *service) versions(now, window time.Duration) []uint32 {
 	var versions []uint32
 	for _, b := range v.servers {
 		if !slices.Contains(versions, b.versionID) {
@@ -55,14 +97,7 @@
 			versions = append(versions, id)
 		}
 	}
-	switch len(versions) {
-	case 0:
-		return 0, digest.VersionsUnknown
-	case 1:
-		return versions[0], digest.VersionsOne
-	default:
-		return 0, digest.VersionsSeveral
-	}
+	return versions
 }
 
 // WarmServers returns up to n servers, chosen at random, that are not cold.
@@ -80,7 +115,8 @@
 }
 
 // addVersion records a server's version, and calls OnVersion if the service has other versions too.
-func (p *Pool) addVersion(v *service, b *backend) {
+func (p *Pool) addVersion(now time.Duration, v *service, b *backend) {
+	before := b.versionID
 	b.versionID = nameID(b.Version)
 	others, known := 0, false
 	for _, o := range v.servers {
@@ -89,11 +125,22 @@
 			others++
 		}
 	}
+	if _, gone := v.versionsGone[b.versionID]; !known && !gone && before != b.versionID {
+		v.joinVersion(now, b.versionID)
+	}
 	if others > 0 && !known && p.OnVersion != nil {
 		p.OnVersion(v.name)
 	}
 }
 
+// joinVersion records that a version is there from now on.
+func (v *service) joinVersion(now time.Duration, id uint32) {
+	if v.versionsSince == nil {
+		v.versionsSince = make(map[uint32]time.Duration)
+	}
+	v.versionsSince[id] = now
+}
+
 // leaveVersion records that a server's version was there until now.
 func (v *service) leaveVersion(now time.Duration, id uint32) {
 	if v.versionsGone == nil {
@@ -106,13 +153,20 @@
 	oldest := id
 	for other, at := range v.versionsGone {
 		if now-at > versionTTL {
-			delete(v.versionsGone, other)
+			v.forgetVersion(other)
 		} else if at < v.versionsGone[oldest] {
 			oldest = other
 		}
 	}
 	if len(v.versionsGone) > maxVersions {
-		delete(v.versionsGone, oldest)
+		v.forgetVersion(oldest)
+	}
+}
+
+func (v *service) forgetVersion(id uint32) {
+	delete(v.versionsGone, id)
+	if !slices.ContainsFunc(v.servers, func(b *backend) bool { return b.versionID == id }) {
+		delete(v.versionsSince, id)
 	}
 }
 
--- a/core/pool/version_test.go
+++ b/core/pool/version_test.go
@@ -65,8 +65,48 @@
 			if d.change != nil {
 				d.change(p)
 			}
-			if _, count := p.Versions(now, ServiceID("chat"), window); (count == digest.VersionsOne) != d.sole {
-				t.Errorf("number of versions %v, want a sole one: %t", count, d.sole)
+			if known := p.Versions(now, ServiceID("chat"), window); (known.Count == digest.VersionsOne) != d.sole {
+				t.Errorf("number of versions %v, want a sole one: %t", known.Count, d.sole)
+			}
+		})
+	}
+}
+
+// TestEarlierVersion guards against a router that takes a version for the one that a service had before a release although another was there (ORDER), and
+// against one that no longer knows it once another has come (LOST).
+func TestEarlierVersion(t *testing.T) {
+	const window, now = 30 * time.Second, time.Minute
+	come := func(at time.Duration, i int, version string) func(*Pool) {
+		return func(p *Pool) { p.SetServer(at, versionServer(i, version)) }
+	}
+	for name, d := range map[string]struct {
+		versions []string
+		changes  []func(p *Pool)
+		want     string        // "" if it is not known
+		joined   time.Duration // of the first other version
+	}{
+		"another has come":              {versions: []string{"v1", "v1"}, changes: []func(*Pool){come(50*time.Second, 2, "v2")}, want: "v1", joined: 50 * time.Second},
+		"two others have come":          {versions: []string{"v1"}, changes: []func(*Pool){come(50*time.Second, 2, "v2"), come(40*time.Second, 3, "v3")}, want: "v1", joined: 40 * time.Second},
+		"a second server of the other":  {versions: []string{"v1"}, changes: []func(*Pool){come(40*time.Second, 2, "v2"), come(50*time.Second, 3, "v2")}, want: "v1", joined: 40 * time.Second},
+		"the entry of the other again":  {versions: []string{"v1"}, changes: []func(*Pool){come(40*time.Second, 2, "v2"), come(50*time.Second, 2, "v2")}, want: "v1", joined: 40 * time.Second},
+		"the earlier one left since":    {versions: []string{"v1"}, changes: []func(*Pool){come(50*time.Second, 2, "v2"), func(p *Pool) { p.RemoveServer(55*time.Second, "a") }}, want: "v1", joined: 50 * time.Second},
+		"the other has left":            {versions: []string{"v1"}, changes: []func(*Pool){come(40*time.Second, 2, "v2"), func(p *Pool) { p.RemoveServer(45*time.Second, "c") }}, want: "v1", joined: 40 * time.Second},
+		"both were there":               {versions: []string{"v1", "v2"}},
+		"a third joined both":           {versions: []string{"v1", "v2"}, changes: []func(*Pool){come(50*time.Second, 2, "v3")}},
+		"it came before the window":     {versions: []string{"v1"}, changes: []func(*Pool){come(20*time.Second, 2, "v2")}},
+		"all are renewed":               {versions: []string{"v1"}, changes: []func(*Pool){come(40*time.Second, 0, "v2"), come(50*time.Second, 0, "v3")}, want: "v1", joined: 40 * time.Second},
+		"a third took the other's turn": {versions: []string{"v1"}, changes: []func(*Pool){come(20*time.Second, 0, "v2"), come(50*time.Second, 0, "v3")}, want: "v2", joined: 50 * time.Second},
+		"the first one comes back":      {versions: []string{"v1"}, changes: []func(*Pool){come(20*time.Second, 0, "v2"), come(50*time.Second, 1, "v1")}},
+		"the platform was read anew":    {versions: []string{"v1"}, changes: []func(*Pool){come(50*time.Second, 2, "v2"), func(p *Pool) { p.ReadAnew(52 * time.Second) }}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := versionPool(d.versions...)
+			for _, change := range d.changes {
+				change(p)
+			}
+			version, joined, ok := p.EarlierVersion(now, ServiceID("chat"), window)
+			if ok != (d.want != "") || ok && (version != VersionID(d.want) || joined != d.joined) {
+				t.Errorf("version %d since others joined at %v, %t; want %q and %v", version, joined, ok, d.want, d.joined)
 			}
 		})
 	}
--- a/core/resume/register.go
+++ b/core/resume/register.go
@@ -32,8 +32,12 @@
 	Clock   func() time.Duration
 	Routers func() []string                   // returns the addresses of the other live routers; nil means that there are none
 	Send    func(to string, m digest.Streams) // sends a message that may be lost; must be set if Routers is
-	// Versions returns how many versions a service has had within a window, and the version if there was only one; nil means that it is not known.
-	Versions func(service uint32, window time.Duration) (sole uint32, count digest.VersionCount)
+	// Versions returns what is known of the versions that a service has had within a window; nil means that nothing is.
+	Versions func(service uint32, window time.Duration) digest.Versions
+	// Self is this router's name among Known, which returns the other routers that have been live within a window, also those that ended. Both must be
+	// set if Versions returns earlier versions.
+	Self  string
+	Known func(window time.Duration) []string
 	// Recent returns those of the other live routers that started within a window, so that they don't know all versions of a service; nil means that
 	// there are none.
 	Recent func(window time.Duration) []string
@@ -53,6 +57,7 @@
 	answered chan struct{}   // closed when all routers that were asked have answered
 	sole     []uint32        // the service's only version, by each router that knows it
 	several  bool            // a router knows several versions
+	earlier  []uint32        // the service's earlier version, by each router that would have recorded a stream of another one
 }
 
 // Began records the version at which a stream began, for some time. With tell, other routers keep it as well, in case this one ends; without, only those
@@ -130,7 +135,9 @@
 
 // Version returns the version at which a stream began. A router that recorded it decides. Otherwise it is the only version that the service has had:
 // what this router knows of that may be old, for example after a freeze, so that at least one other router must have answered since the question
-// came, and none of them may know another version. Where none answers, this router reads the platform anew. The error is an *UnknownError.
+// came, and none of them may know another version. Where none answers, this router reads the platform anew. If others have joined that version, a stream
+// of which nobody has a record began before, at a router that ended before it could tell; all routers that are asked must have answered then. The error
+// is an *UnknownError.
 func (r *Register) Version(ctx context.Context, q digest.StreamQuestion) (digest.StreamVersion, error) {
 	r.mutex.Lock()
 	version, ok := r.records.version(r.Clock(), q.Attempt)
@@ -161,10 +168,10 @@
 		case version := <-w.recorded:
 			return digest.StreamVersion{Attempt: q.Attempt, Version: version}, nil
 		case <-w.answered:
-			return r.conclude(q, w)
+			return r.conclude(q, w, true)
 		case <-again.C:
 			silent := r.silent(w)
-			if s, err := r.conclude(q, w); err == nil && 2*len(silent) <= len(asked) {
+			if s, err := r.conclude(q, w, false); err == nil && 2*len(silent) <= len(asked) {
 				return s, nil
 			}
 			r.ask(q, silent)
@@ -172,14 +179,15 @@
 			if silent := len(r.silent(w)); silent == len(asked) {
 				return r.refreshed(ctx, q, &UnknownError{Asked: len(asked), Silent: silent})
 			}
-			return r.conclude(q, w)
+			return r.conclude(q, w, false)
 		}
 	}
 }
 
-// conclude returns the version at which a stream began that none of the routers that answered has recorded.
-func (r *Register) conclude(q digest.StreamQuestion, w *question) (digest.StreamVersion, error) {
-	own, count := r.versions(q)
+// conclude returns the version at which a stream began that none of the routers that answered has recorded, given whether all of them have.
+func (r *Register) conclude(q digest.StreamQuestion, w *question, all bool) (digest.StreamVersion, error) {
+	own := r.versions(q)
+	earlier := r.earlier(q, own)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	select {
@@ -187,20 +195,43 @@
 		return digest.StreamVersion{Attempt: q.Attempt, Version: version}, nil
 	default:
 	}
-	sole := slices.Clone(w.sole)
-	if count == digest.VersionsOne {
-		sole = append(sole, own)
+	sole, before := slices.Clone(w.sole), slices.Clone(w.earlier)
+	if own.Count == digest.VersionsOne {
+		sole = append(sole, own.Sole)
 	}
-	slices.Sort(sole)
-	if w.several || count == digest.VersionsSeveral || len(slices.Compact(sole)) != 1 {
+	if earlier != 0 {
+		before = append(before, earlier)
+	}
+	several := w.several || own.Count == digest.VersionsSeveral
+	version, agreed := agreed(append(sole, before...))
+	if !agreed || several && (len(before) == 0 || !all) {
 		return digest.StreamVersion{}, &UnknownError{Asked: w.asked, Silent: len(w.waits)}
 	}
-	return digest.StreamVersion{Attempt: q.Attempt, Version: sole[0], Sole: true}, nil
+	return digest.StreamVersion{Attempt: q.Attempt, Version: version, Sole: !several, Earlier: several}, nil
+}
+
+// agreed returns the version that a list names, if it names one and no other.
+func agreed(versions []uint32) (uint32, bool) {
+	slices.Sort(versions)
+	versions = slices.Compact(versions)
+	if len(versions) != 1 {
+		return 0, false
+	}
+	return versions[0], true
+}
+
+// earlier returns the earlier version of a service if this router would have been told of a stream that began at another one, and 0 otherwise. Routers
+// that ended count as well: those that are told of a stream are the first of the routers that lived then.
+func (r *Register) earlier(q digest.StreamQuestion, own digest.Versions) uint32 {
+	if own.Earlier == 0 || r.Known == nil || !slices.Contains(holders(q.Attempt, append(r.Known(q.Window), r.Self), copies), r.Self) {
+		return 0
+	}
+	return own.Earlier
 }
 
 // refreshed returns the only version that the service has had, as of a read of the platform that begins now, or the given error.
 func (r *Register) refreshed(ctx context.Context, q digest.StreamQuestion, unknown error) (digest.StreamVersion, error) {
-	if _, count := r.versions(q); count != digest.VersionsOne {
+	if r.versions(q).Count != digest.VersionsOne {
 		return digest.StreamVersion{}, unknown
 	}
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
@@ -208,16 +239,16 @@
 	if r.Refresh != nil && !r.Refresh(ctx) {
 		return digest.StreamVersion{}, unknown
 	}
-	sole, count := r.versions(q)
-	if count != digest.VersionsOne {
+	known := r.versions(q)
+	if known.Count != digest.VersionsOne {
 		return digest.StreamVersion{}, unknown
 	}
-	return digest.StreamVersion{Attempt: q.Attempt, Version: sole, Sole: true}, nil
+	return digest.StreamVersion{Attempt: q.Attempt, Version: known.Sole, Sole: true}, nil
 }
 
-func (r *Register) versions(q digest.StreamQuestion) (sole uint32, count digest.VersionCount) {
+func (r *Register) versions(q digest.StreamQuestion) digest.Versions {
 	if r.Versions == nil {
-		return 0, digest.VersionsUnknown
+		return digest.Versions{}
 	}
 	return r.Versions(q.Service, q.Window)
 }
@@ -287,9 +318,12 @@
 			w.answeredBy(from)
 		}
 	}
-	for _, attempt := range m.Several {
-		for _, w := range r.asking[attempt] {
+	for _, s := range m.Several {
+		for _, w := range r.asking[s.Attempt] {
 			w.several = true
+			if s.Earlier != 0 {
+				w.earlier = append(w.earlier, s.Earlier)
+			}
 			w.answeredBy(from)
 		}
 	}
@@ -320,11 +354,11 @@
 			m.Told = append(m.Told, digest.StreamVersion{Attempt: q.Attempt, Version: version})
 			continue
 		}
-		switch sole, count := r.versions(q); count {
+		switch known := r.versions(q); known.Count {
 		case digest.VersionsOne:
-			m.Told = append(m.Told, digest.StreamVersion{Attempt: q.Attempt, Version: sole, Sole: true})
+			m.Told = append(m.Told, digest.StreamVersion{Attempt: q.Attempt, Version: known.Sole, Sole: true})
 		case digest.VersionsSeveral:
-			m.Several = append(m.Several, q.Attempt)
+			m.Several = append(m.Several, digest.SeveralVersions{Attempt: q.Attempt, Earlier: r.earlier(q, known)})
 		default:
 			m.Unknown = append(m.Unknown, q.Attempt)
 		}
--- a/core/resume/register_test.go
+++ b/core/resume/register_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -15,7 +16,8 @@
 type network struct {
 	mutex   sync.Mutex
 	routers map[string]*Register
-	lose    int // number of messages that are lost next
+	known   []string // all routers that were ever started
+	lose    int      // number of messages that are lost next
 	sent    int
 }
 
@@ -37,6 +39,9 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.routers[name] = r
+	if !slices.Contains(n.known, name) {
+		n.known = append(n.known, name)
+	}
 	return r
 }
 
@@ -139,8 +144,8 @@
 }
 
 // versions returns a router's knowledge of a service's versions.
-func versions(count digest.VersionCount, sole uint32) func(uint32, time.Duration) (uint32, digest.VersionCount) {
-	return func(uint32, time.Duration) (uint32, digest.VersionCount) { return sole, count }
+func versions(count digest.VersionCount, sole uint32) func(uint32, time.Duration) digest.Versions {
+	return func(uint32, time.Duration) digest.Versions { return digest.Versions{Count: count, Sole: sole} }
 }
 
 // TestOldKnowledgeOfOneVersion guards against a stream that goes on at another version since a router took the only one that it knew for the one at which
@@ -150,7 +155,7 @@
 	one, two, none := versions(digest.VersionsOne, 5), versions(digest.VersionsSeveral, 0), versions(digest.VersionsUnknown, 0)
 	const refused = 0
 	for name, d := range map[string]struct {
-		others  func(uint32, time.Duration) (uint32, digest.VersionCount)
+		others  func(uint32, time.Duration) digest.Versions
 		change  func(n *network)
 		refresh func(asker *Register) bool // nil if the platform is not read
 		want    uint32
@@ -197,6 +202,76 @@
 	}
 }
 
+// TestStreamOfARouterThatEndedBeforeARelease guards against streams that nobody knows, since their router ended before it saw the version that made all others
+// tell theirs (LOST), and against one that is taken for a stream of the earlier version though a record of it may be lost (ORDER).
+func TestStreamOfARouterThatEndedBeforeARelease(t *testing.T) {
+	const attempt, earlier, later = 99, 5, 6
+	const refused = 0
+	knows := func(v digest.Versions) func(uint32, time.Duration) digest.Versions {
+		return func(uint32, time.Duration) digest.Versions { return v }
+	}
+	mixed := knows(digest.Versions{Count: digest.VersionsSeveral, Earlier: earlier})
+	holder := func(n *network, i int) *Register { return n.routers[holders(attempt, n.others(""), copies)[i]] }
+	end := func(n *network, list ...int) {
+		var names []string
+		for _, i := range list {
+			names = append(names, holders(attempt, n.known, copies)[i])
+		}
+		for _, name := range names {
+			delete(n.routers, name)
+		}
+	}
+	for name, d := range map[string]struct {
+		change func(n *network)
+		want   uint32
+	}{
+		"all others know the earlier version": {want: earlier},
+		"two of its holders ended":            {want: earlier, change: func(n *network) { end(n, 0, 2) }},
+		"all its holders ended":               {want: refused, change: func(n *network) { end(n, 0, 1, 2) }},
+		"it began later, and two holders ended": {want: later, change: func(n *network) {
+			holder(n, 0).records.add(0, digest.StreamVersion{Attempt: attempt, Version: later}, time.Hour, true)
+			end(n, 1, 2)
+		}},
+		"its holders were started later": {want: refused, change: func(n *network) {
+			for i := range copies {
+				holder(n, i).Versions = knows(digest.Versions{Count: digest.VersionsSeveral})
+			}
+		}},
+		"a holder has seen nothing yet": {want: earlier, change: func(n *network) { holder(n, 0).Versions = versions(digest.VersionsOne, earlier) }},
+		"a holder takes another version for the only one": {want: refused, change: func(n *network) {
+			holder(n, 0).Versions = versions(digest.VersionsOne, later)
+		}},
+		"holders disagree": {want: refused, change: func(n *network) {
+			holder(n, 0).Versions = knows(digest.Versions{Count: digest.VersionsSeveral, Earlier: later})
+		}},
+		"one that was asked is silent": {want: refused, change: func(n *network) {
+			silent := holder(n, 1)
+			silent.Versions = nil
+			silent.Send = func(string, digest.Streams) {}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newNetwork(9)
+			delete(n.routers, "10.0.0.9:7") // the router of the stream
+			for i := range 8 {
+				r := n.router(i)
+				r.Versions, r.Self = mixed, fmt.Sprintf("10.0.0.%d:7", i+1)
+				r.Known = func(time.Duration) []string { return n.known }
+			}
+			if d.change != nil {
+				d.change(n)
+			}
+			for i := range 8 {
+				if r := n.router(i); r != nil && r.Send != nil && r.Versions != nil {
+					if got := n.ask(t, i, attempt); got != d.want {
+						t.Errorf("router %d knows version %d, want %d", i, got, d.want)
+					}
+				}
+			}
+		})
+	}
+}
+
 // TestStreamsOfOneVersionAreTold guards against a stream that nobody knows, though the service had one version all the time, since the router that began it
 // is gone and the others have just started (LOST).
 func TestStreamsOfOneVersionAreTold(t *testing.T) {
--- a/router/proc/outage_test.go
+++ b/router/proc/outage_test.go
@@ -98,8 +98,8 @@
 			if turn, wait := f.decide(at(5)); (wait == 0 && turn.FromPeer) != tt.recovers {
 				t.Errorf("turn %+v after %v, want one that recovers: %t", turn, wait, tt.recovers)
 			}
-			if _, count := p.serviceVersions(pool.ServiceID("chat"), time.Minute); count != tt.count {
-				t.Errorf("number of versions %v, want %d", count, tt.count)
+			if known := p.serviceVersions(pool.ServiceID("chat"), time.Minute); known.Count != tt.count {
+				t.Errorf("number of versions %v, want %d", known.Count, tt.count)
 			}
 		})
 	}
--- a/router/proc/process.go
+++ b/router/proc/process.go
@@ -123,6 +123,7 @@
 	if p.peers != nil {
 		p.exchanger = p.newExchanger()
 		p.streams.Recent = p.startedRouters
+		p.streams.Self, p.streams.Known = s.Control, p.knownRouters
 		p.streams.Routers, p.streams.Send, p.streams.Refresh = p.liveRouters, p.exchanger.SendStreams, p.refresh
 	}
 	stopping, cut := context.WithCancel(context.Background())
--- a/router/proc/streams.go
+++ b/router/proc/streams.go
@@ -20,14 +20,36 @@
 	return started
 }
 
-// serviceVersions returns how many software versions a service has had within a window, as far as this router knows, and the version if there was
-// only one. A router that knows it has missed a change knows no sole version.
-func (p *Process) serviceVersions(service uint32, window time.Duration) (sole uint32, count digest.VersionCount) {
-	p.gate.With(func(now time.Duration, q *pool.Pool) { sole, count = q.Versions(now, service, window) })
-	if count == digest.VersionsOne && p.behind() {
-		return 0, digest.VersionsUnknown
+// knownRouters returns the other routers that have been live within a window, also those that ended.
+func (p *Process) knownRouters(window time.Duration) (known []string) {
+	p.exchanger.WithFleet(func(now time.Duration, fleet *digest.Fleet) { known = fleet.SeenWithin(now, window) })
+	return known
+}
+
+// serviceVersions returns what this router knows of the software versions that a service has had within a window. A router that knows it has missed a
+// change knows no sole version. It knows the earlier version if it would have been told of all streams that have begun since others joined it: all routers
+// knew it by then, and it has lost sight of none since, as one that lives beyond a cut tells others.
+func (p *Process) serviceVersions(service uint32, window time.Duration) (known digest.Versions) {
+	var earlier uint32
+	var joined time.Duration
+	p.gate.With(func(now time.Duration, q *pool.Pool) {
+		known = q.Versions(now, service, window)
+		if known.Count == digest.VersionsSeveral {
+			earlier, joined, _ = q.EarlierVersion(now, service, window)
+		}
+	})
+	switch {
+	case known.Count == digest.VersionsOne && p.behind():
+		return digest.Versions{}
+	case earlier != 0 && p.exchanger != nil && !p.behind():
+		p.exchanger.WithFleet(func(now time.Duration, fleet *digest.Fleet) {
+			spread := fleet.SpreadTime() // a router's last words may be news for as long after its end
+			if joined >= spread && !fleet.LostSince(now, joined+spread) {
+				known.Earlier = earlier
+			}
+		})
 	}
-	return sole, count
+	return known
 }
 
 // behind reports whether another router knows of changes of the platform's state that this one has not applied.
--- a/router/relay/resume.go
+++ b/router/relay/resume.go
@@ -38,22 +38,22 @@
 	if c.relay.Streams == nil {
 		return
 	}
-	_, count := c.serviceVersions()
+	known := c.serviceVersions()
 	_, stopping := c.relay.draining()
 	c.relay.Streams.Began(
-		digest.StreamVersion{Attempt: resume.AttemptID(c.team, c.info.ID), Version: version}, c.streamLifetime(), stopping || count != digest.VersionsOne,
+		digest.StreamVersion{Attempt: resume.AttemptID(c.team, c.info.ID), Version: version}, c.streamLifetime(), stopping || known.Count != digest.VersionsOne,
 	)
 }
 
-// serviceVersions returns how many versions the service has had since the caller's stream may have begun, and the version if there was only one.
-func (c *call) serviceVersions() (sole uint32, count digest.VersionCount) {
+// serviceVersions returns what is known of the versions that the service has had since the caller's stream may have begun.
+func (c *call) serviceVersions() (known digest.Versions) {
 	if s := c.relay.Streams; s != nil && s.Versions != nil {
 		return s.Versions(pool.ServiceID(c.service), c.streamLifetime())
 	}
 	c.relay.Gate.With(func(now time.Duration, p *pool.Pool) {
-		sole, count = p.Versions(now, pool.ServiceID(c.service), c.streamLifetime())
+		known = p.Versions(now, pool.ServiceID(c.service), c.streamLifetime())
 	})
-	return sole, count
+	return known
 }
 
 // resumeStream pins a request that goes on with a stream to the version at which that began. It returns a refusal if no router knows the version:
@@ -64,9 +64,12 @@
 	}
 	began, err := c.beganAt(ctx)
 	if err == nil {
-		if began.Sole {
+		switch {
+		case began.Sole:
 			c.relay.count("resumed.soleVersion")
-		} else {
+		case began.Earlier:
+			c.relay.count("resumed.earlierVersion")
+		default:
 			c.relay.count("resumed.known")
 		}
 		c.pin(began.Version)
@@ -96,11 +99,11 @@
 	if c.relay.Streams != nil {
 		return c.relay.Streams.Version(ctx, q)
 	}
-	sole, count := c.serviceVersions()
-	if count != digest.VersionsOne {
+	known := c.serviceVersions()
+	if known.Count != digest.VersionsOne {
 		return digest.StreamVersion{}, &resume.UnknownError{}
 	}
-	return digest.StreamVersion{Version: sole, Sole: true}, nil
+	return digest.StreamVersion{Version: known.Sole, Sole: true}, nil
 }
 
 // unknownRetryAfter is the Retry-After for a stream whose version is not known while some routers could not be asked. One that all routers don't
--- a/router/relay/resume_test.go
+++ b/router/relay/resume_test.go
@@ -44,9 +44,9 @@
 		writeEvents(rw, after+1, eventsOfRun)
 	})
 	f.setVersionsAt(-time.Hour, versions)
-	f.relay.Streams = &resume.Register{Clock: f.relay.Clock, Versions: func(service uint32, window time.Duration) (sole uint32, count digest.VersionCount) {
-		f.relay.Gate.With(func(now time.Duration, p *pool.Pool) { sole, count = p.Versions(now, service, window) })
-		return sole, count
+	f.relay.Streams = &resume.Register{Clock: f.relay.Clock, Versions: func(service uint32, window time.Duration) (known digest.Versions) {
+		f.relay.Gate.With(func(now time.Duration, p *pool.Pool) { known = p.Versions(now, service, window) })
+		return known
 	}}
 	return f
 }
--- a/router/share/codec_test.go
+++ b/router/share/codec_test.go
@@ -42,7 +42,7 @@
 		Told:    []digest.StreamVersion{{Attempt: 1 << 63, Version: 5}, {Attempt: 7, Version: 6, Sole: true}},
 		Asked:   []digest.StreamQuestion{{Attempt: 9, Service: 3, Window: 30 * time.Second}},
 		Unknown: []uint64{11},
-		Several: []uint64{12, 13},
+		Several: []digest.SeveralVersions{{Attempt: 12}, {Attempt: 13, Earlier: 9}},
 	}
 	want.Limits = []digest.RateLimit{{Server: 5, Rate: 6.25, Age: time.Second}, {Server: 6, Age: 2 * time.Second}}
 	text, err := Encode(want)
