Tell from a listing what has left before it

Cause: a router that has just read the store knew no sole version for as long as a stream may live, since a version that left before leaves no item. After all routers ended, none knew more.

Change: each change of the store raises its revision by one, so that a removal leaves a revision that no listed item explains. core/past follows the revisions back to the first such one; the entries above it tell by their server's start and count of heartbeats when they had been written at the latest. Where the store tells an era, nothing is concluded for 2.2 s, in which live servers write their entries again. A router that follows the store and has to read it anew goes on if nothing is unexplained.

--- a/core/digest/news.go
+++ b/core/digest/news.go
@@ -24,6 +24,7 @@
 	Key      string
 	Value    []byte
 	Revision int64
+	Created  int64 // revision at which the item was created; 0 if another router sent the change
 	Deleted  bool
 }
 
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -42,10 +42,11 @@
 
 	peersVersion uint64 // number of changes of Peers
 
-	sourceLost bool          // the platform is unreachable
-	wasRead    bool          // all servers were read from the platform at least once
-	readAnewAt time.Duration // when they were last read all together
-	peersAt    time.Duration // when the peers' usage was last known; 0 for never
+	sourceLost    bool          // the platform is unreachable
+	wasRead       bool          // all servers were read from the platform at least once
+	completeSince time.Duration // no server can have come and gone unseen since then
+	completeFrom  time.Duration // from when on that can be relied on
+	peersAt       time.Duration // when the peers' usage was last known; 0 for never
 }
 
 // service is the state of all servers of one service.
--- a/core/pool/rewound_test.go
+++ b/core/pool/rewound_test.go
@@ -43,7 +43,7 @@
 		t.Run(name, func(t *testing.T) {
 			p := &Pool{Self: "r1", DataCentre: "east"}
 			p.SetServer(0, server("a"))
-			p.ReadAnew(0)
+			p.ReadAnew(0, Coverage{})
 			if d.before != nil {
 				d.before(p)
 			}
@@ -63,7 +63,7 @@
 					p.RemoveServer(back, id)
 				}
 			}
-			p.ReadAnew(back)
+			p.ReadAnew(back, Coverage{})
 			if d.after != nil {
 				d.after(p)
 			}
--- a/core/pool/version.go
+++ b/core/pool/version.go
@@ -21,10 +21,25 @@
 // ServiceID returns the hash of the name of a service, which stands for it in messages.
 func ServiceID(name string) uint32 { return nameID(name) }
 
-// ReadAnew records that all servers were just read from the platform. Servers that came and went before may have been missed.
-func (p *Pool) ReadAnew(now time.Duration) {
+// Coverage says which changes of the servers a router can't have missed when it reads all of them. The zero value is that of a router that may have missed
+// any before.
+type Coverage struct {
+	Continuous bool          // it has missed none since it last knew all servers
+	Before     time.Duration // otherwise none in that time before the read
+	FromCopy   bool          // the platform may have come back from an older copy, so that entries may still be written again
+}
+
+// ReadAnew records that all servers were just read from the platform.
+func (p *Pool) ReadAnew(now time.Duration, c Coverage) {
 	p.init()
-	p.readAnewAt, p.wasRead, p.rewinding = now, true, false
+	p.rewinding = false
+	if c.Continuous && p.wasRead {
+		return
+	}
+	p.completeSince, p.completeFrom, p.wasRead = now-c.Before, now, true
+	if c.FromCopy {
+		p.completeFrom += lapseGrace
+	}
 	for _, v := range p.services {
 		clear(v.versionsSince) // when these versions joined may have been missed
 	}
@@ -48,7 +63,8 @@
 	}
 }
 
-// EarlierVersion returns the software version that all servers of a service had from a window ago until others joined it, and when these did.
+// EarlierVersion returns the software version that all servers of a service had from a window ago until others joined it, and when these did. What joins
+// while a platform that came back from a copy is written again may have been there before.
 func (p *Pool) EarlierVersion(now time.Duration, service uint32, window time.Duration) (version uint32, joined time.Duration, ok bool) {
 	p.init()
 	v := p.serviceOf(service)
@@ -66,12 +82,12 @@
 			version, ok = id, true
 		}
 	}
-	return version, joined, ok
+	return version, joined, ok && joined >= p.completeFrom
 }
 
 // complete reports whether no server can have come and gone unseen within the last window.
 func (p *Pool) complete(now, window time.Duration) bool {
-	return p.wasRead && now-p.readAnewAt >= window && !(p.sourceLost && now-p.peersAt > peerMaxAge)
+	return p.wasRead && p.completeSince <= now-window && p.completeFrom <= now && !(p.sourceLost && now-p.peersAt > peerMaxAge)
 }
 
 // serviceOf returns the service whose name has a hash, or nil.
--- a/core/pool/version_test.go
+++ b/core/pool/version_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -17,7 +18,7 @@
 	for i, v := range versions {
 		p.SetServer(0, versionServer(i, v))
 	}
-	p.ReadAnew(0)
+	p.ReadAnew(0, Coverage{})
 	return p
 }
 
@@ -56,7 +57,15 @@
 			s.ID = "z"
 			p.SetServer(now-window/2, s)
 		}, false},
-		"the router began just now":     {[]string{"v1"}, func(p *Pool) { p.ReadAnew(now - window/2) }, false},
+		"the router began just now":     {[]string{"v1"}, func(p *Pool) { p.ReadAnew(now-window/2, Coverage{}) }, false},
+		"nothing was missed before":     {[]string{"v1"}, func(p *Pool) { p.ReadAnew(now-window/2, Coverage{Before: window}) }, true},
+		"something was, in that time":   {[]string{"v1"}, func(p *Pool) { p.ReadAnew(now-window/2, Coverage{Before: window / 4}) }, false},
+		"nothing was missed ever":       {[]string{"v1"}, func(p *Pool) { p.ReadAnew(now, Coverage{Before: math.MaxInt64}) }, true},
+		"another version is there":      {[]string{"v1", "v2"}, func(p *Pool) { p.ReadAnew(now, Coverage{Before: math.MaxInt64}) }, false},
+		"entries may be written again":  {[]string{"v1"}, func(p *Pool) { p.ReadAnew(now-time.Second, Coverage{Before: math.MaxInt64, FromCopy: true}) }, false},
+		"they had the time for it":      {[]string{"v1"}, func(p *Pool) { p.ReadAnew(now-3*time.Second, Coverage{Before: math.MaxInt64, FromCopy: true}) }, true},
+		"nothing was missed since":      {[]string{"v1"}, func(p *Pool) { p.ReadAnew(now, Coverage{Continuous: true}) }, true},
+		"one that left was missed":      {[]string{"v1", "v2"}, func(p *Pool) { p.RemoveServer(now, "b"); p.ReadAnew(now, Coverage{Continuous: true}) }, false},
 		"the platform is out of reach":  {[]string{"v1"}, func(p *Pool) { p.SourceLost(now - time.Second) }, false},
 		"other routers know of nothing": {[]string{"v1"}, func(p *Pool) { p.SourceLost(now - time.Second); p.peersAt = now }, true},
 	} {
@@ -97,7 +106,11 @@
 		"all are renewed":               {versions: []string{"v1"}, changes: []func(*Pool){come(40*time.Second, 0, "v2"), come(50*time.Second, 0, "v3")}, want: "v1", joined: 40 * time.Second},
 		"a third took the other's turn": {versions: []string{"v1"}, changes: []func(*Pool){come(20*time.Second, 0, "v2"), come(50*time.Second, 0, "v3")}, want: "v2", joined: 50 * time.Second},
 		"the first one comes back":      {versions: []string{"v1"}, changes: []func(*Pool){come(20*time.Second, 0, "v2"), come(50*time.Second, 1, "v1")}},
-		"the platform was read anew":    {versions: []string{"v1"}, changes: []func(*Pool){come(50*time.Second, 2, "v2"), func(p *Pool) { p.ReadAnew(52 * time.Second) }}},
+		"nothing was missed then":       {versions: []string{"v1"}, changes: []func(*Pool){come(50*time.Second, 2, "v2"), func(p *Pool) { p.ReadAnew(52*time.Second, Coverage{Continuous: true}) }}, want: "v1", joined: 50 * time.Second},
+		"written again after a copy": {versions: []string{"v1"}, changes: []func(*Pool){
+			func(p *Pool) { p.ReadAnew(48*time.Second, Coverage{Before: math.MaxInt64, FromCopy: true}) }, come(50*time.Second, 2, "v2"),
+		}},
+		"the platform was read anew": {versions: []string{"v1"}, changes: []func(*Pool){come(50*time.Second, 2, "v2"), func(p *Pool) { p.ReadAnew(52*time.Second, Coverage{}) }}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := versionPool(d.versions...)
--- a/router/proc/outage_test.go
+++ b/router/proc/outage_test.go
@@ -84,7 +84,7 @@
 			p.gate = &relay.Gate{Clock: p.now, Pool: &pool.Pool{}}
 			p.gate.With(func(now time.Duration, q *pool.Pool) {
 				q.SetServer(0, pool.Server{ID: "a", Service: "chat", Address: "10.0.1.1:80", Version: "v1"})
-				q.ReadAnew(0)
+				q.ReadAnew(0, pool.Coverage{})
 				q.SetPeers(now, digest.Sum{}, true, []string{"10.0.0.2:1"})
 			})
 			p.exchanger = &share.Exchanger{Fleet: &digest.Fleet{Address: "10.0.0.1:1", DataCentre: "d", FirstBeat: 1}, Clock: p.now}
--- a/router/proc/process_test.go
+++ b/router/proc/process_test.go
@@ -254,7 +254,7 @@
 		t.Error("ready although no server may get work")
 	}
 	k.SetOutOfService(nil)
-	k.RetainServers(nil)
+	k.RetainServers(nil, Listing{})
 	if status(s.ready) != http.StatusServiceUnavailable {
 		t.Error("ready without servers")
 	}
--- a/router/proc/source.go
+++ b/router/proc/source.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
 	"mangolug.org/core/digest"
+	"mangolug.org/core/past"
 	"mangolug.org/core/pool"
 	"mangolug.org/core/route"
 )
@@ -18,7 +20,7 @@
 	Configure       func(c route.Config)                     // applies a configuration unless the one in force is as new
 	SetServer       func(s pool.Server)                      // adds or updates a backend server
 	RemoveServer    func(id string, revision int64)          // removes a server whose entry was removed at a revision
-	RetainServers   func(ids map[string]bool)                // removes all servers but these
+	RetainServers   func(ids map[string]bool, l Listing)     // removes all servers but these, which were read together
 	SetOutOfService func(names map[string]bool)              // sets the data centres that are out of service
 	Lost            func(err error)                          // reports that the platform can't be read
 	Recovered       func(at digest.Position)                 // reports that all changes up to a position have been applied
@@ -36,6 +38,12 @@
 	RecordRead func(from, to digest.Position, changes []digest.Change)
 }
 
+// Listing says what a complete read of the platform tells of the time before it.
+type Listing struct {
+	past.Listing
+	FromCopy bool // the platform tells an era, so that it may have come back from an older copy just before
+}
+
 func (p *Process) newSink() *Sink {
 	f := &follower{process: p, maxAge: maxStateAge + time.Duration(rand.Int64N(int64(maxStateAgeJitter)))}
 	return &Sink{
@@ -85,16 +93,18 @@
 	return outages
 }
 
-// retainServers removes all servers but these.
-func (p *Process) retainServers(ids map[string]bool) {
+// retainServers removes all servers but these, which were read together with all other items.
+func (p *Process) retainServers(ids map[string]bool, l Listing) {
 	outages := p.knownOutages()
+	c := l.coverage(time.Now())
+	p.log.Info("servers read", "servers", len(ids), "revision", l.Revision, "knownBefore", l.Known, "nothingMissed", c.Continuous, "nothingMissedFor", c.Before)
 	p.gate.With(func(now time.Duration, q *pool.Pool) {
 		for _, id := range q.Servers() {
 			if !ids[id] {
 				remove(now, q, id, 0, &outages)
 			}
 		}
-		q.ReadAnew(now)
+		q.ReadAnew(now, c)
 	})
 	if p.learned.Swap(true) {
 		go p.streams.TellOwn() // this router can no longer tell that a service had one version, and others may be in the same place
@@ -103,6 +113,23 @@
 	go p.learnRuns()
 }
 
+// maxClockError bounds the difference between the time of day here and at the backend servers.
+const maxClockError = 5 * time.Second
+
+// coverage returns what a router that reads a listing can't have missed, given the time of day.
+func (l *Listing) coverage(now time.Time) pool.Coverage {
+	c := pool.Coverage{FromCopy: l.FromCopy}
+	switch covered := l.Coverage(); {
+	case covered.Complete && l.Known > 0:
+		c.Continuous = true
+	case covered.Complete:
+		c.Before = math.MaxInt64
+	case !covered.Since.IsZero():
+		c.Before = max(0, now.Sub(covered.Since)-maxClockError)
+	}
+	return c
+}
+
 // setOutOfService sets which data centres are out of service, and puts the others back.
 func (p *Process) setOutOfService(names map[string]bool) {
 	p.gate.With(func(now time.Duration, q *pool.Pool) { q.SetOutOfService(now, names) })
--- a/router/relay/resume_test.go
+++ b/router/relay/resume_test.go
@@ -131,7 +131,7 @@
 		"one version, nobody knows":     {[3]string{"v1", "v1", "v1"}, nil, firstAttempt, "3", http.StatusOK, 0},
 		"one version now, others ended": {[3]string{"v1", "v2", "v2"}, func(f *versionFixture) { f.setVersions([3]string{"v2", "v2", "v2"}) }, firstAttempt, "3", http.StatusServiceUnavailable, -1},
 		"the router has just begun": {[3]string{"v1", "v1", "v1"}, func(f *versionFixture) {
-			f.relay.Gate.With(func(now time.Duration, p *pool.Pool) { p.ReadAnew(now) })
+			f.relay.Gate.With(func(now time.Duration, p *pool.Pool) { p.ReadAnew(now, pool.Coverage{}) })
 		}, firstAttempt, "3", http.StatusServiceUnavailable, -1},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/router/relay/world_test.go
+++ b/router/relay/world_test.go
@@ -151,7 +151,7 @@
 		w.addresses[i], w.listeners[i] = strings.TrimPrefix(s.URL, "http://"), s.Listener
 		p.SetServer(0, pool.Server{ID: fmt.Sprint("s", i), Service: "desk", Address: strings.TrimPrefix(s.URL, "http://"), DataCentre: "east", Slots: 8, StartMillis: startOf(i)})
 	}
-	p.ReadAnew(-time.Hour) // so that a sole version of the servers is known
+	p.ReadAnew(-time.Hour, pool.Coverage{}) // so that a sole version of the servers is known
 	w.relay = &Relay{
 		Table: w.table.Load, Gate: &Gate{Pool: p, Clock: clock}, Client: &back.Client{}, HeaderCodec: testDialect(),
 		Clock: clock, Budgets: pool.RetryBudgets{Ratio: 0.2, Slack: 20}, Metrics: metrics.NewRegistry(),
