Believe the end of a connection only once the request is written

Cause: the system tells a reset once, to the read or to the write of the connection, whichever asks first. An upload that is blocked in a write gets it, and the read of the answer sees an end in order, which ends an answer without a length. The health check that confirms such an end finds a live process.

Change: each connection to a server follows how much of its request the system has accepted. Answers with a length or chunks are passed on as before.

--- a/router/back/client.go
+++ b/router/back/client.go
@@ -193,7 +193,7 @@
 	if nonIdempotent && c.Settings.NonIdempotentIdle == 0 {
 		transport = c.unpooled
 	}
-	g := &gate{expired: grantExpired, once: nonIdempotent}
+	g := &gate{expired: grantExpired, once: nonIdempotent, length: bodyLength(request)}
 	response, err := c.roundTrip(transport, request, g)
 	if g.sealIfUnused() {
 		if err == nil {
@@ -202,7 +202,7 @@
 		if request.GetBody != nil {
 			request.Body, _ = request.GetBody() // the function that SetBody sets never fails
 		}
-		g = &gate{expired: grantExpired, once: nonIdempotent}
+		g = &gate{expired: grantExpired, once: nonIdempotent, length: bodyLength(request)}
 		response, err = c.roundTrip(c.unpooled, request, g)
 	}
 	if err != nil {
@@ -217,11 +217,19 @@
 	return response, nil
 }
 
+// bodyLength returns the length of a request's body in bytes; it is negative if that is not known.
+func bodyLength(request *http.Request) int64 {
+	if request.ContentLength == 0 && request.Body != nil && request.Body != http.NoBody {
+		return -1
+	}
+	return request.ContentLength
+}
+
 // Ask sends a request that may be repeated on a connection of its own, so that no earlier response can be read as its response. All
 // errors are of type *ServerError.
 func (c *Client) Ask(request *http.Request, server string) (*http.Response, error) {
 	c.once.Do(c.init)
-	g := &gate{}
+	g := &gate{length: bodyLength(request)}
 	response, err := c.roundTrip(c.unpooled, request, g)
 	if err != nil {
 		return nil, g.failure(server, err)
--- a/router/back/conn.go
+++ b/router/back/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"sync"
 
@@ -19,6 +20,7 @@
 type gate struct {
 	expired func() bool // reports whether the grant has expired; nil for never
 	once    bool        // only one connection may be written to
+	length  int64       // of the request's body in bytes; negative if it is not known
 
 	mutex     sync.Mutex
 	conn      *conn
@@ -48,6 +50,7 @@
 		return errExpired
 	}
 	if g.conn != c {
+		c.upload.begin(g.length)
 		c.expectAnswer()
 	}
 	g.started, g.conn = true, c
@@ -130,6 +133,7 @@
 	reused      bool // it carried an earlier attempt
 	idleTooLong bool // it was idle for too long to carry the current attempt
 	read        bool // bytes were read since the first write of the current attempt
+	upload      upload
 }
 
 // attach assigns the connection to the attempt of a gate.
@@ -167,9 +171,14 @@
 	return c.read
 }
 
-// Read reads from the connection.
+// Read reads from the connection. An end in order before the request is written is an *UnfinishedError.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) {
+		if unfinished := c.upload.check(); unfinished != nil {
+			err = unfinished
+		}
+	}
 	if n > 0 {
 		c.mutex.Lock()
 		c.read = true
@@ -188,7 +197,9 @@
 			return 0, err
 		}
 	}
+	c.upload.writes()
 	n, err := c.Conn.Write(b)
+	c.upload.wrote(b[:n], err)
 	if g != nil {
 		g.recordWrite(c, n)
 	}
