Refuse answers whose heads are malformed on the wire

Cause: net/http reads as much as it can. It keeps names with blanks as they stand, joins lines and ignores an encoding in HTTP/1.0, and what it returns doesn't show all of that.

Change: core/head checks the bytes of an answer up to the end of its head, with all interim ones. Connections to servers, the store and the bulletin use it; loader, mangoctl and the drill's callers check what their parser has kept.

TestSoundHeads and TestScanner show that unusual but sound heads pass.

--- a/loader/drive/caller.go
+++ b/loader/drive/caller.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"mangolug.org/core/head"
 	"mangolug.org/desk/record"
 	"mangolug.org/engine/batch"
 	"mangolug.org/loader/events"
@@ -90,6 +91,9 @@
 		return failure(ctx, "connection")
 	}
 	defer func() { _ = answer.Body.Close() }()
+	if head.CheckParsed(answer.StatusCode, answer.Header) != nil {
+		return tally.End{Outcome: tally.OutcomeNotWhole, Reason: "malformedHead"}
+	}
 	if answer.StatusCode >= http.StatusBadRequest {
 		return c.refused(answer)
 	}
--- a/loader/drive/run_test.go
+++ b/loader/drive/run_test.go
@@ -127,3 +127,30 @@
 		t.Errorf("%d of %d answered, %d not whole", result.Answered, result.Requests, result.NotWhole)
 	}
 }
+
+// TestMalformedHeadIsNotWhole guards against an answer with a status or the name of a field that no answer has and that counts as answered.
+func TestMalformedHeadIsNotWhole(t *testing.T) {
+	for name, head := range map[string]string{"status 000": "HTTP/1.1 000 OK\r\n", "a blank in a name": "HTTP/1.1 200 OK\r\nX Y: z\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				c, buffer, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					panic(err)
+				}
+				defer c.Close()
+				_, _ = buffer.WriteString(head + "X-Request-Id: 1\r\nContent-Length: 14\r\n\r\ndata: [DONE]\n\n")
+				_ = buffer.Flush() // fails only if the loader has left
+			}))
+			defer s.Close()
+			p := planFor(strings.TrimPrefix(s.URL, "http://"))
+			p.Servers, p.Loads = nil, p.Loads[:1]
+			result, err := Run(context.Background(), p)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if n := result.Teams[0].Reasons["notWhole.malformedHead"]; n != result.Requests || n == 0 {
+				t.Errorf("%d of %d requests have a malformed head: %v", n, result.Requests, result.Teams[0].Reasons)
+			}
+		})
+	}
+}
--- a/mangoctl/shell/factory.go
+++ b/mangoctl/shell/factory.go
@@ -8,6 +8,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"mangolug.org/core/head"
 	"mangolug.org/core/rule"
 	"mangolug.org/mangoctl/stream"
 )
@@ -32,7 +33,7 @@
 func New(s *stream.Streams) *Factory {
 	return &Factory{
 		Streams:  s,
-		HTTP:     &http.Client{Timeout: requestTimeout},
+		HTTP:     &http.Client{Timeout: requestTimeout, Transport: checkedTransport{}},
 		ReadFile: os.ReadFile,
 		Open:     open,
 		Parse:    rule.Parse,
@@ -40,6 +41,22 @@
 	}
 }
 
+// checkedTransport rejects answers whose heads are malformed.
+type checkedTransport struct{}
+
+// RoundTrip sends a request.
+func (checkedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	answer, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := head.CheckParsed(answer.StatusCode, answer.Header); err != nil {
+		_ = answer.Body.Close() // the answer is not used
+		return nil, err
+	}
+	return answer, nil
+}
+
 func open(name string) (io.ReadCloser, error) {
 	if name == "-" {
 		return io.NopCloser(os.Stdin), nil
--- a/router/back/client.go
+++ b/router/back/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"mangolug.org/core/fleet"
+	"mangolug.org/core/head"
 )
 
 // Headers of requests and responses between routers and backend servers.
@@ -208,13 +209,7 @@
 	if err != nil {
 		return nil, g.failure(server, err)
 	}
-	response.Body = &responseBody{response.Body, g.writtenConn()}
-	if err := g.check(server, response); err != nil {
-		CloseConnection(response)
-		response.Body.Close()
-		return nil, err
-	}
-	return response, nil
+	return g.checked(server, response)
 }
 
 // bodyLength returns the length of a request's body in bytes; it is negative if that is not known.
@@ -234,7 +229,7 @@
 	if err != nil {
 		return nil, g.failure(server, err)
 	}
-	return response, nil
+	return g.checked(server, response)
 }
 
 // Listens reports whether a process listens at an address; the error is one of the dial that shows neither.
@@ -267,7 +262,33 @@
 // responseBody is the body of a response with its connection.
 type responseBody struct {
 	io.ReadCloser
-	conn *conn
+	conn     *conn
+	response *http.Response
+}
+
+// Read reads from the body. The end of a body with a malformed trailer is an error.
+func (b *responseBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		for name, values := range b.response.Trailer {
+			if values != nil && !head.IsName(name) {
+				CloseConnection(b.response) // what follows on it can't be told from the trailer
+				return n, &head.Error{What: "the name of a field in its trailer", Text: name}
+			}
+		}
+	}
+	return n, err
+}
+
+// checked returns a response that belongs to the attempt, or an error.
+func (g *gate) checked(server string, response *http.Response) (*http.Response, error) {
+	response.Body = &responseBody{response.Body, g.writtenConn(), response}
+	if err := g.check(server, response); err != nil {
+		CloseConnection(response)
+		response.Body.Close()
+		return nil, err
+	}
+	return response, nil
 }
 
 // CloseConnection closes the connection of a response that Do returned, since further data on it may belong to another
@@ -294,13 +315,17 @@
 	return e
 }
 
-// check returns an error if a response belongs to an earlier attempt, or if the server switched protocols, which no request
+// check returns an error if a response belongs to an earlier attempt, if its head is malformed, or if the server switched protocols, which no request
 // asks for and after which only the end of the connection ends the response.
 func (g *gate) check(server string, response *http.Response) error {
 	early, sent := g.sealIfEarly()
-	switch {
-	case early:
+	if early {
 		return &ServerError{Server: server, Reason: fleet.ReasonForeignAnswer, Sent: sent, NotRun: !sent, Status: response.StatusCode, Err: errEarly}
+	}
+	err := g.writtenConn().answerHead()
+	switch {
+	case err != nil:
+		return &ServerError{Server: server, Reason: fleet.ReasonForeignAnswer, Sent: true, Status: response.StatusCode, Err: err}
 	case response.StatusCode == http.StatusSwitchingProtocols:
 		return &ServerError{Server: server, Reason: fleet.ReasonStreamBroken, Sent: true, Status: response.StatusCode}
 	}
--- a/router/back/conn.go
+++ b/router/back/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 
+	"mangolug.org/core/head"
 	"mangolug.org/router/sock"
 )
 
@@ -133,6 +134,8 @@
 	reused      bool // it carried an earlier attempt
 	idleTooLong bool // it was idle for too long to carry the current attempt
 	read        bool // bytes were read since the first write of the current attempt
+	head        head.Scanner
+	headErr     error // of the head of the answer to the current attempt
 	upload      upload
 }
 
@@ -161,7 +164,17 @@
 func (c *conn) expectAnswer() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.read = false
+	c.read, c.head, c.headErr = false, head.Scanner{}, nil
+}
+
+// answerHead returns an error if the head of the answer is malformed, also where net/http passes over that. A nil connection has no answer.
+func (c *conn) answerHead() error {
+	if c == nil {
+		return nil
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.headErr
 }
 
 // hasRead reports whether bytes were read since the first write of the current attempt.
@@ -182,6 +195,9 @@
 	if n > 0 {
 		c.mutex.Lock()
 		c.read = true
+		if c.headErr == nil {
+			c.headErr = c.head.Scan(b[:n])
+		}
 		c.mutex.Unlock()
 	}
 	return n, err
--- a/router/boot/source.go
+++ b/router/boot/source.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"mangolug.org/router/back"
 )
 
 // platformDialTimeout is the time limit for opening a connection to the platform.
@@ -15,5 +17,5 @@
 	if source != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: source}
 	}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}}
+	return &http.Client{Transport: &http.Transport{DialContext: back.CheckHeads(dialer.DialContext)}}
 }
--- a/router/relay/proof_test.go
+++ b/router/relay/proof_test.go
@@ -118,6 +118,7 @@
 		"closed without an answer": fixed(""),
 		"closed inside the header": fixed("HTTP/1.1 200 OK\r\n" + testInstance + ": s0\r\nContent-Le"),
 		"no HTTP":                  fixed("ok\r\n\r\n"),
+		"a malformed head":         fixed("HTTP/1.1 200 OK\r\n" + testInstance + ": s0\r\nX Y: z\r\nContent-Length: 0\r\n\r\n"),
 		"reset": func(_ int, c net.Conn, _ *http.Request) {
 			_ = c.(*net.TCPConn).SetLinger(0) // the connection is open
 			_ = c.Close()
