Ask the store's history for changes that its items don't explain

Cause: a router that starts looked at the items only, though the store keeps the changes of some seconds.

A removal counts as explained only if the history tells what was removed, and versions that it tells count as gone at that moment.

--- a/core/past/listing.go
+++ b/core/past/listing.go
@@ -28,16 +28,8 @@
 }
 
 // Coverage follows the items from the newest change back to the first revision that the listing doesn't explain.
-func (l Listing) Coverage() Coverage {
-	byRevision := make(map[int64]Item, len(l.Items))
-	for _, i := range l.Items {
-		if i.Created > 0 {
-			byRevision[i.Created] = Item{} // overwritten below if it is also that of the last change
-		}
-	}
-	for _, i := range l.Items {
-		byRevision[i.Revision] = i
-	}
+func (l *Listing) Coverage() Coverage {
+	byRevision := l.byRevision()
 	var c Coverage
 	for r := l.Revision; r > max(l.Known, firstRevision); r-- {
 		i, ok := byRevision[r]
@@ -54,3 +46,17 @@
 	c.Complete = true
 	return c
 }
+
+// byRevision returns the items by the revisions that they explain.
+func (l *Listing) byRevision() map[int64]Item {
+	explained := make(map[int64]Item, len(l.Items))
+	for _, i := range l.Items {
+		if i.Created > 0 {
+			explained[i.Created] = Item{} // replaced below if it is also that of a last change
+		}
+	}
+	for _, i := range l.Items {
+		explained[i.Revision] = i
+	}
+	return explained
+}
--- a/core/pool/version.go
+++ b/core/pool/version.go
@@ -157,6 +157,12 @@
 	v.versionsSince[id] = now
 }
 
+// RecordFormer records that a service had a server of a software version that is no longer listed, until now at the latest.
+func (p *Pool) RecordFormer(now time.Duration, service, version string) {
+	p.init()
+	p.service(service).leaveVersion(now, nameID(version))
+}
+
 // leaveVersion records that a server's version was there until now.
 func (v *service) leaveVersion(now time.Duration, id uint32) {
 	if v.versionsGone == nil {
--- a/router/proc/source.go
+++ b/router/proc/source.go
@@ -41,7 +41,8 @@
 // Listing says what a complete read of the platform tells of the time before it.
 type Listing struct {
 	past.Listing
-	FromCopy bool // the platform tells an era, so that it may have come back from an older copy just before
+	FromCopy bool          // the platform tells an era, so that it may have come back from an older copy just before
+	Former   []pool.Server // servers that the history tells, listed or not
 }
 
 func (p *Process) newSink() *Sink {
@@ -104,6 +105,9 @@
 				remove(now, q, id, 0, &outages)
 			}
 		}
+		for _, f := range l.Former {
+			q.RecordFormer(now, f.Service, f.Version)
+		}
 		q.ReadAnew(now, c)
 	})
 	if p.learned.Swap(true) {
