--- a/router/proc/streams.go
+++ b/router/proc/streams.go
@@ -43,7 +43,7 @@
 		return digest.Versions{}
 	case earlier != 0 && p.exchanger != nil && !p.behind():
 		p.exchanger.WithFleet(func(now time.Duration, fleet *digest.Fleet) {
-			spread := fleet.SpreadTime() // a router's last words may be news for as long after its end
+			spread := fleet.SpreadTime() // gossip about a router that ended may be passed on for as long after its end
 			if joined >= spread && !fleet.LostSince(now, joined+spread) {
 				known.Earlier = earlier
 			}
