Show that an unsafe request runs twice after a late rejection without an id

Tried: an engine that sends a rejection without a Request-Id 60 ms after 3 in 100 of its answers, for 5 s, with two routers and three engines.

--- /dev/null
+++ b/review/rig/cases.go
@@ -0,0 +1,344 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Services of the deployment.
+const (
+	modelService = "stain-llm"
+	plainService = "swatch-desk"
+)
+
+func modelServices() []table {
+	return []table{{"Name": modelService, "HealthPath": "/health", "ConnectionLimit": 370, "Engine": table{"Slots": 64, "KvCacheTokens": 264579}}}
+}
+
+func plainServices() []table {
+	return []table{{"Name": plainService, "HealthPath": "/health", "ConnectionLimit": 110}}
+}
+
+// eventPattern matches a whole event of the engines.
+var eventPattern = regexp.MustCompile(`id: ([0-9]+)\ndata: (\S+) ([0-9]+)/([0-9]+) run=(\S+) version=(\S+)\n\n`)
+
+// stream is what a client got of a stream over its attempts.
+type stream struct {
+	last     int
+	began    string
+	versions []string
+	done     bool
+}
+
+// take adds the events of an answer.
+func (s *stream) take(a *answer) {
+	for _, m := range eventPattern.FindAllStringSubmatch(string(a.body), -1) {
+		s.last, _ = strconv.Atoi(m[1])
+		if s.began == "" {
+			s.began = a.id
+		}
+		if !slices.Contains(s.versions, m[6]) {
+			s.versions = append(s.versions, m[6])
+		}
+	}
+	s.done = a.status == http.StatusOK && a.whole
+}
+
+// playStream plays a client that asks for a stream and takes it up once if it breaks off.
+func (r *rig) playStream(client, n, pieces int, gap time.Duration) *stream {
+	s := &stream{}
+	until := time.Now().Add(15 * time.Second)
+	for attempt := range 2 {
+		router := r.routers[(client+n+attempt)%len(r.routers)].front
+		id := fmt.Sprintf("c%d-%d-%d", client, n, attempt)
+		headers := []string{"Model: m", fmt.Sprintf("Token-Counts: 715,%d", 4*pieces), fmt.Sprintf("Prompt-Prefix: a%d:103,b%d:69,c%d%04d:543", client%4, client%16, client+1, n)}
+		if s.last > 0 {
+			headers = append(headers, fmt.Sprintf("Last-Event-Id: %d", s.last), "Resumes: "+s.began)
+		}
+		a := r.ask(router, "POST", "/notes/2f", id, fmt.Sprintf("pieces=%d gap=%d", pieces, gap.Milliseconds()), time.Until(until), headers...)
+		s.take(a)
+		if s.done || a.status >= 400 && a.status < 500 {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if len(s.versions) > 1 {
+		r.note("client c%d-%d: its stream holds events of versions %s", client, n, strings.Join(s.versions, " and "))
+	}
+	return s
+}
+
+// joinedVersions: an engine is restarted in place with another software version while the store is down, and ends again.
+func joinedVersions(r *rig) (bool, error) {
+	const clients = 48
+	r.configure([]table{{
+		"Name": "dispatch-note", "PathPrefix": "/notes/", "Service": modelService, "Kind": "streaming", "Resumable": true, "Attempts": 2,
+		"TimeoutMs": 15000, "LatencyTargetMs": 1500, "GapTargetMs": 500, "StickySessions": true,
+	}}, modelServices(), defaultLimits)
+	for range 3 {
+		if _, err := r.addEngine(modelService, true, "v1", ""); err != nil {
+			return false, err
+		}
+	}
+	if err := r.startRouters(3); err != nil {
+		return false, err
+	}
+	defer r.keepLogs()
+	stop := make(chan struct{})
+	var streams []*stream
+	var mutex sync.Mutex
+	var calls sync.WaitGroup
+	for client := range clients {
+		calls.Go(func() {
+			time.Sleep(time.Duration(client) * 100 * time.Millisecond)
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				s := r.playStream(client, n, 70, 70*time.Millisecond)
+				mutex.Lock()
+				streams = append(streams, s)
+				mutex.Unlock()
+			}
+		})
+	}
+	time.Sleep(4 * time.Second)
+	if r.trouble {
+		r.note("the store goes down")
+		r.store.setDown(true)
+	}
+	time.Sleep(500 * time.Millisecond)
+	e := r.engines[0]
+	r.kill(e)
+	time.Sleep(time.Second)
+	e.version = "v2"
+	if err := r.startEngine(e); err != nil {
+		return false, err
+	}
+	time.Sleep(4 * time.Second)
+	r.kill(e)
+	time.Sleep(2 * time.Second)
+	r.note("the store is up")
+	r.store.setDown(false)
+	time.Sleep(2 * time.Second)
+	close(stop)
+	calls.Wait()
+	joined, done := 0, 0
+	for _, s := range streams {
+		if len(s.versions) > 1 {
+			joined++
+		}
+		if s.done {
+			done++
+		}
+	}
+	r.note("%d streams, %d complete, %d hold events of two software versions; ORDER allows two", len(streams), done, joined)
+	return joined > 2, nil
+}
+
+// restartedVouches: a router freezes while an engine of a plain service crashes and comes back under its id, in the middle of answers without a length.
+func restartedVouches(r *rig) (bool, error) {
+	const clients, pieces, gap = 12, 40, 50 * time.Millisecond
+	r.configure([]table{{
+		"Name": "track-parcel", "PathPrefix": "/track/", "Service": plainService, "Kind": "safe", "Public": true, "Attempts": 2, "TimeoutMs": 10000, "LatencyTargetMs": 3000,
+	}}, plainServices(), defaultLimits)
+	for range 3 {
+		if _, err := r.addEngine(plainService, false, "v1", ""); err != nil {
+			return false, err
+		}
+	}
+	if err := r.startRouters(2); err != nil {
+		return false, err
+	}
+	defer r.keepLogs()
+	wrong := 0
+	var mutex sync.Mutex
+	var calls sync.WaitGroup
+	for client := range clients {
+		calls.Go(func() {
+			id := fmt.Sprintf("c%d", client)
+			a := r.ask(r.routers[client%2].front, "POST", "/track/"+strconv.Itoa(client), id, fmt.Sprintf("pieces=%d gap=%d unframed=1", pieces, gap.Milliseconds()), 10*time.Second)
+			got := strings.Count(string(a.body), "\n")
+			whole := got == pieces && strings.HasSuffix(string(a.body), "\n")
+			if a.status == http.StatusOK && a.whole && !whole {
+				mutex.Lock()
+				wrong++
+				mutex.Unlock()
+				r.note("client %s: a complete success with %d of %d lines of its engine's body", id, got, pieces)
+			}
+		})
+	}
+	time.Sleep(700 * time.Millisecond)
+	if r.trouble {
+		r.note("router %s freezes", r.routers[0].front)
+		_ = r.routers[0].command.Process.Signal(syscall.SIGSTOP)
+		time.Sleep(300 * time.Millisecond)
+		e := r.engines[0]
+		r.kill(e)
+		time.Sleep(2 * time.Second)
+		if err := r.startEngine(e); err != nil {
+			return false, err
+		}
+		time.Sleep(700 * time.Millisecond)
+		r.note("router %s wakes", r.routers[0].front)
+		_ = r.routers[0].command.Process.Signal(syscall.SIGCONT)
+	}
+	calls.Wait()
+	r.note("%d successes without the engine's whole body; MIXED allows none", wrong)
+	return wrong > 0, nil
+}
+
+// doubleSlash: a route takes all paths of its host, and clients send paths that begin with two slashes.
+func doubleSlash(r *rig) (bool, error) {
+	r.configure([]table{
+		{"Name": "track-parcel", "PathPrefix": "/", "Service": plainService, "Kind": "safe", "Public": true, "Attempts": 2, "TimeoutMs": 4000, "LatencyTargetMs": 300},
+	}, plainServices(), defaultLimits)
+	for range 2 {
+		if _, err := r.addEngine(plainService, false, "v1", ""); err != nil {
+			return false, err
+		}
+	}
+	if err := r.startRouters(2); err != nil {
+		return false, err
+	}
+	targets := []string{"/2f", "/track/2f", "/track//2f", "/track/2f?a=1"}
+	if r.trouble {
+		targets = append(targets, "//track/2f", "//2f?a=1", "//2f/3a", "///2f")
+	}
+	sent := map[string]string{}
+	for n := range 5 {
+		for i, target := range targets {
+			id := fmt.Sprintf("c%d-%d", n, i)
+			sent[id] = target
+			r.ask(r.routers[i%2].front, "GET", target, id, "", 4*time.Second)
+		}
+	}
+	time.Sleep(200 * time.Millisecond)
+	r.mutex.Lock()
+	runs := slices.Clone(r.runs)
+	r.mutex.Unlock()
+	wrong := 0
+	for _, run := range runs {
+		if run["target"] != sent[run["id"]] {
+			wrong++
+			r.note("engine %s ran %s as target %s (path %s, host %s), which the client sent as %s to host %s", run["engine"], run["id"], run["target"], run["path"], run["host"], sent[run["id"]], host)
+		}
+	}
+	r.note("%d of %d runs had another path than the client's; UNASKED allows none", wrong, len(runs))
+	return wrong > 0, nil
+}
+
+// hugeLimit: all engines of a service name a very high limit, and more long prompts come than they can read in time.
+func hugeLimit(r *rig) (bool, error) {
+	limit := ""
+	if r.trouble {
+		limit = "10000000000"
+	}
+	r.configure([]table{{
+		"Name": "colour-match", "PathPrefix": "/notes/", "Service": modelService, "Kind": "streaming", "Resumable": true, "Attempts": 2,
+		"TimeoutMs": 5000, "LatencyTargetMs": 600, "GapTargetMs": 500, "StickySessions": true,
+	}}, modelServices(), table{"HeaderBytes": 16384, "BodyBytes": 1 << 20, "HeaderTimeoutMs": 10000, "IdleTimeoutMs": 60000, "TokensPerS": 100000})
+	for range 3 {
+		if _, err := r.addEngine(modelService, true, "v1", limit); err != nil {
+			return false, err
+		}
+	}
+	if err := r.startRouters(2); err != nil {
+		return false, err
+	}
+	defer r.keepLogs()
+	var mutex sync.Mutex
+	unanswered, late := 0, 0
+	var calls sync.WaitGroup
+	for client := range 120 {
+		calls.Go(func() {
+			time.Sleep(time.Duration(client) * 25 * time.Millisecond)
+			for n := range 3 {
+				headers := []string{"Model: m", "Token-Counts: 9190,52", fmt.Sprintf("Prompt-Prefix: a%d:2520,b%d:3780,c%d%04d:2890", client%4, client%16, client+1, n)}
+				a := r.ask(r.routers[client%2].front, "POST", "/notes/2f", fmt.Sprintf("c%d-%d", client, n), "pieces=13 gap=60", 7*time.Second, headers...)
+				mutex.Lock()
+				if a.took > 5500*time.Millisecond {
+					late++
+				}
+				if a.took > 4900*time.Millisecond {
+					unanswered++
+				}
+				mutex.Unlock()
+			}
+		})
+	}
+	calls.Wait()
+	for _, o := range r.routers {
+		status, err := readiness(o)
+		r.note("router %s: readiness %d, %v", o.front, status, err)
+	}
+	r.note("%d requests were unanswered at their route's TimeoutMs, %d of them half a second later; CONFIG allows half", unanswered, late)
+	return unanswered > 0 && 2*late > unanswered, nil
+}
+
+// extraRejections: engines in trouble send bytes after complete answers, and callers send requests that may run once.
+func extraRejections(r *rig) (bool, error) {
+	const clients, share = 12, 0.03
+	r.configure([]table{{
+		"Name": "post-sample", "PathPrefix": "/post/", "Service": plainService, "Kind": "unsafe", "Public": true, "Attempts": 1, "TimeoutMs": 3000, "LatencyTargetMs": 300,
+	}}, plainServices(), defaultLimits)
+	for i := range 3 {
+		e := r.newEngine(plainService, false, "v1", "")
+		e.byHand = true
+		if r.trouble && i < 2 {
+			e.extra = share
+		}
+		if err := r.startEngine(e); err != nil {
+			return false, err
+		}
+	}
+	if err := r.startRouters(2); err != nil {
+		return false, err
+	}
+	defer r.keepLogs()
+	until := time.Now().Add(5 * time.Second)
+	var mutex sync.Mutex
+	answers := map[string]*answer{}
+	var calls sync.WaitGroup
+	for client := range clients {
+		calls.Go(func() {
+			for n := 0; time.Now().Before(until); n++ {
+				a := r.ask(r.routers[client%2].front, "POST", "/post/2f", fmt.Sprintf("c%d-%d", client, n), "a sample card", 4*time.Second)
+				mutex.Lock()
+				answers[a.id] = a
+				mutex.Unlock()
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	calls.Wait()
+	time.Sleep(300 * time.Millisecond)
+	r.mutex.Lock()
+	runs := map[string][]string{}
+	for _, run := range r.runs {
+		runs[run["id"]] = append(runs[run["id"]], run["run"])
+	}
+	r.mutex.Unlock()
+	twice, refused := 0, 0
+	for id, list := range runs {
+		if len(list) > 1 {
+			twice++
+			r.note("client %s: its unsafe request ran %d times: %s", id, len(list), strings.Join(list, " and "))
+		}
+		if a := answers[id]; a != nil && slices.Contains([]int{408, 421, 429, 503}, a.status) {
+			refused++
+			r.note("client %s: its unsafe request was answered %d and ran: %s", id, a.status, list[0])
+		}
+	}
+	r.note("%d unsafe requests, %d ran more than once, %d ran though they were answered with a promise; TWICE and REFUSED allow none", len(answers), twice, refused)
+	return twice > 0 || refused > 0, nil
+}
