Show that streams are refused after a crash and the end of all routers, and that OPTIONS * is answered unsigned

The stand-ins now keep the store's history for 20 s, change an entry only with more than its Sequence, and name runs in reports that are 300 ms old. Tried: one of five engines crashes and 29 s later all three routers are killed.

--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"regexp"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -145,96 +145,96 @@
 	return joined > 2, nil
 }
 
-// restartedVouches: a router freezes while an engine of a plain service crashes and comes back under its id, in the middle of answers without a length.
-func restartedVouches(r *rig) (bool, error) {
-	const clients, pieces, gap = 12, 40, 50 * time.Millisecond
+// streamsRefused: an engine crashes for good, and half a minute later all routers are killed at once. The other engines have one software version throughout.
+func streamsRefused(r *rig) (bool, error) {
+	const streams, pieces, gap, enough = 24, 40, 300 * time.Millisecond, 12
 	r.configure([]table{{
-		"Name": "track-parcel", "PathPrefix": "/track/", "Service": plainService, "Kind": "safe", "Public": true, "Attempts": 2, "TimeoutMs": 10000, "LatencyTargetMs": 3000,
-	}}, plainServices(), defaultLimits)
-	for range 3 {
-		if _, err := r.addEngine(plainService, false, "v1", ""); err != nil {
+		"Name": "dispatch-note", "PathPrefix": "/notes/", "Service": modelService, "Kind": "streaming", "Resumable": true, "Attempts": 2,
+		"TimeoutMs": 15000, "LatencyTargetMs": 1500, "GapTargetMs": 500, "StickySessions": true,
+	}}, modelServices(), defaultLimits)
+	for range 5 {
+		if _, err := r.addEngine(modelService, true, "v1", ""); err != nil {
 			return false, err
 		}
 	}
-	if err := r.startRouters(2); err != nil {
+	if err := r.startRouters(3); err != nil {
 		return false, err
 	}
 	defer r.keepLogs()
-	wrong := 0
+	if r.trouble && os.Getenv("TROUBLE") != "kill" { // TROUBLE=kill is the kill of the routers alone
+		r.kill(r.engines[0])
+	}
+	time.Sleep(26 * time.Second)
+	until := time.Now().Add(15 * time.Second)
+	back := make(chan struct{})
 	var mutex sync.Mutex
+	taken, goOn, fresh, begin := 0, 0, 0, 0
+	headers := func(client, n int) []string {
+		return []string{"Model: m", fmt.Sprintf("Token-Counts: 715,%d", 4*pieces), fmt.Sprintf("Prompt-Prefix: a%d:103,b%d:69,c%d%04d:543", client%4, client%16, client+1, n)}
+	}
+	body := fmt.Sprintf("pieces=%d gap=%d", pieces, gap.Milliseconds())
 	var calls sync.WaitGroup
-	for client := range clients {
+	for client := range streams {
 		calls.Go(func() {
-			id := fmt.Sprintf("c%d", client)
-			a := r.ask(r.routers[client%2].front, "POST", "/track/"+strconv.Itoa(client), id, fmt.Sprintf("pieces=%d gap=%d unframed=1", pieces, gap.Milliseconds()), 10*time.Second)
-			got := strings.Count(string(a.body), "\n")
-			whole := got == pieces && strings.HasSuffix(string(a.body), "\n")
-			if a.status == http.StatusOK && a.whole && !whole {
-				mutex.Lock()
-				wrong++
-				mutex.Unlock()
-				r.note("client %s: a complete success with %d of %d lines of its engine's body", id, got, pieces)
+			s, id := &stream{}, fmt.Sprintf("c%d-0", client)
+			stay := time.Until(until)
+			if !r.trouble {
+				stay = 3 * time.Second // the client loses its connection
+			}
+			s.take(r.askFor(r.routers[client%3].front, "POST", "/notes/2f", id, body, time.Until(until), stay, headers(client, 0)...))
+			<-back
+			if s.last == 0 || s.done {
+				return
+			}
+			from := s.last
+			resumption := append(headers(client, 0), fmt.Sprintf("Last-Event-Id: %d", from), "Resumes: "+s.began)
+			s.take(r.ask(r.routers[(client+1)%3].front, "POST", "/notes/2f", fmt.Sprintf("c%d-1", client), body, time.Until(until), resumption...))
+			mutex.Lock()
+			defer mutex.Unlock()
+			taken++
+			if s.last > from {
+				goOn++
+			}
+		})
+		calls.Go(func() {
+			<-back
+			s := &stream{}
+			s.take(r.ask(r.routers[client%3].front, "POST", "/notes/2f", fmt.Sprintf("d%d-0", client), body, time.Until(until), headers(client, 1)...))
+			mutex.Lock()
+			defer mutex.Unlock()
+			fresh++
+			if s.last > 0 {
+				begin++
 			}
 		})
 	}
-	time.Sleep(700 * time.Millisecond)
+	time.Sleep(3 * time.Second)
 	if r.trouble {
-		r.note("router %s freezes", r.routers[0].front)
-		_ = r.routers[0].command.Process.Signal(syscall.SIGSTOP)
-		time.Sleep(300 * time.Millisecond)
-		e := r.engines[0]
-		r.kill(e)
-		time.Sleep(2 * time.Second)
-		if err := r.startEngine(e); err != nil {
-			return false, err
+		r.note("all routers are killed")
+		for _, o := range r.routers {
+			_ = o.command.Process.Kill() // it runs
 		}
-		time.Sleep(700 * time.Millisecond)
-		r.note("router %s wakes", r.routers[0].front)
-		_ = r.routers[0].command.Process.Signal(syscall.SIGCONT)
-	}
-	calls.Wait()
-	r.note("%d successes without the engine's whole body; MIXED allows none", wrong)
-	return wrong > 0, nil
-}
-
-// doubleSlash: a route takes all paths of its host, and clients send paths that begin with two slashes.
-func doubleSlash(r *rig) (bool, error) {
-	r.configure([]table{
-		{"Name": "track-parcel", "PathPrefix": "/", "Service": plainService, "Kind": "safe", "Public": true, "Attempts": 2, "TimeoutMs": 4000, "LatencyTargetMs": 300},
-	}, plainServices(), defaultLimits)
-	for range 2 {
-		if _, err := r.addEngine(plainService, false, "v1", ""); err != nil {
-			return false, err
+		for _, o := range r.routers {
+			<-o.ended
 		}
-	}
-	if err := r.startRouters(2); err != nil {
-		return false, err
-	}
-	targets := []string{"/2f", "/track/2f", "/track//2f", "/track/2f?a=1"}
-	if r.trouble {
-		targets = append(targets, "//track/2f", "//2f?a=1", "//2f/3a", "///2f")
-	}
-	sent := map[string]string{}
-	for n := range 5 {
-		for i, target := range targets {
-			id := fmt.Sprintf("c%d-%d", n, i)
-			sent[id] = target
-			r.ask(r.routers[i%2].front, "GET", target, id, "", 4*time.Second)
+		time.Sleep(500 * time.Millisecond)
+		for _, o := range r.routers {
+			if err := r.startRouter(o); err != nil {
+				return false, err
+			}
 		}
-	}
-	time.Sleep(200 * time.Millisecond)
-	r.mutex.Lock()
-	runs := slices.Clone(r.runs)
-	r.mutex.Unlock()
-	wrong := 0
-	for _, run := range runs {
-		if run["target"] != sent[run["id"]] {
-			wrong++
-			r.note("engine %s ran %s as target %s (path %s, host %s), which the client sent as %s to host %s", run["engine"], run["id"], run["target"], run["path"], run["host"], sent[run["id"]], host)
+		for _, o := range r.routers {
+			if err := waitReady(o); err != nil {
+				return false, err
+			}
 		}
+		r.note("all routers are ready")
 	}
-	r.note("%d of %d runs had another path than the client's; UNASKED allows none", wrong, len(runs))
-	return wrong > 0, nil
+	time.Sleep(4500 * time.Millisecond) // machines are in touch 3 s after their start
+	close(back)
+	calls.Wait()
+	r.note("%d of %d streams that were taken up go on, %d of %d new ones begin; LOST allows no less than half as many", goOn, taken, begin, fresh)
+	return taken >= enough && 2*goOn*fresh < begin*taken, nil
 }
 
 // hugeLimit: all engines of a service name a very high limit, and more long prompts come than they can read in time.
@@ -342,3 +342,35 @@
 	r.note("%d unsafe requests, %d ran more than once, %d ran though they were answered with a promise; TWICE and REFUSED allow none", len(answers), twice, refused)
 	return twice > 0 || refused > 0, nil
 }
+
+// unsignedOptions: clients ask for the options of the whole server.
+func unsignedOptions(r *rig) (bool, error) {
+	r.configure([]table{
+		{"Name": "track-parcel", "PathPrefix": "/track/", "Service": plainService, "Kind": "safe", "Public": true, "Attempts": 2, "TimeoutMs": 4000, "LatencyTargetMs": 300},
+	}, plainServices(), defaultLimits)
+	for range 2 {
+		if _, err := r.addEngine(plainService, false, "v1", ""); err != nil {
+			return false, err
+		}
+	}
+	if err := r.startRouters(2); err != nil {
+		return false, err
+	}
+	asked := [][2]string{{"GET", "/track/2f"}, {"OPTIONS", "/track/2f"}, {"OPTIONS", "/other/2f"}}
+	if r.trouble {
+		asked = append(asked, [2]string{"OPTIONS", "*"})
+	}
+	wrong := 0
+	for n := range 5 {
+		for i, o := range r.routers {
+			for k, q := range asked {
+				a := r.ask(o.front, q[0], q[1], fmt.Sprintf("c%d-%d-%d", n, i, k), "", 4*time.Second)
+				if a.status/100 == 2 && a.header.Get("Response-Signature") == "" {
+					wrong++
+				}
+			}
+		}
+	}
+	r.note("%d successes without an engine's signature; MIXED allows none", wrong)
+	return wrong > 0, nil
+}
--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -4,9 +4,11 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,9 +26,17 @@
 	running atomic.Int64
 	runs    atomic.Int64
 	mutex   sync.Mutex
-	prefill sync.Mutex // held while a prompt is read
+	prefill sync.Mutex      // held while a prompt is read
+	now     map[string]bool // ids of the requests that run
+	reports [][]string      // of the ids, each reportPeriod, the newest last
 }
 
+const (
+	// reportPeriod is the time between two reports, of which the oldest of reportsKept is told: reports are some hundred ms old.
+	reportPeriod = 100 * time.Millisecond
+	reportsKept  = 4
+)
+
 // prefillPerMs is how many tokens of a prompt's own part a model engine reads in a millisecond; the shared parts are kept.
 const prefillPerMs = 49.6
 
@@ -47,6 +57,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
+	e.now = make(map[string]bool)
+	go e.report()
 	e.say("up id=%s version=%s born=%d", e.id, e.version, e.born)
 	if *byHand {
 		e.serveWithExtras(listener, *extra)
@@ -64,6 +76,41 @@
 	fmt.Printf(format+"\n", args...)
 }
 
+// report notes from time to time what runs.
+func (e *engine) report() {
+	for range time.Tick(reportPeriod) {
+		e.mutex.Lock()
+		e.reports = append(e.reports, slices.Sorted(maps.Keys(e.now)))
+		e.reports = e.reports[max(0, len(e.reports)-reportsKept):]
+		e.mutex.Unlock()
+	}
+}
+
+// reported returns the runs of the report, each as [id, tokens in memory, events made, priority].
+func (e *engine) reported() string {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	var runs []string
+	if len(e.reports) > 0 {
+		for _, id := range e.reports[0] {
+			runs = append(runs, fmt.Sprintf("[%q,1,1,0]", id))
+		}
+	}
+	return strings.Join(runs, ",")
+}
+
+// begins notes a request that runs, and returns the function for its end.
+func (e *engine) begins(id string) func() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.now[id] = true
+	return func() {
+		e.mutex.Lock()
+		defer e.mutex.Unlock()
+		delete(e.now, id)
+	}
+}
+
 // order is what a request's body asks for.
 type order struct {
 	pieces   int
@@ -112,7 +159,7 @@
 		h.Set("Instance-Id", e.id)
 	case e.model && r.Method == http.MethodGet && r.URL.Path == "/-/report":
 		h.Set("Content-Type", "application/json")
-		fmt.Fprintf(w, `{"Stage":"both","Models":[{"Name":"m","Version":1,"Adapters":[]}],"Busy":false,"Sequence":1,"Waiting":0,"Running":%d,"KvUsed":0,"KvTotal":300000,"Handles":0,"born":%d,"Runs":[]}`, running-1, e.born)
+		fmt.Fprintf(w, `{"Stage":"both","Models":[{"Name":"m","Version":1,"Adapters":[]}],"Busy":false,"Sequence":1,"Waiting":0,"Running":%d,"KvUsed":0,"KvTotal":300000,"Handles":0,"born":%d,"Runs":[%s]}`, running-1, e.born, e.reported())
 	case id == "":
 		reject(http.StatusBadRequest)
 	case running > e.slots:
@@ -129,6 +176,7 @@
 	if err != nil {
 		return
 	}
+	defer e.begins(id)()
 	o := readOrder(string(body))
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	e.say("run id=%s run=%s version=%s method=%s target=%s path=%s host=%s after=%d", id, run, e.version, r.Method, r.RequestURI, r.URL.Path, r.Host, last)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -19,8 +19,8 @@
 	"11": extraRejections,
 	"12": hugeLimit,
 	"13": joinedVersions,
-	"14": restartedVouches,
-	"15": doubleSlash,
+	"14": streamsRefused,
+	"15": unsignedOptions,
 }
 
 func main() {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -47,6 +47,7 @@
 
 type router struct {
 	front, readiness, control string
+	settings                  string
 	command                   *exec.Cmd
 	ended                     chan struct{}
 }
@@ -64,6 +65,7 @@
 	born    int64
 	beats   int
 	heard   time.Time // when the store last heard it
+	entry   string    // as it was last written, without its Sequence
 	ready   chan struct{}
 }
 
@@ -222,7 +224,7 @@
 	}
 }
 
-// beat writes the entry of an engine, as it does itself at its start and each heartbeat.
+// beat tells the store that an engine lives, as it does itself at its start and each heartbeat. The entry changes when more than its Sequence does.
 func (r *rig) beat(e *engineProcess) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -232,10 +234,14 @@
 	e.beats++
 	entry := table{
 		"Service": e.service, "Address": e.address, "Zone": e.zone, "Version": e.version, "Slots": e.slots, "State": "ready", "ColdRemainingMs": 0,
-		"Sequence": e.beats, "born": e.born,
+		"born": e.born,
 	}
-	if r.store.set("servers/"+e.id, encode(entry)) {
+	key, content := "servers/"+e.id, string(encode(entry))
+	entry["Sequence"] = e.beats
+	if content == e.entry && r.store.has(key) {
 		e.heard = time.Now()
+	} else if r.store.set(key, encode(entry)) {
+		e.entry, e.heard = content, time.Now()
 	}
 }
 
@@ -272,38 +278,22 @@
 
 // startRouters starts routers with the deploy file's command and waits until they are ready.
 func (r *rig) startRouters(n int) error {
-	program, err := filepath.Abs("target/platform")
-	if err != nil {
-		return err
-	}
 	var seeds []string
 	for i := range min(n, 3) {
 		seeds = append(seeds, strconv.Quote(fmt.Sprintf("%s%d:8785", r.network, 10+i)))
 	}
 	for i := range n {
 		ip := fmt.Sprintf("%s%d", r.network, 10+i)
-		o := &router{front: ip + ":8783", readiness: ip + ":8780", control: ip + ":8785", ended: make(chan struct{})}
+		o := &router{front: ip + ":8783", readiness: ip + ":8780", control: ip + ":8785"}
 		settings := filepath.Join(r.dir, fmt.Sprintf("router-%d.toml", i+1))
 		text := fmt.Sprintf(nodeText, fmt.Sprintf("front-%s-%d", zones[i%len(zones)], i+1), ip, zones[i%len(zones)], strings.Join(seeds, ","), o.front, o.readiness, o.control, r.network+"1:8781")
 		if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 			return err
 		}
-		logs, err := os.Create(filepath.Join(r.dir, fmt.Sprintf("router-%d.log", i+1)))
-		if err != nil {
-			return err
-		}
-		o.command = exec.Command(program)
-		o.command.Env = append(os.Environ(), "MANGOLUG_NODE_FILE="+settings)
-		o.command.Stdout, o.command.Stderr = logs, logs
-		o.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-		if err := o.command.Start(); err != nil {
+		o.settings = settings
+		if err := r.startRouter(o); err != nil {
 			return err
 		}
-		go func() {
-			err := o.command.Wait()
-			r.note("router %s ended: %v", o.front, err)
-			close(o.ended)
-		}()
 		r.routers = append(r.routers, o)
 	}
 	for _, o := range r.routers {
@@ -315,6 +305,33 @@
 	return nil
 }
 
+// startRouter starts the process of a router.
+func (r *rig) startRouter(o *router) error {
+	program, err := filepath.Abs("target/platform")
+	if err != nil {
+		return err
+	}
+	logs, err := os.OpenFile(strings.TrimSuffix(o.settings, ".toml")+".log", os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return err
+	}
+	command, ended := exec.Command(program), make(chan struct{})
+	command.Env = append(os.Environ(), "MANGOLUG_NODE_FILE="+o.settings)
+	command.Stdout, command.Stderr = logs, logs
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		return err
+	}
+	_ = logs.Close() // the process has its own
+	o.command, o.ended = command, ended
+	go func() {
+		err := command.Wait()
+		r.note("router %s ended: %v", o.front, err)
+		close(ended)
+	}()
+	return nil
+}
+
 // readiness returns the status of a router's readiness.
 func readiness(o *router) (int, error) {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -426,12 +443,17 @@
 
 // ask sends a request on a new connection and reads the answer, to its end or until the client's deadline.
 func (r *rig) ask(router, method, target, id, body string, deadline time.Duration, headers ...string) *answer {
+	return r.askFor(router, method, target, id, body, deadline, deadline, headers...)
+}
+
+// askFor is ask for a client that names a deadline, and closes its connection after some time.
+func (r *rig) askFor(router, method, target, id, body string, deadline, stay time.Duration, headers ...string) *answer {
 	a := &answer{id: id, router: router, began: time.Since(r.began)}
 	defer func() {
 		a.took = time.Since(r.began) - a.began
 		r.note("client %s: %s %s at %s: status %d, %d bytes, whole %v, signed %v, after %d ms, error %v", id, method, target, router, a.status, len(a.body), a.whole, a.header.Get("Response-Signature") != "", a.took.Milliseconds(), a.err)
 	}()
-	until := time.Now().Add(deadline)
+	until := time.Now().Add(stay)
 	c, err := net.DialTimeout("tcp", router, time.Second)
 	if err != nil {
 		a.err = err
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -29,11 +29,16 @@
 	StoreRevision int64
 }
 
+// historyKept is how long the store keeps its history, as HistoryS of the settings says.
+const historyKept = 20 * time.Second
+
 // store stands in for the platform's store. While it is down it answers 503, which means that nothing was done, and takes no writes.
 type store struct {
 	mutex    sync.Mutex
 	items    map[string]item
-	history  []item
+	history  []item      // of the last historyKept
+	times    []time.Time // of the changes in history
+	dropped  int64       // revision up to which the history is gone
 	revision int64
 	changed  chan struct{}
 	down     bool
@@ -83,11 +88,27 @@
 	if i.Deleted {
 		delete(s.items, key)
 	}
-	s.history = append(s.history, i)
+	s.history, s.times = append(s.history, i), append(s.times, time.Now())
 	s.wake()
 	return true
 }
 
+// has reports whether there is an item with a key.
+func (s *store) has(key string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	_, ok := s.items[key]
+	return ok
+}
+
+// trim drops the history that is no longer kept; the caller holds the mutex.
+func (s *store) trim() {
+	for len(s.times) > 0 && time.Since(s.times[0]) > historyKept {
+		s.dropped = s.history[0].Revision
+		s.history, s.times = s.history[1:], s.times[1:]
+	}
+}
+
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	prefix := query.Get("PathPrefix")
@@ -97,7 +118,8 @@
 	var p page
 	for waiting := true; ; {
 		s.mutex.Lock()
-		down, changed := s.down, s.changed
+		s.trim()
+		down, gone, changed := s.down, false, s.changed
 		p = page{StoreRevision: s.revision}
 		switch r.URL.Path {
 		case "/-/kv-range":
@@ -109,6 +131,7 @@
 			}
 		case "/-/kv-watch":
 			after, _ := strconv.ParseInt(query.Get("After"), 10, 64)
+			gone = after < s.dropped || after > s.revision
 			for _, i := range s.history {
 				if i.Revision > after && strings.HasPrefix(i.Key, prefix) {
 					p.Events = append(p.Events, i)
@@ -116,10 +139,15 @@
 			}
 		}
 		s.mutex.Unlock()
+		w.Header().Set("Store-Era", "1")
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		if gone {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		if !waiting || len(p.Events) > 0 {
 			break
 		}
@@ -132,6 +160,5 @@
 		}
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Store-Era", "1")
 	_ = json.NewEncoder(w).Encode(p) // an error means that the reader has left
 }
